--- /dev/null
+++ b/internal/checker/requests.go
@@ -0,0 +1,108 @@
+package checker
+
+import (
+	"slices"
+
+	"coltsfootplank/internal/recorder"
+)
+
+// scope identifies a caller's request by its key.
+type scope struct {
+	workspace, work, key string
+}
+
+func checkDispatchedOnce(history History, _ Bounds, verdict *Verdict) {
+	runs := make(map[string]int)
+	for _, run := range history.Runs {
+		runs[run.RequestID]++
+	}
+	verdict.Cases = len(runs)
+	for id, count := range runs {
+		if count > 1 {
+			verdict.violate("request %s ran %d times", id, count)
+		}
+	}
+	// A dispatch that proved to have sent nothing is followed by a "returned" event and doesn't count.
+	dispatches := make(map[string]int)
+	for _, event := range history.Events {
+		switch event.Kind {
+		case recorder.Dispatched:
+			dispatches[event.RequestID]++
+		case recorder.Returned:
+			dispatches[event.RequestID] = max(dispatches[event.RequestID]-1, 0)
+		default:
+		}
+	}
+	for id, count := range dispatches {
+		if count > 1 {
+			verdict.violate("request %s was dispatched %d times", id, count)
+		}
+	}
+}
+
+func checkWholeAnswers(history History, _ Bounds, verdict *Verdict) {
+	for _, reply := range history.Replies {
+		if reply.ForeignID != "" {
+			verdict.violate("request %s got a part of %s", reply.RequestID, reply.ForeignID)
+		}
+		if !reply.Whole {
+			continue
+		}
+		verdict.Cases++
+		if !reply.Stream {
+			continue
+		}
+		if reply.Total != len(reply.Tokens) {
+			verdict.violate("request %s: %d tokens of %d, yet marked whole", reply.RequestID, len(reply.Tokens), reply.Total)
+		}
+		for want, got := range reply.Tokens {
+			if want != got {
+				verdict.violate("request %s: token %d at position %d", reply.RequestID, got, want)
+				break
+			}
+		}
+	}
+}
+
+func checkNotRun(history History, _ Bounds, verdict *Verdict) {
+	ran := make(map[string]string)
+	for _, run := range history.Runs {
+		ran[run.RequestID] = run.Upstream
+	}
+	for _, reply := range history.Replies {
+		if reply.Outcome != "not_run" {
+			continue
+		}
+		verdict.Cases++
+		if upstream, yes := ran[reply.RequestID]; yes {
+			verdict.violate("request %s was refused as not run (%s) but ran on %s", reply.RequestID, reply.Code, upstream)
+		}
+	}
+}
+
+func checkKeyedOnce(history History, _ Bounds, verdict *Verdict) {
+	scopes := make(map[string]scope)
+	for _, event := range history.Events {
+		if event.Key != "" {
+			scopes[event.RequestID] = scope{event.Workspace, event.Work, event.Key}
+		}
+	}
+	for _, reply := range history.Replies {
+		if reply.Key != "" {
+			scopes[reply.RequestID] = scope{reply.Workspace, reply.Work, reply.Key}
+		}
+	}
+	runs := make(map[scope][]string)
+	for _, run := range history.Runs {
+		if s, keyed := scopes[run.RequestID]; keyed {
+			runs[s] = append(runs[s], run.RequestID)
+		}
+	}
+	verdict.Cases = len(runs)
+	for s, ids := range runs {
+		if len(ids) > 1 {
+			slices.Sort(ids)
+			verdict.violate("key %s of %s/%s ran %d times: %v", s.key, s.workspace, s.work, len(ids), ids)
+		}
+	}
+}
