Add strict loading of the router's settings

Cause: a misspelt key or a value in the wrong unit must stop a router at start with the file, line and field, not change its behaviour silently. Change: package loader decodes YAML over documented defaults by walking the syntax tree next to the struct, so that all mistakes are reported at once, each with its own error type.

--- /dev/null
+++ b/internal/loader/defaults.go
@@ -0,0 +1,51 @@
+package loader
+
+import "time"
+
+// Defaults returns the values of all settings that a file leaves out. Those that every router must state
+// itself (names and addresses) are empty.
+func Defaults() Settings {
+	return Settings{
+		Platform: Platform{
+			Log:         Service{Protocol: "httplog"},
+			VMList:      Service{Protocol: "httpvmlist"},
+			WeightStore: WeightStore{Protocol: "httpweights", LoadsPerMinute: 30},
+		},
+		Membership: Membership{
+			ProbeInterval:  time.Second,
+			ProbeTimeout:   300 * time.Millisecond,
+			SuspectTimeout: 2 * time.Second,
+			VMListInterval: 2 * time.Second,
+		},
+		Scheduling: Scheduling{
+			HeartbeatInterval: 200 * time.Millisecond,
+			StreamTimeout:     500 * time.Millisecond,
+			CellEngines:       64,
+			MaxQueue:          2000,
+			LongTokens:        1000,
+			LongShare:         0.5,
+			TokenRoom:         200_000,
+			StragglerRatio:    0.5,
+			StragglerCap:      0.25,
+			LoadInterval:      250 * time.Millisecond,
+			CacheInterval:     500 * time.Millisecond,
+			PoisonRetention:   10 * time.Minute,
+			RetryBudget:       0.2,
+			QueuePolicy:       "fair",
+			EnginePolicy:      "first_token",
+		},
+		Claims: Claims{
+			Retention:      24 * time.Hour,
+			MemoryWindow:   10 * time.Minute,
+			MaxResultBytes: 16 << 10,
+		},
+		Catalogue: Catalogue{
+			PollInterval:   500 * time.Millisecond,
+			Retention:      24 * time.Hour,
+			RepublishAfter: 8 * time.Hour,
+		},
+		Drain:  Drain{Delay: 3 * time.Second, Timeout: 15 * time.Minute},
+		Limits: Limits{MaxWaiting: 20_000, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10},
+		Log:    Log{Level: "info", Format: "json"},
+	}
+}
--- /dev/null
+++ b/internal/loader/settings.go
@@ -0,0 +1,151 @@
+package loader
+
+import (
+	"os"
+	"time"
+)
+
+// Settings are the router's settings, read once at start.
+type Settings struct {
+	// Name identifies the router among its peers; no two live routers may share it.
+	Name string `yaml:"name" format:"name" required:"true" help:"unique name of this router"`
+	// DataCentre is where the VM stands; engines in the same data centre are preferred.
+	DataCentre string `yaml:"data_centre" format:"name" required:"true" help:"data centre of this VM"`
+	// Callers is where callers (through the load balancer) connect.
+	Callers Endpoint `yaml:"callers" help:"addresses for callers"`
+	// Peers is where other routers connect.
+	Peers Peers `yaml:"peers" help:"addresses for other routers"`
+	// Admin is where operators connect.
+	Admin Admin `yaml:"admin" help:"address for operators"`
+	// Platform tells how to reach the platform's services.
+	Platform Platform `yaml:"platform" help:"services of the platform"`
+	// TLS holds the certificates of the three listeners.
+	TLS TLS `yaml:"tls" help:"certificates of the listeners"`
+	// Membership tunes failure detection.
+	Membership Membership `yaml:"membership" help:"failure detection among routers"`
+	// Scheduling tunes the schedulers of the pools.
+	Scheduling Scheduling `yaml:"scheduling" help:"queues, grants and engine choice"`
+	// Claims tunes the handling of requests with an idempotency key.
+	Claims Claims `yaml:"claims" help:"requests with an idempotency key"`
+	// Catalogue tunes the replication of the catalogue.
+	Catalogue Catalogue `yaml:"catalogue" help:"replication of the catalogue"`
+	// Drain tunes the planned stop.
+	Drain Drain `yaml:"drain" help:"planned stop"`
+	// Limits bounds what one router holds in memory.
+	Limits Limits `yaml:"limits" help:"bounds of this router's memory"`
+	// Log says what is logged to stderr.
+	Log Log `yaml:"log" help:"log lines on stderr"`
+}
+
+// Endpoint is one listener. Advertise is the address that others are told; empty means Listen.
+type Endpoint struct {
+	// Listen is the address to bind; the IP may be 0.0.0.0 or [::].
+	Listen string `yaml:"listen" unit:"IP:port" format:"listen" required:"true" help:"address to bind"`
+	// Advertise is the address by which others reach Listen.
+	Advertise string `yaml:"advertise" unit:"IP:port" format:"address" help:"address told to others; listen if empty"`
+}
+
+// Peers is the listener for other routers, and some of them to start from.
+type Peers struct {
+	// Listen is the address to bind; the IP may be 0.0.0.0 or [::].
+	Listen string `yaml:"listen" unit:"IP:port" format:"listen" required:"true" help:"address to bind"`
+	// Advertise is the address by which other routers reach Listen.
+	Advertise string `yaml:"advertise" unit:"IP:port" format:"address" help:"address told to other routers; listen if empty"`
+	// Seeds are peer addresses of some routers. The VM list adds others, so none of them needs to be alive.
+	Seeds []string `yaml:"seeds" unit:"IP:port" format:"address" help:"peer addresses of some other routers"`
+}
+
+// Admin is the listener for operators.
+type Admin struct {
+	// Listen is the address to bind. It has no authentication but TLS client certificates.
+	Listen string `yaml:"listen" unit:"IP:port" format:"listen" required:"true" help:"address of the administration API"`
+}
+
+// Platform tells how to reach the platform's services.
+type Platform struct {
+	// Log is the append-only log service.
+	Log Service `yaml:"log" help:"log service (required)"`
+	// VMList is the list of live and leaving VMs; without it the seeds must suffice.
+	VMList Service `yaml:"vm_list" help:"VM list (optional)"`
+	// WeightStore holds model weights; without it no model loads are ordered.
+	WeightStore WeightStore `yaml:"weight_store" help:"weight store (optional)"`
+}
+
+// Service is one platform service. Protocol names a plug-in.
+type Service struct {
+	// Protocol is the name of the adapter plug-in.
+	Protocol string `yaml:"protocol" format:"name" help:"adapter plug-in"`
+	// Address is where the service listens; empty means that there is none.
+	Address string `yaml:"address" unit:"IP:port" format:"address" help:"address of the service; empty means none"`
+}
+
+// WeightStore is the weight store and the rate that all routers share.
+type WeightStore struct {
+	// Protocol is the name of the adapter plug-in.
+	Protocol string `yaml:"protocol" format:"name" help:"adapter plug-in"`
+	// Address is where the weight store listens; empty means that there is none.
+	Address string `yaml:"address" unit:"IP:port" format:"address" help:"address of the service; empty means none"`
+	// LoadsPerMinute is the rate limit of the store for the whole system, not for each router.
+	LoadsPerMinute int `yaml:"loads_per_minute" unit:"loads per minute" min:"1" max:"6000" help:"model loads that all routers together may order"`
+}
+
+// Drain tunes the planned stop.
+type Drain struct {
+	// Delay is the time between a failing readiness check and the first refusal, for the load balancer to notice.
+	Delay time.Duration `yaml:"delay" unit:"duration" min:"0s" max:"5m" help:"wait for the load balancer before new requests are refused"`
+	// Timeout bounds the wait for accepted requests. It should exceed the longest deadline in the catalogue.
+	Timeout time.Duration `yaml:"timeout" unit:"duration" min:"1s" max:"24h" help:"longest wait for accepted requests to finish"`
+}
+
+// Limits bounds what one router holds in memory.
+type Limits struct {
+	// MaxWaiting bounds the requests that this router holds, waiting or in flight.
+	MaxWaiting int `yaml:"max_waiting" unit:"requests" min:"1" max:"1000000" help:"requests held at once; more are refused as overloaded"`
+	// MaxBodyBytes bounds the body of one request.
+	MaxBodyBytes int64 `yaml:"max_body_bytes" unit:"bytes" min:"1024" max:"67108864" help:"longest request body"`
+	// MaxHeaderBytes bounds the headers of one request.
+	MaxHeaderBytes int `yaml:"max_header_bytes" unit:"bytes" min:"1024" max:"1048576" help:"longest request headers"`
+}
+
+// Log says what is logged to stderr.
+type Log struct {
+	// Level is the lowest level that is logged.
+	Level string `yaml:"level" oneof:"debug,info,warn,error" required:"true" help:"lowest level logged"`
+	// Format is json for machines or console for people.
+	Format string `yaml:"format" oneof:"json,console" required:"true" help:"format of the lines"`
+}
+
+// Load reads and checks a settings file over the defaults. The error is a SettingsErrors list.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, SettingsErrors{&ReadError{Position: Position{File: file}, Cause: err}}
+	}
+	return Parse(file, data)
+}
+
+// Parse is Load for text that is already in memory; file appears in the problems only.
+func Parse(file string, data []byte) (*Settings, error) {
+	settings := Defaults()
+	d, fatal := decode(file, data, &settings)
+	if fatal != nil {
+		return nil, fatal
+	}
+	settings.fillAdvertised()
+	d.locate(settings.validate(d.failed))
+	d.problems.sort()
+	if err := d.problems.Err(); err != nil {
+		return nil, err
+	}
+	return &settings, nil
+}
+
+// fillAdvertised lets an empty advertised address be the one that is bound.
+func (s *Settings) fillAdvertised() {
+	if s.Callers.Advertise == "" {
+		s.Callers.Advertise = s.Callers.Listen
+	}
+	if s.Peers.Advertise == "" {
+		s.Peers.Advertise = s.Peers.Listen
+	}
+}
--- /dev/null
+++ b/internal/loader/tuning.go
@@ -0,0 +1,72 @@
+package loader
+
+import "time"
+
+// Membership tunes failure detection among routers.
+type Membership struct {
+	// ProbeInterval is the time between two probes; each goes to one random member.
+	ProbeInterval time.Duration `yaml:"probe_interval" unit:"duration" min:"50ms" max:"1m" help:"time between two probes of random members"`
+	// ProbeTimeout bounds the direct probe; afterwards two other members probe indirectly.
+	ProbeTimeout time.Duration `yaml:"probe_timeout" unit:"duration" min:"10ms" max:"30s" help:"wait for a probe before others are asked; below probe_interval"`
+	// SuspectTimeout is how long a member that doesn't answer is suspect before it counts as dead.
+	SuspectTimeout time.Duration `yaml:"suspect_timeout" unit:"duration" min:"100ms" max:"5m" help:"time from suspect to dead"`
+	// VMListInterval is the time between two reads of the VM list.
+	VMListInterval time.Duration `yaml:"vm_list_interval" unit:"duration" min:"100ms" max:"10m" help:"time between two reads of the VM list"`
+}
+
+// Scheduling tunes the schedulers of the pools.
+type Scheduling struct {
+	// HeartbeatInterval is the time between heartbeats on ticket streams, in both directions.
+	HeartbeatInterval time.Duration `yaml:"heartbeat_interval" unit:"duration" min:"10ms" max:"10s" help:"time between heartbeats on ticket streams"`
+	// StreamTimeout is the silence after which a scheduler counts as frozen and its tickets move.
+	StreamTimeout time.Duration `yaml:"stream_timeout" unit:"duration" min:"20ms" max:"1m" help:"silence after which tickets move to the next scheduler; at least two heartbeats"`
+	// CellEngines is the number of engines above which a pool is split into cells.
+	CellEngines int `yaml:"cell_engines" unit:"engines" min:"1" max:"10000" help:"most engines that one scheduler serves"`
+	// MaxQueue bounds the queued tickets of a pool that sets no bound itself.
+	MaxQueue int `yaml:"max_queue" unit:"tickets" min:"1" max:"1000000" help:"queued tickets of a pool before load is shed, unless the pool sets its own"`
+	// LongTokens is the expected output above which work counts as a draft.
+	LongTokens int `yaml:"long_tokens" unit:"tokens" min:"1" max:"1000000" help:"expected output above which work counts as long"`
+	// LongShare bounds the slots of an engine for long work, so that short work always finds one.
+	LongShare float64 `yaml:"long_share" unit:"share of 1" min:"0.05" max:"1" help:"share of an engine's slots that long work may take"`
+	// TokenRoom bounds the tokens in flight on an engine for which the catalogue states no kv_tokens.
+	TokenRoom int `yaml:"token_room" unit:"tokens" min:"1000" max:"100000000" help:"tokens in flight on an engine without kv_tokens in the catalogue"`
+	// StragglerRatio is the share of its own usual speed below which an engine is excluded.
+	StragglerRatio float64 `yaml:"straggler_ratio" unit:"share of 1" min:"0.05" max:"0.95" help:"share of its usual speed below which an engine is excluded"`
+	// StragglerCap bounds the engines of a pool that are excluded as slow at once.
+	StragglerCap float64 `yaml:"straggler_cap" unit:"share of 1" min:"0" max:"1" help:"largest share of a pool excluded as slow at once"`
+	// LoadInterval is the time between two reads of an engine's load report.
+	LoadInterval time.Duration `yaml:"load_interval" unit:"duration" min:"20ms" max:"1m" help:"time between two reads of an engine's load report"`
+	// CacheInterval is the time between two reads of an engine's cache events.
+	CacheInterval time.Duration `yaml:"cache_interval" unit:"duration" min:"20ms" max:"1m" help:"time between two reads of an engine's cache events"`
+	// PoisonRetention is how long a request that crashed engines stays refused.
+	PoisonRetention time.Duration `yaml:"poison_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a poison request stays refused"`
+	// RetryBudget is the share of a workspace's requests that may be retries.
+	RetryBudget float64 `yaml:"retry_budget" unit:"share of 1" min:"0" max:"1" help:"share of a workspace's requests that may be retries"`
+	// QueuePolicy is the plug-in that orders queued tickets.
+	QueuePolicy string `yaml:"queue_policy" format:"name" required:"true" help:"plug-in that orders queued tickets"`
+	// EnginePolicy is the plug-in that chooses the engine of a grant.
+	EnginePolicy string `yaml:"engine_policy" format:"name" required:"true" help:"plug-in that chooses the engine of a grant"`
+}
+
+// Claims tunes the handling of requests with an idempotency key.
+type Claims struct {
+	// Window is the shortest time between two appends of claims by this router. With 0 it is members/200 s,
+	// which keeps the system below 200 appends a second for this stream.
+	Window time.Duration `yaml:"window" unit:"duration" min:"0s" max:"10s" help:"shortest time between two appends of claims; 0s means members/200 s"`
+	// Retention is how long the log keeps claims; older UUIDv7 keys are refused.
+	Retention time.Duration `yaml:"retention" unit:"duration" min:"1m" max:"8760h" help:"how long the log keeps claims"`
+	// MemoryWindow is how long claims made in memory (with the log down) are remembered.
+	MemoryWindow time.Duration `yaml:"memory_window" unit:"duration" min:"1s" max:"24h" help:"how long claims made while the log is down are remembered"`
+	// MaxResultBytes bounds the answer that is kept for repeats.
+	MaxResultBytes int `yaml:"max_result_bytes" unit:"bytes" min:"0" max:"1048576" help:"longest answer kept for repeats"`
+}
+
+// Catalogue tunes the replication of the catalogue.
+type Catalogue struct {
+	// PollInterval is the wait of one read of the catalogue stream, and the pause after a failed one.
+	PollInterval time.Duration `yaml:"poll_interval" unit:"duration" min:"20ms" max:"10s" help:"longest wait of one read of the catalogue stream"`
+	// Retention is how long the log keeps the catalogue stream.
+	Retention time.Duration `yaml:"retention" unit:"duration" min:"1m" max:"8760h" help:"how long the log keeps the catalogue stream"`
+	// RepublishAfter is the age of the last snapshot after which another is appended.
+	RepublishAfter time.Duration `yaml:"republish_after" unit:"duration" min:"10s" max:"4380h" help:"age of the last snapshot after which another is appended; at most half of retention"`
+}
--- /dev/null
+++ b/internal/loader/validate.go
@@ -0,0 +1,39 @@
+package loader
+
+// Validate checks ranges and contradictions of settings that were built in code; Load does it for files. The
+// result is empty if all is well.
+func (s *Settings) Validate() SettingsErrors { return s.validate(nil) }
+
+func (s *Settings) validate(skip map[string]bool) SettingsErrors {
+	problems := checkTags(s, skip)
+	conflict := func(bad bool, path, reason string) {
+		if bad && !skip[path] {
+			problems = append(problems, &ConflictError{Position: Position{Field: path}, Reason: reason})
+		}
+	}
+	if s.Platform.Log.Address == "" && !skip["platform.log.address"] {
+		problems = append(problems, &MissingError{Position: Position{Field: "platform.log.address"}})
+	}
+	conflict(s.Membership.ProbeTimeout >= s.Membership.ProbeInterval, "membership.probe_timeout",
+		"must be below membership.probe_interval")
+	conflict(s.Scheduling.StreamTimeout < 2*s.Scheduling.HeartbeatInterval, "scheduling.stream_timeout",
+		"must be at least twice scheduling.heartbeat_interval")
+	conflict(2*s.Catalogue.RepublishAfter > s.Catalogue.Retention, "catalogue.republish_after",
+		"must be at most half of catalogue.retention")
+	conflict(s.Claims.MemoryWindow > s.Claims.Retention, "claims.memory_window",
+		"must not exceed claims.retention")
+	conflict(s.Callers.Listen != "" && s.Callers.Listen == s.Admin.Listen, "admin.listen",
+		"is also callers.listen")
+	conflict(s.Callers.Listen != "" && s.Callers.Listen == s.Peers.Listen, "peers.listen",
+		"is also callers.listen")
+	conflict(s.Peers.Listen != "" && s.Peers.Listen == s.Admin.Listen, "admin.listen",
+		"is also peers.listen")
+	for _, listener := range s.TLS.listeners() {
+		files, path := listener.files, "tls."+listener.name
+		conflict(files.CertFile == "" && files.KeyFile != "", path+".key_file", "needs cert_file too")
+		conflict(files.CertFile != "" && files.KeyFile == "", path+".cert_file", "needs key_file too")
+		conflict(files.CertFile == "" && files.ClientCAFile != "", path+".client_ca_file",
+			"needs cert_file and key_file too")
+	}
+	return problems
+}
