--- /dev/null
+++ b/routerctl/internal/commander/errors.go
@@ -0,0 +1,63 @@
+package commander
+
+import "fmt"
+
+// UsageError reports a wrong command line.
+type UsageError struct {
+	Cause error
+}
+
+func (e *UsageError) Error() string { return e.Cause.Error() + " (see routerctl --help)" }
+
+// Unwrap returns the cause.
+func (e *UsageError) Unwrap() error { return e.Cause }
+
+// CallError reports a failed read from a router.
+type CallError struct {
+	Operation string
+	Address   string
+	Cause     error
+}
+
+func (e *CallError) Error() string {
+	return fmt.Sprintf("%s at router %s: %v", e.Operation, e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// ChangeError reports a failed call that would have changed something.
+type ChangeError struct {
+	Operation string
+	Address   string
+	Cause     error
+}
+
+func (e *ChangeError) Error() string {
+	return fmt.Sprintf("%s at router %s: %v", e.Operation, e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ChangeError) Unwrap() error { return e.Cause }
+
+// FileError reports a file that can't be read.
+type FileError struct {
+	File  string
+	Cause error
+}
+
+func (e *FileError) Error() string { return fmt.Sprintf("read file %s: %v", e.File, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// CatalogueError reports a catalogue text that can't be decoded.
+type CatalogueError struct {
+	Source string
+	Cause  error
+}
+
+func (e *CatalogueError) Error() string { return fmt.Sprintf("catalogue %s: %v", e.Source, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *CatalogueError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/routerctl/internal/differ/compare.go
@@ -0,0 +1,73 @@
+package differ
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+)
+
+// Change is one difference. Path names entries by their name: pools[drafts].upstreams[e1].slots. From is nil for
+// something added, To for something removed.
+type Change struct {
+	Path string `yaml:"path"`
+	From any    `yaml:"from"`
+	To   any    `yaml:"to"`
+}
+
+// revisionKey is the revision at the top of a catalogue; it always differs and isn't part of an edit.
+const revisionKey = "revision"
+
+// Compare lists the changes from one catalogue to another, in order of path.
+func Compare(from, to any) []Change {
+	changes := compare("", from, to, []Change{})
+	return slices.DeleteFunc(changes, func(c Change) bool { return c.Path == revisionKey })
+}
+
+func compare(path string, from, to any, changes []Change) []Change {
+	left, right := children(from), children(to)
+	if left == nil || right == nil {
+		if !reflect.DeepEqual(from, to) {
+			changes = append(changes, Change{Path: path, From: from, To: to})
+		}
+		return changes
+	}
+	keys := maps.Clone(left)
+	maps.Copy(keys, right)
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		changes = compare(path+key, left[key], right[key], changes)
+	}
+	if path == "" {
+		for i := range changes {
+			changes[i].Path = changes[i].Path[1:]
+		}
+	}
+	return changes
+}
+
+// children returns the members of a mapping, or of a list of mappings that all have different names, by path element. It
+// is nil for anything else, which is compared as a whole.
+func children(value any) map[string]any {
+	members := make(map[string]any)
+	switch typed := value.(type) {
+	case map[string]any:
+		for key, member := range typed {
+			members["."+key] = member
+		}
+	case []any:
+		for _, member := range typed {
+			entry, ok := member.(map[string]any)
+			if !ok || entry["name"] == nil {
+				return nil
+			}
+			key := fmt.Sprintf("[%v]", entry["name"])
+			if _, twice := members[key]; twice {
+				return nil
+			}
+			members[key] = member
+		}
+	default:
+		return nil
+	}
+	return members
+}
