Add the stand-in platform: engines, order desk, log, VM list, weight store

Cause: the router can't be tested or shown without the services that it stands in front of. Change: program standin with the commands serve and example-settings. One process serves each part on its own loopback address: engines with continuous batching, chunked prefill, a prefix cache with limited memory, resume, cancel, late cache events and load reports; order desks with a shared ledger; a log with offsets, retention, rate and long poll; a VM list with a lag; a weight store. A control port switches faults on and off and reports statistics. Settings are parsed strictly. Tested: go test -race. Each test was seen failing: group half set, no expiry, value errors ignored (faulter); one slot, last in first out, free prefill, cache unused or unlimited, last token counted as recomputed, slot kept after cancel, waste not counted, ended stream not marked, id forgotten, finished stream kept, straggler and freeze without effect, reports and events without lag, lost event without gap, fencing and orderer unchecked (generator); offset not moved, trimmed read served, age ignored (appender); duplicates missed, lookups counted (booker); lenient parser, addresses unchecked, one port for all (configurer). By hand: generate, load, cache events, crash, VM list, control port. Not run yet: the routes of the order desk, the log and the weight store, and the remaining faults.

--- /dev/null
+++ b/standin/internal/generator/orders.go
@@ -0,0 +1,98 @@
+package generator
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// order checks and carries out an order. Errors: *ForeignOrdererError, *StaleOrderError, *InvalidRequestError.
+func (e *Engine) order(order kernel.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.checkOrder(order); err != nil {
+		e.stats.OrdersRefused++
+		return err
+	}
+	e.stats.OrdersAccepted++
+	e.inst.fencing = max(e.inst.fencing, order.Fencing)
+	e.log.Info("order accepted", zap.String("engine", e.settings.Name), zap.String("kind", string(order.Kind)),
+		zap.Int64("fencing", order.Fencing), zap.String("orderer", order.Orderer))
+	if order.Kind == kernel.OrderSetRole {
+		e.inst.role = order.Role
+		return nil
+	}
+	e.loadModel(e.inst, order.Model)
+	return nil
+}
+
+func (e *Engine) checkOrder(order kernel.Order) error {
+	if e.settings.ChecksOrderer && !slices.Contains(e.settings.Orderers, order.Orderer) {
+		return &ForeignOrdererError{Orderer: order.Orderer}
+	}
+	_, ignore := e.table.Get(FaultIgnoreFencing)
+	if e.settings.ChecksFencing && !ignore && order.Fencing < e.inst.fencing {
+		return &StaleOrderError{Fencing: order.Fencing, Highest: e.inst.fencing}
+	}
+	switch order.Kind {
+	case kernel.OrderLoadModel, kernel.OrderLoadAdapter:
+		if order.Model == "" {
+			return &InvalidRequestError{Reason: "model is missing"}
+		}
+	case kernel.OrderSetRole:
+	default:
+		return &InvalidRequestError{Reason: "unknown order kind " + string(order.Kind)}
+	}
+	return nil
+}
+
+// loadModel makes a model available after the load time.
+func (e *Engine) loadModel(inst *instance, model string) {
+	e.group.Go(func() error {
+		select {
+		case <-inst.ctx.Done():
+			return nil
+		case <-time.After(millis(e.settings.ModelLoadMS)):
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(inst.models) > 0 {
+			inst.models[model] = struct{}{}
+		}
+		return nil
+	})
+}
+
+// exportPrefix returns the length of a cached prefix, or an *UnknownPrefixError.
+func (e *Engine) exportPrefix(hash uint64) (ExportedPrefix, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	entry, ok := e.inst.cache.get(hash)
+	if !ok {
+		return ExportedPrefix{}, &UnknownPrefixError{Hash: hash}
+	}
+	return ExportedPrefix{Hash: hash, Tokens: entry.tokens, Cost: entry.cost}, nil
+}
+
+// importPrefix stores a prefix that another engine exported.
+func (e *Engine) importPrefix(hash uint64, exported ExportedPrefix) error {
+	if exported.Hash != hash || exported.Tokens <= 0 || exported.Cost < 0 {
+		return &InvalidRequestError{Reason: "the body is not an export of this prefix"}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inst.cache.add(prefix{hash: hash, tokens: exported.Tokens, cost: exported.Cost})
+	e.shrinkCache(e.inst)
+	e.recordLoad()
+	return nil
+}
+
+// ExportedPrefix stands for the cached state of a prefix.
+type ExportedPrefix struct {
+	Hash   uint64 `json:"hash"`
+	Tokens int    `json:"tokens"`
+	Cost   int    `json:"cost"`
+}
