scheduler: add the state machine with tiers, fair share, slots and holders

Cause: the hosting and tool packages need the scheduler's interface to build against. Change: one pool cell's queue in buckets by tier, accounts by workspace with virtual token counters, flows by length class and lanes by kind of work, on heaps whose items know their position; engines with slots, token room and work ahead; registries for queue order (tier_fair, fifo) and engine choice (expected_first_token, random, least_loaded). Poison, limits, deadlines and observations are accepted by the interface but have no effect yet. Each test was seen failing first: tier order reversed (TestTierOrder); weight ignored in the charge, and no correction on release (TestFairShare); no lift on activation (TestIdleShareIsLent); highest tier shed first, and workspace under its share shed first (TestShedding); engine kept after a release (TestSlots); one slot too many (TestSlotsOfEachEngine); no refund, and place lost (TestReturnedGrant); age lost, reported age ignored, second grant (TestResentTicket); release of a queued ticket accepted (TestForeignRelease); leaving ignored, and the share's pool bound raised (TestLeavingAndCapacityShare).

--- /dev/null
+++ b/internal/scheduler/choice.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import "coltsfootplank/internal/kernel"
+
+// Names of the engine choices.
+const (
+	ChoiceExpectedFirstToken = "expected_first_token"
+	ChoiceRandom             = "random"
+	ChoiceLeastLoaded        = "least_loaded"
+)
+
+// EngineChoice returns an engine that admits the ticket, or nil if there is none.
+type EngineChoice func(engines *engineSet, r *request) *engine
+
+// EngineChoices holds the engine choices by name.
+var EngineChoices = kernel.NewRegistry[EngineChoice]("engine choice")
+
+func init() {
+	EngineChoices.Register(ChoiceExpectedFirstToken, chooseExpectedFirstToken)
+	EngineChoices.Register(ChoiceRandom, chooseRandom)
+	EngineChoices.Register(ChoiceLeastLoaded, chooseLeastLoaded)
+}
+
+// visitLimit bounds the engines of one class that a choice looks at before it falls back to all engines. The
+// heap is ordered by work ahead, so the best engine is nearly always among the first few.
+const visitLimit = 16
+
+// chooseExpectedFirstToken takes the engine with the smallest expected time to first token.
+func chooseExpectedFirstToken(engines *engineSet, r *request) *engine {
+	var best *engine
+	var bestTime float64
+	consider := func(e *engine) {
+		if e.admits(r) != blockNone {
+			return
+		}
+		if t := e.expectedFirstToken(r); best == nil || t < bestTime {
+			best, bestTime = e, t
+		}
+	}
+	for _, class := range engines.classList {
+		// The front of the backing array holds the engines with the least work ahead.
+		items := class.open.store.items
+		for _, e := range items[:min(visitLimit, len(items))] {
+			consider(e)
+		}
+	}
+	if best == nil {
+		for _, e := range engines.list {
+			consider(e)
+		}
+	}
+	return best
+}
+
+// expectedFirstToken is in seconds: the work ahead of the request and its own prefill.
+func (e *engine) expectedFirstToken(r *request) float64 {
+	return e.ahead + r.prompt/e.prefillSpeed()
+}
+
+// chooseRandom takes any engine that admits the ticket.
+func chooseRandom(engines *engineSet, r *request) *engine {
+	n := len(engines.list)
+	if n == 0 {
+		return nil
+	}
+	start := engines.random.IntN(n)
+	for i := range n {
+		if e := engines.list[(start+i)%n]; e.admits(r) == blockNone {
+			return e
+		}
+	}
+	return nil
+}
+
+// chooseLeastLoaded takes the engine with the fewest requests in flight.
+func chooseLeastLoaded(engines *engineSet, r *request) *engine {
+	var best *engine
+	for _, e := range engines.list {
+		if e.admits(r) == blockNone && (best == nil || len(e.granted) < len(best.granted)) {
+			best = e
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/scheduler/fixture_test.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"coltsfootplank/internal/protocol"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// cell is a scheduler with helpers for tests.
+type cell struct {
+	*Scheduler
+	now  time.Time
+	next int
+}
+
+// newCell returns a scheduler with n engines named e0, e1, ... of the given slots.
+func newCell(n, slots int, change func(*Settings)) *cell {
+	settings := DefaultSettings()
+	settings.UrgentReserve = 0
+	settings.LongShare = 1
+	if change != nil {
+		change(&settings)
+	}
+	c := &cell{Scheduler: New("briefs", settings, start), now: start}
+	infos := make([]EngineInfo, n)
+	for i := range infos {
+		infos[i] = EngineInfo{Name: fmt.Sprintf("e%d", i), Generation: fmt.Sprintf("g%d", i%3), Slots: slots,
+			PrefillPerSec: 4000, TokensPerSec: 40}
+	}
+	c.SetEngines(start, infos)
+	return c
+}
+
+// ticket returns a ticket of 100 prompt and 100 output tokens with a new request id.
+func (c *cell) ticket(tier uint32, workspace string) *protocol.Ticket {
+	c.next++
+	return &protocol.Ticket{RequestId: fmt.Sprintf("r%d", c.next), Pool: "briefs", Tier: tier, Workspace: workspace,
+		Work: "work", PromptTokens: 100, OutputTokens: 100, Fingerprint: uint64(c.next)}
+}
+
+// submit queues n tickets and returns the last one.
+func (c *cell) submit(n int, tier uint32, workspace string) *protocol.Ticket {
+	var last *protocol.Ticket
+	for range n {
+		last = c.ticket(tier, workspace)
+		c.Submit(c.now, "h", last)
+	}
+	return last
+}
+
+// step returns the grants and refusals that are due.
+func (c *cell) step() (grants []*protocol.Grant, refusals []*protocol.Refusal) {
+	for _, d := range c.Step(c.now) {
+		if d.Grant != nil {
+			grants = append(grants, d.Grant)
+		}
+		if d.Refusal != nil {
+			refusals = append(refusals, d.Refusal)
+		}
+	}
+	return grants, refusals
+}
+
+// answer releases a grant with the given lengths after a normal run.
+func (c *cell) answer(g *protocol.Grant, prompt, output uint32) {
+	c.Release(c.now, "h", &protocol.Release{RequestId: g.RequestId, Engine: g.Engine,
+		Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED, PromptTokens: prompt, OutputTokens: output,
+		FirstTokenMs: int64(prompt) / 4, TotalMs: int64(prompt)/4 + int64(output)*25})
+}
+
+// finish releases a grant with a kind.
+func (c *cell) finish(g *protocol.Grant, kind protocol.ReleaseKind, fingerprint uint64) {
+	c.Release(c.now, "h", &protocol.Release{RequestId: g.RequestId, Engine: g.Engine, Kind: kind,
+		Fingerprint: fingerprint})
+}
+
+func ids[M interface{ GetRequestId() string }](messages []M) []string {
+	out := make([]string, len(messages))
+	for i, m := range messages {
+		out[i] = m.GetRequestId()
+	}
+	return out
+}
+
+// within says whether got is at most share away from want, relative to want.
+func within(got, want, share float64) bool { return math.Abs(got-want) <= share*want }
--- /dev/null
+++ b/internal/scheduler/request.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"time"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// length classes of tickets; each has its own queue, because engines admit them by different rules.
+type lengthClass int
+
+const (
+	classShort lengthClass = iota
+	classLong
+	// classAlone holds suspects of a crash, which run alone on an engine.
+	classAlone
+	classCount
+)
+
+// request is one ticket, queued or granted. It keeps its place in the queue while granted.
+type request struct {
+	ticket *protocol.Ticket
+	holder string
+	tier   int
+	bucket int
+	class  lengthClass
+	// since is the arrival, including the age that the holder reported; sequence breaks ties.
+	since    time.Time
+	sequence uint64
+	// deadline is zero if there is none.
+	deadline time.Time
+	// prompt and output are estimates in tokens, seconds the expected time in a slot.
+	prompt  float64
+	output  float64
+	seconds float64
+
+	lane          *lane
+	laneIndex     int
+	accountIndex  int
+	deadlineIndex int
+
+	// engine is nil while the ticket is queued.
+	engine    *engine
+	grantedAt time.Time
+	charged   float64
+}
+
+// cost is the ticket's work in tokens, at least one.
+func (r *request) cost() float64 { return max(1, r.prompt+r.output) }
+
+// tokens is what the request may occupy in an engine's KV cache.
+func (r *request) tokens() float64 { return r.prompt + r.output }
+
+// older is the order of arrival.
+func older(a, b *request) bool {
+	if !a.since.Equal(b.since) {
+		return a.since.Before(b.since)
+	}
+	return a.sequence < b.sequence
+}
+
+func newer(a, b *request) bool { return older(b, a) }
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,166 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/protocol"
+)
+
+const tiers = cataloguer.LowestTier + 1
+
+// Scheduler holds the queue, the grants and the view of the engines of one pool cell.
+type Scheduler struct {
+	pool     string
+	settings Settings
+	order    OrderPolicy
+	choose   EngineChoice
+	random   *rand.Rand
+	engines  *engineSet
+	buckets  []*bucket
+	requests map[string]*request
+	holders  map[string]map[string]*request
+	weights  map[string]float64
+	works    map[string]cataloguer.Work
+	sequence uint64
+	byTier   [tiers]int
+
+	decisions []Decision
+	// dirty is set by every input, so that the next Step looks for grants.
+	dirty    bool
+	counters Counters
+}
+
+// New returns a scheduler without engines. It panics with a *kernel.UnknownPluginError if the settings name a
+// policy that isn't registered; the host validates settings by Settings.Check before.
+func New(pool string, settings Settings, now time.Time) *Scheduler {
+	order, err := Orders.Lookup(settings.OrderPolicy)
+	if err != nil {
+		panic(err)
+	}
+	choose, err := EngineChoices.Lookup(settings.EngineChoice)
+	if err != nil {
+		panic(err)
+	}
+	s := &Scheduler{
+		pool: pool, settings: settings, order: order, choose: choose,
+		random:   rand.New(rand.NewPCG(settings.Seed, uint64(len(pool)))),
+		requests: make(map[string]*request), holders: make(map[string]map[string]*request),
+		counters: Counters{Since: now, Refusals: make(map[string]int)},
+	}
+	s.engines = newEngineSet(&s.settings, s.random)
+	for range tiers {
+		s.buckets = append(s.buckets, newBucket(order))
+	}
+	return s
+}
+
+// SetEngines replaces the engines of the cell.
+func (s *Scheduler) SetEngines(_ time.Time, engines []EngineInfo) {
+	s.engines.replace(engines)
+	s.dirty = true
+}
+
+// SetWorkspaces sets the weights of the fair shares; a workspace that isn't listed has weight 1.
+func (s *Scheduler) SetWorkspaces(weights map[string]float64) {
+	s.weights = weights
+	for _, b := range s.buckets {
+		for workspace, a := range b.accounts {
+			a.setWeight(s.weight(workspace))
+		}
+	}
+	s.dirty = true
+}
+
+func (s *Scheduler) weight(workspace string) float64 {
+	if w := s.weights[workspace]; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// SetWorks sets the kinds of work, which bring expected lengths and limits.
+func (s *Scheduler) SetWorks(works map[string]cataloguer.Work) {
+	s.works = works
+	s.dirty = true
+}
+
+// SetCapacityShare bounds the part of every engine's capacity that this scheduler uses: 1, or 1/members when a
+// router schedules alone.
+func (s *Scheduler) SetCapacityShare(share float64) {
+	s.engines.share = share
+	s.engines.refresh()
+	s.dirty = true
+}
+
+// SetLeaving says whether an engine is leaving; a leaving engine gets no new work.
+func (s *Scheduler) SetLeaving(_ time.Time, engine string, leaving bool) {
+	if e := s.engines.byName[engine]; e != nil {
+		e.leaving = leaving
+		s.engines.refresh()
+		s.dirty = true
+	}
+}
+
+// Backlog returns the number of queued tickets by tier.
+func (s *Scheduler) Backlog() [4]int { return s.byTier }
+
+// queued is the number of queued tickets.
+func (s *Scheduler) queued() int {
+	var sum int
+	for _, n := range s.byTier {
+		sum += n
+	}
+	return sum
+}
+
+// enqueue puts a request at the place of its arrival.
+func (s *Scheduler) enqueue(r *request) {
+	workspace := r.ticket.GetWorkspace()
+	s.buckets[r.bucket].account(workspace, s.weight(workspace)).add(r)
+	s.byTier[r.tier]++
+}
+
+// dequeue takes a queued request out of its queue.
+func (s *Scheduler) dequeue(r *request) {
+	r.lane.flow.account.remove(r)
+	r.lane = nil
+	s.byTier[r.tier]--
+}
+
+// remember indexes a request by its id and holder.
+func (s *Scheduler) remember(r *request) {
+	id := r.ticket.GetRequestId()
+	s.requests[id] = r
+	held := s.holders[r.holder]
+	if held == nil {
+		held = make(map[string]*request)
+		s.holders[r.holder] = held
+	}
+	held[id] = r
+}
+
+// forgetRequest drops a request from all indexes, whatever its state.
+func (s *Scheduler) forgetRequest(r *request) {
+	if r.lane != nil {
+		s.dequeue(r)
+	}
+	if r.engine != nil {
+		s.engines.end(r)
+	}
+	id := r.ticket.GetRequestId()
+	if s.requests[id] == r {
+		delete(s.requests, id)
+	}
+	held := s.holders[r.holder]
+	delete(held, id)
+	if len(held) == 0 {
+		delete(s.holders, r.holder)
+	}
+}
+
+// tierOf bounds a ticket's tier to the known ones.
+func tierOf(ticket *protocol.Ticket) int {
+	return int(min(ticket.GetTier(), cataloguer.LowestTier))
+}
--- /dev/null
+++ b/internal/scheduler/step.go
@@ -0,0 +1,101 @@
+package scheduler
+
+import (
+	"time"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// Step returns the decisions that are due at now.
+func (s *Scheduler) Step(now time.Time) []Decision {
+	s.fill(now)
+	s.shed()
+	s.dirty = false
+	decisions := s.decisions
+	s.decisions = nil
+	return decisions
+}
+
+// NextWake returns when Step has something to do without new input; zero if never.
+func (s *Scheduler) NextWake(now time.Time) time.Time {
+	if s.dirty || len(s.decisions) > 0 {
+		return now
+	}
+	return time.Time{}
+}
+
+// fill grants queued tickets, bucket by bucket, as long as engines have room.
+func (s *Scheduler) fill(now time.Time) {
+	for _, b := range s.buckets {
+		if b.queued == 0 {
+			continue
+		}
+		if !s.engines.anyOpen() {
+			return
+		}
+		s.fillBucket(b, now)
+	}
+}
+
+// fillBucket grants the tickets of one bucket. A length class whose first ticket finds no engine is left out for
+// the rest of the step.
+func (s *Scheduler) fillBucket(b *bucket, now time.Time) {
+	var blocked [classCount]bool
+	for s.engines.spare() > 0 {
+		f := s.next(b, &blocked)
+		if f == nil {
+			return
+		}
+		r := f.first
+		e := s.choose(s.engines, r)
+		if e == nil {
+			blocked[f.class] = true
+			continue
+		}
+		s.grant(r, e, now)
+	}
+}
+
+// next returns the flow to serve first among the length classes that aren't blocked.
+func (s *Scheduler) next(b *bucket, blocked *[classCount]bool) *flow {
+	var first *flow
+	for class, flows := range b.flows {
+		if blocked[class] {
+			continue
+		}
+		if f, ok := flows.top(); ok && (first == nil || s.order.Before(f, first)) {
+			first = f
+		}
+	}
+	return first
+}
+
+func (s *Scheduler) grant(r *request, e *engine, now time.Time) {
+	a := r.lane.flow.account
+	a.bucket.virtual = max(a.bucket.virtual, a.counter)
+	s.dequeue(r)
+	r.charged = r.cost()
+	a.charge(r.charged)
+	s.engines.start(e, r, now)
+	s.grantDecision(r)
+}
+
+// shed refuses tickets while the queue is over its limit: from the lowest tier present, within it from the
+// workspace furthest over its share, and within that the newest.
+func (s *Scheduler) shed() {
+	for s.settings.MaxQueue > 0 && s.queued() > s.settings.MaxQueue {
+		for i := len(s.buckets) - 1; i >= 0; i-- {
+			if a, ok := s.buckets[i].surplus.top(); ok {
+				victim, _ := a.queued.top()
+				s.refuse(victim, CodeOverloaded, "the queue of the pool is full", s.retryAfter(i))
+				break
+			}
+		}
+	}
+}
+
+// AddConvictions merges suspicions and convictions that another router has gossiped.
+func (s *Scheduler) AddConvictions(_ time.Time, _ []*protocol.Conviction) { s.dirty = true }
+
+// Convictions returns the suspicions and convictions to gossip.
+func (s *Scheduler) Convictions(_ time.Time) []*protocol.Conviction { return nil }
--- /dev/null
+++ b/internal/scheduler/tickets.go
@@ -0,0 +1,123 @@
+package scheduler
+
+import (
+	"time"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// Submit queues a ticket. A repeated request id replaces the ticket and keeps its age; if it is granted already,
+// the grant is sent again, since the holder still waits for it.
+func (s *Scheduler) Submit(now time.Time, holder string, ticket *protocol.Ticket) {
+	s.dirty = true
+	since := now.Add(-time.Duration(max(0, ticket.GetAgeMs())) * time.Millisecond)
+	if old := s.requests[ticket.GetRequestId()]; old != nil {
+		if old.engine != nil && old.engine.usable() && old.holder == holder {
+			old.ticket = ticket
+			s.grantDecision(old)
+			return
+		}
+		if old.since.Before(since) {
+			since = old.since
+		}
+		s.forgetRequest(old)
+	}
+	r := s.newRequest(now, holder, ticket)
+	r.since = since
+	s.remember(r)
+	s.enqueue(r)
+}
+
+// newRequest estimates the ticket's work.
+func (s *Scheduler) newRequest(now time.Time, holder string, ticket *protocol.Ticket) *request {
+	s.sequence++
+	tier := tierOf(ticket)
+	r := &request{
+		ticket: ticket, holder: holder, tier: tier, bucket: s.order.Bucket(tier), sequence: s.sequence,
+		laneIndex: -1, accountIndex: -1, deadlineIndex: -1,
+	}
+	if ticket.GetDeadlineMs() > 0 {
+		r.deadline = now.Add(time.Duration(ticket.GetDeadlineMs()) * time.Millisecond)
+	}
+	s.estimate(r)
+	return r
+}
+
+// estimate sets the expected lengths and the class of a request.
+func (s *Scheduler) estimate(r *request) {
+	work := s.works[r.ticket.GetWork()]
+	r.prompt = float64(r.ticket.GetPromptTokens())
+	r.output = float64(r.ticket.GetOutputTokens())
+	if r.output == 0 {
+		r.output = float64(work.ExpectedOutput)
+	}
+	if r.output == 0 && r.prompt > 0 {
+		r.output = float64(s.settings.DefaultOutputTokens)
+	}
+	r.class = classShort
+	if r.output > float64(s.settings.LongTokens) {
+		r.class = classLong
+	}
+	r.seconds = r.prompt/s.settings.DefaultPrefillPerSec + r.output/s.settings.DefaultTokensPerSec
+}
+
+// Cancel drops a ticket whose caller has gone. A grant that was not used is given back to the workspace's share.
+func (s *Scheduler) Cancel(_ time.Time, holder, requestID string) {
+	r := s.requests[requestID]
+	if r == nil || r.holder != holder {
+		return
+	}
+	s.refund(r)
+	s.forgetRequest(r)
+	s.dirty = true
+}
+
+// refund gives the charge of a grant back.
+func (s *Scheduler) refund(r *request) {
+	if r.engine == nil {
+		return
+	}
+	s.accountOf(r).charge(-r.charged)
+	r.charged = 0
+}
+
+func (s *Scheduler) accountOf(r *request) *account {
+	workspace := r.ticket.GetWorkspace()
+	return s.buckets[r.bucket].account(workspace, s.weight(workspace))
+}
+
+// Release ends a grant. A grant that was returned unused goes back to the queue at its old place. A release for
+// a grant that this scheduler never made only feeds the observations.
+func (s *Scheduler) Release(_ time.Time, holder string, release *protocol.Release) {
+	s.dirty = true
+	r := s.requests[release.GetRequestId()]
+	if r == nil || r.engine == nil || r.holder != holder || r.engine.info.Name != release.GetEngine() {
+		return
+	}
+	switch release.GetKind() {
+	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+		s.refund(r)
+		s.engines.end(r)
+		s.enqueue(r)
+	case protocol.ReleaseKind_RELEASE_KIND_ANSWERED:
+		s.settle(r, release)
+		s.forgetRequest(r)
+	default:
+		s.forgetRequest(r)
+	}
+}
+
+// settle corrects the charge of a grant to the work that was done: uncached prompt and output tokens.
+func (s *Scheduler) settle(r *request, release *protocol.Release) {
+	prompt := float64(release.GetPromptTokens()) - float64(release.GetCachedTokens())
+	done := max(1, max(0, prompt)+float64(release.GetOutputTokens()))
+	s.accountOf(r).charge(done - r.charged)
+}
+
+// DropHolder frees the tickets and grants of a holder that died.
+func (s *Scheduler) DropHolder(_ time.Time, holder string) {
+	for _, r := range s.holders[holder] {
+		s.forgetRequest(r)
+	}
+	s.dirty = true
+}
