scheduler: reserve slots for quick questions and urgent tiers, bound tokens in flight

Cause: engines have no notion of priority, so drafts or lower tiers that fill an engine make urgent tickets wait for the end of a run. Change: engines are indexed by what they can take (urgent or lower tier, short or long), least work ahead first. Drafts use at most long_share of the slots, tiers below urgent_tier leave urgent_reserve of them, and tokens in flight stay within token_room. A ticket that lacks room gets one engine reserved, which higher tiers may still use. The work ahead counts pending prefill and decoding apart.

--- /dev/null
+++ b/internal/scheduler/admission.go
@@ -0,0 +1,124 @@
+package scheduler
+
+// block is the reason why a ticket can't be granted now.
+type block string
+
+const (
+	blockNone      block = ""
+	blockSlots     block = "no_free_slot"
+	blockUrgent    block = "free_slots_reserved_for_urgent_tiers"
+	blockLong      block = "long_share_in_use"
+	blockRoom      block = "no_token_room"
+	blockReserved  block = "engine_reserved_for_another_ticket"
+	blockNoEngine  block = "no_usable_engine"
+	blockIsolation block = "waits_to_run_alone"
+	blockTurn      block = "behind_other_tickets"
+)
+
+// Indexes of engines by what they can take; see engine.opens.
+const (
+	openUrgentShort = iota
+	openUrgentLong
+	openLowerShort
+	openLowerLong
+	openCount
+)
+
+// openIndex returns which index lists the engines that have a slot for the ticket.
+func (s *engineSet) openIndex(r *request) int {
+	index := openUrgentShort
+	if r.tier > s.settings.UrgentTier {
+		index = openLowerShort
+	}
+	if r.class == classLong {
+		index++
+	}
+	return index
+}
+
+// opens says which indexes the engine belongs to.
+func (e *engine) opens() [openCount]bool {
+	free := e.free()
+	long := e.long < e.longSlots()
+	lower := free > e.reserved()
+	return [openCount]bool{free > 0, free > 0 && long, lower, lower && long}
+}
+
+// longSlots is the number of slots open to drafts.
+func (e *engine) longSlots() int {
+	return max(1, int(float64(e.slots)*e.settings.LongShare))
+}
+
+// admits says whether the engine can take the ticket now.
+func (e *engine) admits(r *request) block {
+	free := e.free()
+	switch {
+	case free <= 0:
+		return blockSlots
+	case e.reservedFor != nil && e.reservedFor != r && r.tier >= e.reservedFor.tier:
+		return blockReserved
+	case r.class == classAlone && len(e.granted) > 0:
+		return blockIsolation
+	case r.tier > e.settings.UrgentTier && free <= e.reserved():
+		return blockUrgent
+	case r.class == classLong && e.long >= e.longSlots():
+		return blockLong
+	case len(e.granted) > 0 && e.tokens+r.tokens() > e.room():
+		return blockRoom
+	}
+	return blockNone
+}
+
+// blockOf says why no engine takes the ticket: the reason of the engine that comes closest.
+func (s *engineSet) blockOf(r *request) block {
+	if s.slots == 0 {
+		return blockNoEngine
+	}
+	reason := blockSlots
+	if r.class == classLong && s.openLen(openUrgentShort) > 0 {
+		reason = blockLong
+	}
+	if r.tier > s.settings.UrgentTier && s.openLen(openUrgentShort) > 0 && s.openLen(openLowerShort) == 0 {
+		reason = blockUrgent
+	}
+	index := s.openIndex(r)
+	for _, class := range s.classList {
+		for _, e := range class.open[index].store.items {
+			switch found := e.admits(r); found {
+			case blockNone, blockRoom, blockIsolation:
+				return found
+			case blockReserved:
+				reason = found
+			}
+		}
+	}
+	return reason
+}
+
+// reserve keeps an engine for a ticket that needs more of it than is free: a large one, or one that must run
+// alone. Without it, smaller tickets would take every token that becomes free. A pool has one reservation at a
+// time; a ticket of a higher tier takes it over.
+func (s *engineSet) reserve(r *request) {
+	if s.reserved != nil {
+		if s.reserved.reservedFor.tier <= r.tier {
+			return
+		}
+		s.unreserve(s.reserved.reservedFor)
+	}
+	var best *engine
+	for _, e := range s.list {
+		if e.usable() && e.alone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
+			best = e
+		}
+	}
+	if best != nil {
+		best.reservedFor, s.reserved = r, best
+	}
+}
+
+// unreserve drops the reservation of a ticket, if it has one.
+func (s *engineSet) unreserve(r *request) {
+	if s.reserved != nil && s.reserved.reservedFor == r {
+		s.reserved.reservedFor, s.reserved = nil, nil
+	}
+}
--- /dev/null
+++ b/internal/scheduler/admission_test.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// draft queues a ticket with a long output.
+func (c *cell) draft(tier uint32, workspace string) *protocol.Ticket {
+	ticket := c.ticket(tier, workspace)
+	ticket.OutputTokens = 2000
+	c.Submit(c.now, "h", ticket)
+	return ticket
+}
+
+// TestDraftsLeaveSlots guards against a quick question waiting behind a batch full of drafts, and against drafts
+// that starve behind quick questions of the same workspace.
+func TestDraftsLeaveSlots(t *testing.T) {
+	c := newCell(2, 4, func(s *Settings) { s.LongShare = 0.5 })
+	for range 20 {
+		c.draft(1, "a")
+	}
+	drafts, _ := c.step()
+	assert.Equal(t, len(drafts), 4)
+	c.submit(20, 1, "a")
+	quick, _ := c.step()
+	assert.Equal(t, len(quick), 4)
+	for _, g := range quick {
+		assert.Equal(t, c.requests[g.RequestId].class, classShort)
+	}
+	c.answer(drafts[0], 100, 2000)
+	next, _ := c.step()
+	assert.Equal(t, c.requests[next[0].RequestId].class, classLong, "the older draft comes before newer questions")
+}
+
+// TestUrgentReserve guards against a quick question of a higher tier waiting behind lower-tier grants that took
+// the last slots.
+func TestUrgentReserve(t *testing.T) {
+	c := newCell(2, 8, func(s *Settings) { s.UrgentReserve = 0.25 })
+	c.submit(40, 3, "a")
+	grants, _ := c.step()
+	assert.Equal(t, len(grants), 12)
+	c.submit(5, 0, "b")
+	grants, _ = c.step()
+	assert.Equal(t, len(grants), 4)
+	assert.Equal(t, c.Backlog(), [4]int{1, 0, 0, 28})
+}
+
+// TestTokenRoom guards against more tokens in flight than the engine's KV cache holds, and against a large ticket
+// starving behind small ones that take the room as it becomes free.
+func TestTokenRoom(t *testing.T) {
+	c := newCell(0, 0, func(s *Settings) { s.TokenRoom = 1 })
+	c.SetEngines(c.now, []EngineInfo{{Name: "e0", Slots: 10, KVTokens: 1000}})
+	c.submit(4, 1, "a")
+	running, _ := c.step()
+	assert.Equal(t, len(running), 4)
+	large := c.ticket(1, "a")
+	large.PromptTokens = 800
+	c.Submit(c.now, "h", large)
+	var granted bool
+	for i := range 20 {
+		c.submit(1, 1, "b")
+		grants, _ := c.step()
+		running = append(running, grants...)
+		granted = granted || fmt.Sprint(ids(grants)) == fmt.Sprint([]string{large.RequestId})
+		assert.Assert(t, c.engines.list[0].tokens <= 1000)
+		if granted {
+			break
+		}
+		assert.Assert(t, len(running) > 0, "round %d: the engine is idle", i)
+		c.answer(running[0], 100, 100)
+		running = running[1:]
+	}
+	assert.Assert(t, granted)
+}
+
+// TestReservationYieldsToHigherTier guards against an urgent ticket waiting for an engine that is reserved for a
+// lower tier's large ticket, and against a reservation that outlives its ticket.
+func TestReservationYieldsToHigherTier(t *testing.T) {
+	c := newCell(0, 0, func(s *Settings) { s.TokenRoom = 1 })
+	c.SetEngines(c.now, []EngineInfo{{Name: "e0", Slots: 10, KVTokens: 1000}})
+	c.submit(1, 1, "a")
+	c.step()
+	large := c.ticket(2, "a")
+	large.PromptTokens = 890
+	c.Submit(c.now, "h", large)
+	c.step()
+	same := c.submit(1, 2, "b")
+	urgent := c.submit(1, 0, "b")
+	grants, _ := c.step()
+	assert.DeepEqual(t, ids(grants), []string{urgent.RequestId})
+	c.Cancel(c.now, "h", large.RequestId)
+	grants, _ = c.step()
+	assert.DeepEqual(t, ids(grants), []string{same.RequestId})
+}
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "coltsfootplank/internal/kernel"
+import (
+	"time"
+
+	"coltsfootplank/internal/kernel"
+)
 
 // Names of the engine choices.
 const (
@@ -21,8 +25,8 @@
 	EngineChoices.Register(ChoiceLeastLoaded, chooseLeastLoaded)
 }
 
-// visitLimit bounds the engines of one class that a choice looks at before it falls back to all engines. The
-// heap is ordered by work ahead, so the best engine is nearly always among the first few.
+// visitLimit bounds the engines of one class that a choice looks at once it has found one. The heap is ordered by
+// work ahead, so the best engine is nearly always among the first few.
 const visitLimit = 16
 
 // chooseExpectedFirstToken takes the engine with the smallest expected time to first token.
@@ -33,19 +37,17 @@
 		if e.admits(r) != blockNone {
 			return
 		}
-		if t := e.expectedFirstToken(r); best == nil || t < bestTime {
+		if t := e.expectedFirstToken(r, engines.now); best == nil || t < bestTime {
 			best, bestTime = e, t
 		}
 	}
+	index := engines.openIndex(r)
 	for _, class := range engines.classList {
 		// The front of the backing array holds the engines with the least work ahead.
-		items := class.open.store.items
-		for _, e := range items[:min(visitLimit, len(items))] {
-			consider(e)
-		}
-	}
-	if best == nil {
-		for _, e := range engines.list {
+		for i, e := range class.open[index].store.items {
+			if i >= visitLimit && best != nil {
+				break
+			}
 			consider(e)
 		}
 	}
@@ -53,8 +55,8 @@
 }
 
 // expectedFirstToken is in seconds: the work ahead of the request and its own prefill.
-func (e *engine) expectedFirstToken(r *request) float64 {
-	return e.ahead + r.prompt/e.prefillSpeed()
+func (e *engine) expectedFirstToken(r *request, now time.Time) float64 {
+	return e.decodeAhead + max(0, e.prefillUntil.Sub(now).Seconds()) + e.prefillTime(r)
 }
 
 // chooseRandom takes any engine that admits the ticket.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -27,24 +27,34 @@
 	granted map[string]*request
 	long    int
 	tokens  float64
-	// ahead is the work of the granted requests in seconds of this engine.
+	// prefillUntil is when the prefills granted so far should be done.
+	prefillUntil time.Time
+	// decodeAhead is the output work of the granted requests in seconds of the engine with all slots in use.
+	decodeAhead float64
+	// ahead is the work ahead of a new request in seconds, as of the last touch.
 	ahead float64
 	// leaving is set by the host or by the engine's own report.
 	leaving bool
 	// gone is set when the engine left the cell while requests were in flight on it.
 	gone bool
 
-	class      *engineClass
-	classIndex int
+	// reservedFor is a queued ticket that needs more room than is free; tickets of its own and lower tiers leave
+	// the engine to it.
+	reservedFor *request
+	// alone is a suspect of a crash that runs on the engine; nothing else is admitted.
+	alone *request
+
+	class   *engineClass
+	openPos [openCount]int
 }
 
 func newEngine(info EngineInfo, settings *Settings) *engine {
-	return &engine{info: info, settings: settings, granted: make(map[string]*request), classIndex: -1}
+	return &engine{info: info, settings: settings, granted: make(map[string]*request), openPos: [openCount]int{-1, -1, -1, -1}}
 }
 
 // free is the number of open slots.
 func (e *engine) free() int {
-	if !e.usable() {
+	if !e.usable() || e.alone != nil {
 		return 0
 	}
 	return max(0, e.slots-len(e.granted))
@@ -53,16 +63,8 @@
 // usable says whether the engine may receive new work.
 func (e *engine) usable() bool { return !e.leaving && !e.gone }
 
-// longSlots is the number of slots open to drafts.
-func (e *engine) longSlots() int {
-	return max(1, int(float64(e.slots)*e.settings.LongShare))
-}
-
-// reserved is the number of slots that a tier leaves free for urgent work.
-func (e *engine) reserved(tier int) int {
-	if tier <= e.settings.UrgentTier {
-		return 0
-	}
+// reserved is the number of slots that lower tiers leave free for urgent work.
+func (e *engine) reserved() int {
 	return min(e.slots-1, int(math.Round(float64(e.slots)*e.settings.UrgentReserve)))
 }
 
@@ -74,37 +76,6 @@
 	return float64(e.info.KVTokens) * e.settings.TokenRoom
 }
 
-// block is the reason why an engine can't take a ticket now.
-type block string
-
-const (
-	blockNone      block = ""
-	blockSlots     block = "no_free_slot"
-	blockReserved  block = "free_slots_reserved_for_urgent_tiers"
-	blockLong      block = "long_share_in_use"
-	blockRoom      block = "no_token_room"
-	blockNoEngine  block = "no_usable_engine"
-	blockIsolation block = "waits_to_run_alone"
-)
-
-// admits says whether the engine can take the ticket now.
-func (e *engine) admits(r *request) block {
-	free := e.free()
-	switch {
-	case free <= 0:
-		return blockSlots
-	case r.class == classAlone && len(e.granted) > 0:
-		return blockIsolation
-	case free <= e.reserved(r.tier):
-		return blockReserved
-	case r.class == classLong && e.long >= e.longSlots():
-		return blockLong
-	case len(e.granted) > 0 && e.tokens+r.tokens() > e.room():
-		return blockRoom
-	}
-	return blockNone
-}
-
 func (e *engine) prefillSpeed() float64 {
 	if e.info.PrefillPerSec > 0 {
 		return e.info.PrefillPerSec
@@ -119,9 +90,13 @@
 	return e.settings.DefaultTokensPerSec
 }
 
-// work is the engine time in seconds that a request takes. All slots decode in parallel.
-func (e *engine) work(r *request) float64 {
-	return (r.prompt+1)/e.prefillSpeed() + (r.output+1)/(e.tokenSpeed()*float64(max(1, e.slots)))
+// prefillTime is the time in seconds until the first token on an idle engine.
+func (e *engine) prefillTime(r *request) float64 { return (r.prompt + 1) / e.prefillSpeed() }
+
+// decodeTime is the request's part of the engine's decoding time, in seconds: all slots decode in parallel. The
+// added token makes requests without output, such as calls of services, count too.
+func (e *engine) decodeTime(r *request) float64 {
+	return (r.output + 1) / (e.tokenSpeed() * float64(max(1, e.slots)))
 }
 
 // start counts a request as in flight.
@@ -129,22 +104,41 @@
 	r.engine, r.grantedAt = e, now
 	e.granted[r.ticket.GetRequestId()] = r
 	e.tokens += r.tokens()
-	e.ahead += e.work(r)
-	if r.class == classLong {
+	r.prefillWork, r.decodeWork = e.prefillTime(r), e.decodeTime(r)
+	if e.prefillUntil.Before(now) {
+		e.prefillUntil = now
+	}
+	e.prefillUntil = e.prefillUntil.Add(time.Duration(r.prefillWork * float64(time.Second)))
+	e.decodeAhead += r.decodeWork
+	e.touch(now)
+	switch r.class {
+	case classLong:
 		e.long++
+	case classAlone:
+		e.alone = r
 	}
 }
 
 // end frees what start took.
-func (e *engine) end(r *request) {
+func (e *engine) end(r *request, now time.Time) {
 	delete(e.granted, r.ticket.GetRequestId())
 	e.tokens -= r.tokens()
-	e.ahead = max(0, e.ahead-e.work(r))
-	if r.class == classLong {
+	e.decodeAhead = max(0, e.decodeAhead-r.decodeWork)
+	switch r.class {
+	case classLong:
 		e.long--
+	case classAlone:
+		e.alone = nil
 	}
 	if len(e.granted) == 0 {
-		e.tokens, e.ahead = 0, 0
+		// The engine is idle, whatever the estimates said.
+		e.tokens, e.decodeAhead, e.prefillUntil = 0, 0, now
 	}
+	e.touch(now)
 	r.engine = nil
 }
+
+// touch brings the work ahead to now.
+func (e *engine) touch(now time.Time) {
+	e.ahead = e.decodeAhead + max(0, e.prefillUntil.Sub(now).Seconds())
+}
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -21,11 +21,15 @@
 	// granted counts the requests in flight, slots the slots of all usable engines.
 	granted int
 	slots   int
+	// reserved is the engine kept for one ticket, or nil.
+	reserved *engine
+	// now is the time of the current call.
+	now time.Time
 }
 
 // engineClass holds the engines of one hardware generation that have a free slot, least work ahead first.
 type engineClass struct {
-	open *indexedHeap[*engine]
+	open [openCount]*indexedHeap[*engine]
 }
 
 func newEngineSet(settings *Settings, random *rand.Rand) *engineSet {
@@ -45,9 +49,7 @@
 			e = newEngine(info, s.settings)
 			s.byName[info.Name] = e
 		}
-		if e.class != nil {
-			e.class.open.remove(e)
-		}
+		s.close(e)
 		e.info, e.gone = info, false
 		e.class = s.class(info.Generation)
 	}
@@ -73,7 +75,10 @@
 func (s *engineSet) class(generation string) *engineClass {
 	c := s.classes[generation]
 	if c == nil {
-		c = &engineClass{open: newIndexedHeap(lessAhead, func(e *engine) *int { return &e.classIndex })}
+		c = &engineClass{}
+		for i := range c.open {
+			c.open[i] = newIndexedHeap(lessAhead, func(e *engine) *int { return &e.openPos[i] })
+		}
 		s.classes[generation] = c
 		s.classList = append(s.classList, c)
 	}
@@ -92,9 +97,7 @@
 	if !e.gone || len(e.granted) > 0 {
 		return
 	}
-	if e.class != nil {
-		e.class.open.remove(e)
-	}
+	s.close(e)
 	delete(s.byName, e.info.Name)
 	if i := slices.Index(s.list, e); i >= 0 {
 		s.list = slices.Delete(s.list, i, i+1)
@@ -104,6 +107,9 @@
 // refresh recomputes slots and indexes of all engines.
 func (s *engineSet) refresh() {
 	s.slots = 0
+	if s.reserved != nil && !s.reserved.usable() {
+		s.unreserve(s.reserved.reservedFor)
+	}
 	for _, e := range s.list {
 		e.slots = s.slotsOf(e)
 		if e.usable() {
@@ -127,37 +133,52 @@
 	return max(1, int(s.share*float64(s.slots))) - s.granted
 }
 
-// reindex restores an engine's place after a change.
+// reindex restores an engine's places after a change.
 func (s *engineSet) reindex(e *engine) {
-	switch {
-	case e.free() <= 0:
-		e.class.open.remove(e)
-	case e.classIndex < 0:
-		e.class.open.push(e)
-	default:
-		e.class.open.fix(e)
+	for i, open := range e.opens() {
+		switch {
+		case !open:
+			e.class.open[i].remove(e)
+		case e.openPos[i] < 0:
+			e.class.open[i].push(e)
+		default:
+			e.class.open[i].fix(e)
+		}
 	}
 }
 
-// anyOpen says whether any engine has a free slot.
-func (s *engineSet) anyOpen() bool {
+// close takes an engine out of all indexes.
+func (s *engineSet) close(e *engine) {
+	if e.class == nil {
+		return
+	}
+	for _, open := range e.class.open {
+		open.remove(e)
+	}
+}
+
+// openLen is the number of engines in one index.
+func (s *engineSet) openLen(index int) int {
+	var sum int
 	for _, c := range s.classList {
-		if c.open.len() > 0 {
-			return s.spare() > 0
-		}
+		sum += c.open[index].len()
 	}
-	return false
+	return sum
 }
 
+// anyOpen says whether any engine has a free slot.
+func (s *engineSet) anyOpen() bool { return s.openLen(openUrgentShort) > 0 && s.spare() > 0 }
+
 func (s *engineSet) start(e *engine, r *request, now time.Time) {
+	s.unreserve(r)
 	e.start(r, now)
 	s.granted++
 	s.reindex(e)
 }
 
-func (s *engineSet) end(r *request) {
+func (s *engineSet) end(r *request, now time.Time) {
 	e := r.engine
-	e.end(r)
+	e.end(r, now)
 	s.granted--
 	s.reindex(e)
 	s.forget(e)
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -43,6 +43,9 @@
 	engine    *engine
 	grantedAt time.Time
 	charged   float64
+	// prefillWork and decodeWork are what the request added to its engine's work, in seconds.
+	prefillWork float64
+	decodeWork  float64
 }
 
 // cost is the ticket's work in tokens, at least one.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -56,6 +56,12 @@
 	return s
 }
 
+// at notes an input and its time.
+func (s *Scheduler) at(now time.Time) {
+	s.engines.now = now
+	s.dirty = true
+}
+
 // SetEngines replaces the engines of the cell.
 func (s *Scheduler) SetEngines(_ time.Time, engines []EngineInfo) {
 	s.engines.replace(engines)
@@ -147,8 +153,9 @@
 		s.dequeue(r)
 	}
 	if r.engine != nil {
-		s.engines.end(r)
+		s.engines.end(r, s.engines.now)
 	}
+	s.engines.unreserve(r)
 	id := r.ticket.GetRequestId()
 	if s.requests[id] == r {
 		delete(s.requests, id)
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -8,6 +8,7 @@
 
 // Step returns the decisions that are due at now.
 func (s *Scheduler) Step(now time.Time) []Decision {
+	s.engines.now = now
 	s.fill(now)
 	s.shed()
 	s.dirty = false
@@ -37,22 +38,32 @@
 	}
 }
 
-// fillBucket grants the tickets of one bucket. A length class whose first ticket finds no engine is left out for
-// the rest of the step.
+// fillBucket grants the tickets of one bucket. A length class whose first ticket finds no slot is left out for the
+// rest of the step. A ticket that only lacks room holds up its own flow and gets an engine reserved.
 func (s *Scheduler) fillBucket(b *bucket, now time.Time) {
 	var blocked [classCount]bool
+	var skipped []*flow
 	for s.engines.spare() > 0 {
 		f := s.next(b, &blocked)
 		if f == nil {
-			return
+			break
 		}
 		r := f.first
-		e := s.choose(s.engines, r)
-		if e == nil {
-			blocked[f.class] = true
+		if e := s.choose(s.engines, r); e != nil {
+			s.grant(r, e, now)
 			continue
 		}
-		s.grant(r, e, now)
+		switch s.engines.blockOf(r) {
+		case blockRoom, blockIsolation:
+			s.engines.reserve(r)
+			b.flows[f.class].remove(f)
+			skipped = append(skipped, f)
+		default:
+			blocked[f.class] = true
+		}
+	}
+	for _, f := range skipped {
+		f.reorder()
 	}
 }
 
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -9,7 +9,7 @@
 // Submit queues a ticket. A repeated request id replaces the ticket and keeps its age; if it is granted already,
 // the grant is sent again, since the holder still waits for it.
 func (s *Scheduler) Submit(now time.Time, holder string, ticket *protocol.Ticket) {
-	s.dirty = true
+	s.at(now)
 	since := now.Add(-time.Duration(max(0, ticket.GetAgeMs())) * time.Millisecond)
 	if old := s.requests[ticket.GetRequestId()]; old != nil {
 		if old.engine != nil && old.engine.usable() && old.holder == holder {
@@ -62,14 +62,14 @@
 }
 
 // Cancel drops a ticket whose caller has gone. A grant that was not used is given back to the workspace's share.
-func (s *Scheduler) Cancel(_ time.Time, holder, requestID string) {
+func (s *Scheduler) Cancel(now time.Time, holder, requestID string) {
+	s.at(now)
 	r := s.requests[requestID]
 	if r == nil || r.holder != holder {
 		return
 	}
 	s.refund(r)
 	s.forgetRequest(r)
-	s.dirty = true
 }
 
 // refund gives the charge of a grant back.
@@ -88,8 +88,8 @@
 
 // Release ends a grant. A grant that was returned unused goes back to the queue at its old place. A release for
 // a grant that this scheduler never made only feeds the observations.
-func (s *Scheduler) Release(_ time.Time, holder string, release *protocol.Release) {
-	s.dirty = true
+func (s *Scheduler) Release(now time.Time, holder string, release *protocol.Release) {
+	s.at(now)
 	r := s.requests[release.GetRequestId()]
 	if r == nil || r.engine == nil || r.holder != holder || r.engine.info.Name != release.GetEngine() {
 		return
@@ -97,12 +97,10 @@
 	switch release.GetKind() {
 	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
 		s.refund(r)
-		s.engines.end(r)
+		s.engines.end(r, s.engines.now)
 		s.enqueue(r)
-	case protocol.ReleaseKind_RELEASE_KIND_ANSWERED:
-		s.settle(r, release)
-		s.forgetRequest(r)
 	default:
+		s.settle(r, release)
 		s.forgetRequest(r)
 	}
 }
@@ -115,9 +113,9 @@
 }
 
 // DropHolder frees the tickets and grants of a holder that died.
-func (s *Scheduler) DropHolder(_ time.Time, holder string) {
+func (s *Scheduler) DropHolder(now time.Time, holder string) {
+	s.at(now)
 	for _, r := range s.holders[holder] {
 		s.forgetRequest(r)
 	}
-	s.dirty = true
 }
