scheduler: refuse infeasible deadlines before prefill, expire queued tickets

Cause: a prefill for an answer that comes too late is wasted. Change: a ticket is refused when the work queued ahead of it (higher tiers, and its workspace's part of its own tier) and the shortest run exceed its deadline. Queued tickets leave at their latest start. A grant goes to an engine that finishes in time; if only busy ones do, the ticket waits for them. Seen failing first: no check, wait of the whole tier instead of the share, all tiers counted (TestDeadlines); one code for both, wake at the deadline, no expiry (TestExpiry); choice without the deadline, busy engine taken (TestDeadlineAtGrant).

--- /dev/null
+++ b/internal/scheduler/deadlines.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+// infeasible says whether a ticket can't finish in time behind the work that is served before it: the queues of
+// higher tiers, and of its own tier what its workspace's share makes it wait for.
+func (s *Scheduler) infeasible(r *request, now time.Time) bool {
+	if r.deadline.IsZero() || s.engines.slots == 0 {
+		return false
+	}
+	return now.Add(seconds(s.expectedWait(r) + s.engines.bestSeconds(r))).After(r.deadline)
+}
+
+// expectedWait is in seconds.
+func (s *Scheduler) expectedWait(r *request) float64 {
+	var ahead float64
+	for _, b := range s.buckets[:r.bucket] {
+		ahead += b.seconds
+	}
+	own := s.buckets[r.bucket]
+	a := r.account
+	active := own.activeWeight
+	if a.queued.len() == 0 {
+		active += a.weight
+	}
+	ahead += math.Min(own.seconds, a.seconds*active/a.weight)
+	return ahead / float64(max(1, s.engines.slots))
+}
+
+// expire refuses the queued tickets that can't finish in time any more, before they cost a prefill.
+func (s *Scheduler) expire(now time.Time) {
+	for {
+		r, ok := s.deadlines.top()
+		if !ok || r.latestStart.After(now) {
+			return
+		}
+		if now.Before(r.deadline) {
+			s.refuse(r, CodeDeadlineInfeasible, "the deadline is nearer than the shortest run", s.retryAfter(r.bucket))
+		} else {
+			s.refuse(r, CodeDeadlineExpired, "the deadline passed in the queue", 0)
+		}
+	}
+}
+
+// inTime returns an engine on which the ticket finishes by its deadline: the chosen one if possible, else any that
+// admits it, else nil.
+func (s *Scheduler) inTime(r *request, chosen *engine, now time.Time) *engine {
+	if r.deadline.IsZero() || !now.Add(seconds(chosen.runSeconds(r, now))).After(r.deadline) {
+		return chosen
+	}
+	for _, e := range s.engines.list {
+		if e.admits(r) == blockNone && !now.Add(seconds(e.runSeconds(r, now))).After(r.deadline) {
+			return e
+		}
+	}
+	return nil
+}
+
+// runSeconds is the expected time until the answer is complete if the request is granted at now.
+func (e *engine) runSeconds(r *request, now time.Time) float64 {
+	return max(0, e.prefillUntil.Sub(now).Seconds()) + e.prefillTime(r) + r.output/e.tokenSpeed()
+}
+
+// bestSeconds is the shortest run on the fastest engines, in seconds.
+func (s *engineSet) bestSeconds(r *request) float64 {
+	if s.speeds.bestPrefill <= 0 {
+		return 0
+	}
+	return r.prompt/s.speeds.bestPrefill + r.output/s.speeds.bestTokens
+}
+
+// meanSeconds is the time in a slot on an average engine, in seconds.
+func (s *engineSet) meanSeconds(r *request) float64 {
+	return r.prompt/s.speeds.meanPrefill + r.output/s.speeds.meanTokens
+}
+
+// speedSurvey holds speeds over the usable engines in tokens per second.
+type speedSurvey struct {
+	at          time.Time
+	bestPrefill float64
+	bestTokens  float64
+	meanPrefill float64
+	meanTokens  float64
+}
+
+// surveyInterval bounds how often all engines are looked at.
+const surveyInterval = time.Second
+
+// survey refreshes the speeds of the pool.
+func (s *engineSet) survey() {
+	speeds := speedSurvey{at: s.now, meanPrefill: s.settings.DefaultPrefillPerSec,
+		meanTokens: s.settings.DefaultTokensPerSec}
+	var prefill, tokens, count float64
+	for _, e := range s.list {
+		if !e.usable() {
+			continue
+		}
+		speeds.bestPrefill = max(speeds.bestPrefill, e.prefillSpeed())
+		speeds.bestTokens = max(speeds.bestTokens, e.tokenSpeed())
+		prefill += e.prefillSpeed()
+		tokens += e.tokenSpeed()
+		count++
+	}
+	if count > 0 {
+		speeds.meanPrefill, speeds.meanTokens = prefill/count, tokens/count
+	}
+	s.speeds = speeds
+}
+
+// seconds converts to a duration; values beyond a day are cut, since a duration overflows.
+func seconds(value float64) time.Duration {
+	return time.Duration(min(value, 86400) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/scheduler/deadlines_test.go
@@ -0,0 +1,97 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDeadlines guards against prefill for a ticket that can't finish in time, and against refusing one that can.
+// A run of 100 prompt and 100 output tokens takes 2.525 s on the engine.
+func TestDeadlines(t *testing.T) {
+	cases := []struct {
+		name       string
+		tier       uint32
+		workspace  string
+		deadlineMs int64
+		// queue has 20 tickets of workspace "a" in tier 1, 50.5 s of work for one slot.
+		queue   bool
+		refused bool
+	}{
+		{"idle engine, enough time", 1, "b", 2600, false, false},
+		{"idle engine, too little time", 1, "b", 2400, false, true},
+		{"behind the own queue", 1, "a", 20_000, true, true},
+		{"behind the own queue with enough time", 1, "a", 60_000, true, false},
+		{"share of the other workspace", 1, "b", 20_000, true, false},
+		{"above the queue", 0, "a", 20_000, true, false},
+		{"below the queue", 2, "b", 20_000, true, true},
+	}
+	for _, k := range cases {
+		c := newCell(1, 1, nil)
+		if k.queue {
+			c.submit(21, 1, "a")
+			c.step()
+		}
+		ticket := c.ticket(k.tier, k.workspace)
+		ticket.DeadlineMs = k.deadlineMs
+		c.Submit(c.now, "h", ticket)
+		_, refusals := c.step()
+		assert.Equal(t, len(refusals) == 1, k.refused, k.name)
+		if k.refused {
+			assert.Equal(t, refusals[0].Code, CodeDeadlineInfeasible, k.name)
+		}
+	}
+}
+
+// TestExpiry guards against tickets that stay queued after their last possible start or their deadline, and
+// against a host that is never told to look.
+func TestExpiry(t *testing.T) {
+	c := newCell(1, 1, nil)
+	c.submit(1, 0, "a")
+	c.step()
+	for _, code := range []string{CodeDeadlineInfeasible, CodeDeadlineExpired} {
+		ticket := c.ticket(1, "a")
+		ticket.DeadlineMs = 10_000
+		c.Submit(c.now, "h", ticket)
+		_, refusals := c.step()
+		assert.Equal(t, len(refusals), 0)
+		wake := c.NextWake(c.now)
+		assert.Equal(t, wake.Sub(c.now), 7475*time.Millisecond)
+		c.now = wake
+		if code == CodeDeadlineExpired {
+			c.now = wake.Add(3 * time.Second)
+		}
+		_, refusals = c.step()
+		assert.Equal(t, len(refusals), 1)
+		assert.Equal(t, refusals[0].Code, code)
+		assert.Assert(t, c.NextWake(c.now).IsZero())
+	}
+}
+
+// TestDeadlineAtGrant guards against a grant on an engine that is too slow for the ticket's deadline while another
+// is fast enough.
+func TestDeadlineAtGrant(t *testing.T) {
+	c := newCell(0, 0, nil)
+	c.SetEngines(c.now, []EngineInfo{
+		{Name: "slow", Slots: 100, PrefillPerSec: 9000, TokensPerSec: 10},
+		{Name: "fast", Slots: 2, PrefillPerSec: 4000, TokensPerSec: 40},
+	})
+	for _, want := range []string{"fast", "fast"} {
+		ticket := c.ticket(1, "a")
+		ticket.DeadlineMs = 3000
+		c.Submit(c.now, "h", ticket)
+		grants, _ := c.step()
+		assert.Equal(t, len(grants), 1)
+		assert.Equal(t, grants[0].Engine, want)
+	}
+	ticket := c.ticket(1, "a")
+	ticket.DeadlineMs = 3000
+	c.Submit(c.now, "h", ticket)
+	grants, refusals := c.step()
+	assert.Equal(t, len(grants)+len(refusals), 0, "a fast engine may become free in time")
+	c.now = c.NextWake(c.now)
+	grants, refusals = c.step()
+	assert.Equal(t, len(grants), 0)
+	assert.Equal(t, refusals[0].Code, CodeDeadlineInfeasible)
+}
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -23,6 +23,7 @@
 	slots   int
 	// reserved is the engine kept for one ticket, or nil.
 	reserved *engine
+	speeds   speedSurvey
 	// now is the time of the current call.
 	now time.Time
 }
@@ -117,6 +118,7 @@
 		}
 		s.reindex(e)
 	}
+	s.survey()
 }
 
 // slotsOf is the part of an engine's slots that this scheduler may fill.
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootplank/internal/estimator"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -29,11 +30,16 @@
 	sequence uint64
 	// deadline is zero if there is none.
 	deadline time.Time
+	// latestStart is when even the fastest engine would miss the deadline.
+	latestStart time.Time
 	// prompt and output are estimates in tokens, seconds the expected time in a slot.
-	prompt  float64
-	output  float64
-	seconds float64
+	prompt float64
+	// declared is the output length that the ticket or the catalogue states.
+	declared float64
+	output   float64
+	seconds  float64
 
+	account       *account
 	lane          *lane
 	laneIndex     int
 	accountIndex  int
@@ -48,6 +54,11 @@
 	decodeWork  float64
 }
 
+// lengthKey names the requests whose lengths are alike.
+func (r *request) lengthKey() estimator.Key {
+	return estimator.Key{Workspace: r.ticket.GetWorkspace(), Work: r.ticket.GetWork()}
+}
+
 // cost is the ticket's work in tokens, at least one.
 func (r *request) cost() float64 { return max(1, r.prompt+r.output) }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/estimator"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -25,6 +26,9 @@
 	works    map[string]cataloguer.Work
 	sequence uint64
 	byTier   [tiers]int
+	// deadlines orders the queued tickets that have a deadline by their latest start.
+	deadlines *indexedHeap[*request]
+	lengths   *estimator.Lengths
 
 	decisions []Decision
 	// dirty is set by every input, so that the next Step looks for grants.
@@ -50,6 +54,9 @@
 		counters: Counters{Since: now, Refusals: make(map[string]int)},
 	}
 	s.engines = newEngineSet(&s.settings, s.random)
+	s.lengths = estimator.NewLengths()
+	s.deadlines = newIndexedHeap(func(a, b *request) bool { return a.latestStart.Before(b.latestStart) },
+		func(r *request) *int { return &r.deadlineIndex })
 	for range tiers {
 		s.buckets = append(s.buckets, newBucket(order))
 	}
@@ -63,9 +70,9 @@
 }
 
 // SetEngines replaces the engines of the cell.
-func (s *Scheduler) SetEngines(_ time.Time, engines []EngineInfo) {
+func (s *Scheduler) SetEngines(now time.Time, engines []EngineInfo) {
+	s.at(now)
 	s.engines.replace(engines)
-	s.dirty = true
 }
 
 // SetWorkspaces sets the weights of the fair shares; a workspace that isn't listed has weight 1.
@@ -101,11 +108,11 @@
 }
 
 // SetLeaving says whether an engine is leaving; a leaving engine gets no new work.
-func (s *Scheduler) SetLeaving(_ time.Time, engine string, leaving bool) {
+func (s *Scheduler) SetLeaving(now time.Time, engine string, leaving bool) {
+	s.at(now)
 	if e := s.engines.byName[engine]; e != nil {
 		e.leaving = leaving
 		s.engines.refresh()
-		s.dirty = true
 	}
 }
 
@@ -123,15 +130,18 @@
 
 // enqueue puts a request at the place of its arrival.
 func (s *Scheduler) enqueue(r *request) {
-	workspace := r.ticket.GetWorkspace()
-	s.buckets[r.bucket].account(workspace, s.weight(workspace)).add(r)
+	r.account.add(r)
 	s.byTier[r.tier]++
+	if !r.deadline.IsZero() {
+		s.deadlines.push(r)
+	}
 }
 
 // dequeue takes a queued request out of its queue.
 func (s *Scheduler) dequeue(r *request) {
-	r.lane.flow.account.remove(r)
+	r.account.remove(r)
 	r.lane = nil
+	s.deadlines.remove(r)
 	s.byTier[r.tier]--
 }
 
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -9,6 +9,10 @@
 // Step returns the decisions that are due at now.
 func (s *Scheduler) Step(now time.Time) []Decision {
 	s.engines.now = now
+	if now.Sub(s.engines.speeds.at) >= surveyInterval {
+		s.engines.survey()
+	}
+	s.expire(now)
 	s.fill(now)
 	s.shed()
 	s.dirty = false
@@ -22,6 +26,9 @@
 	if s.dirty || len(s.decisions) > 0 {
 		return now
 	}
+	if r, ok := s.deadlines.top(); ok {
+		return r.latestStart
+	}
 	return time.Time{}
 }
 
@@ -50,7 +57,13 @@
 		}
 		r := f.first
 		if e := s.choose(s.engines, r); e != nil {
-			s.grant(r, e, now)
+			if e = s.inTime(r, e, now); e != nil {
+				s.grant(r, e, now)
+				continue
+			}
+			// Only busy engines are fast enough; the ticket waits for one until its latest start.
+			b.flows[f.class].remove(f)
+			skipped = append(skipped, f)
 			continue
 		}
 		switch s.engines.blockOf(r) {
@@ -82,7 +95,7 @@
 }
 
 func (s *Scheduler) grant(r *request, e *engine, now time.Time) {
-	a := r.lane.flow.account
+	a := r.account
 	a.bucket.virtual = max(a.bucket.virtual, a.counter)
 	s.dequeue(r)
 	r.charged = r.cost()
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -25,6 +25,10 @@
 	r := s.newRequest(now, holder, ticket)
 	r.since = since
 	s.remember(r)
+	if s.infeasible(r, now) {
+		s.refuse(r, CodeDeadlineInfeasible, "the queue ahead leaves no time for the run", s.retryAfter(r.bucket))
+		return
+	}
 	s.enqueue(r)
 }
 
@@ -36,10 +40,13 @@
 		ticket: ticket, holder: holder, tier: tier, bucket: s.order.Bucket(tier), sequence: s.sequence,
 		laneIndex: -1, accountIndex: -1, deadlineIndex: -1,
 	}
+	workspace := ticket.GetWorkspace()
+	r.account = s.buckets[r.bucket].account(workspace, s.weight(workspace))
+	s.estimate(r)
 	if ticket.GetDeadlineMs() > 0 {
 		r.deadline = now.Add(time.Duration(ticket.GetDeadlineMs()) * time.Millisecond)
+		r.latestStart = r.deadline.Add(-seconds(s.engines.bestSeconds(r)))
 	}
-	s.estimate(r)
 	return r
 }
 
@@ -47,18 +54,19 @@
 func (s *Scheduler) estimate(r *request) {
 	work := s.works[r.ticket.GetWork()]
 	r.prompt = float64(r.ticket.GetPromptTokens())
-	r.output = float64(r.ticket.GetOutputTokens())
-	if r.output == 0 {
-		r.output = float64(work.ExpectedOutput)
+	r.declared = float64(r.ticket.GetOutputTokens())
+	if r.declared == 0 {
+		r.declared = float64(work.ExpectedOutput)
 	}
-	if r.output == 0 && r.prompt > 0 {
-		r.output = float64(s.settings.DefaultOutputTokens)
+	if r.declared == 0 && r.prompt > 0 {
+		r.declared = float64(s.settings.DefaultOutputTokens)
 	}
+	r.output = s.lengths.Estimate(r.lengthKey(), r.declared)
 	r.class = classShort
 	if r.output > float64(s.settings.LongTokens) {
 		r.class = classLong
 	}
-	r.seconds = r.prompt/s.settings.DefaultPrefillPerSec + r.output/s.settings.DefaultTokensPerSec
+	r.seconds = s.engines.meanSeconds(r)
 }
 
 // Cancel drops a ticket whose caller has gone. A grant that was not used is given back to the workspace's share.
@@ -77,15 +85,10 @@
 	if r.engine == nil {
 		return
 	}
-	s.accountOf(r).charge(-r.charged)
+	r.account.charge(-r.charged)
 	r.charged = 0
 }
 
-func (s *Scheduler) accountOf(r *request) *account {
-	workspace := r.ticket.GetWorkspace()
-	return s.buckets[r.bucket].account(workspace, s.weight(workspace))
-}
-
 // Release ends a grant. A grant that was returned unused goes back to the queue at its old place. A release for
 // a grant that this scheduler never made only feeds the observations.
 func (s *Scheduler) Release(now time.Time, holder string, release *protocol.Release) {
@@ -109,7 +112,7 @@
 func (s *Scheduler) settle(r *request, release *protocol.Release) {
 	prompt := float64(release.GetPromptTokens()) - float64(release.GetCachedTokens())
 	done := max(1, max(0, prompt)+float64(release.GetOutputTokens()))
-	s.accountOf(r).charge(done - r.charged)
+	r.account.charge(done - r.charged)
 }
 
 // DropHolder frees the tickets and grants of a holder that died.
