isolator: add the table of suspects and convictions

Cause: a request that crashes every engine that runs it must be stopped without refusing its neighbours. Change: a crash makes a fingerprint suspect; only a crash while alone convicts. Entries expire, merge from gossip with a bounded expiry, and are bounded in number, suspects leaving before convictions. Seen failing first: conviction by the number of crashes, expiry ignored, conviction acquitted, fingerprint 0 kept (TestCrashed); convictions not merged, expired entries kept, expiry unbounded (TestMerge); no bound, convictions displaced (TestEntries).

--- /dev/null
+++ b/internal/isolator/isolator_test.go
@@ -0,0 +1,84 @@
+package isolator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/protocol"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newIsolator() *Isolator {
+	return New(Settings{SuspectFor: time.Minute, PoisonFor: time.Hour, Entries: 3})
+}
+
+// TestCrashed guards against a conviction for a shared crash, a conviction that never ends, and suspicion of
+// requests without a fingerprint.
+func TestCrashed(t *testing.T) {
+	i := newIsolator()
+	for range 3 {
+		i.Crashed(start, 1, false)
+	}
+	i.Crashed(start, 2, true)
+	i.Crashed(start, 0, true)
+	cases := []struct {
+		fingerprint uint64
+		after       time.Duration
+		want        State
+	}{
+		{1, 59 * time.Second, Suspect},
+		{1, time.Minute, Clear},
+		{2, 59 * time.Minute, Poison},
+		{2, time.Hour, Clear},
+		{0, 0, Clear},
+		{3, 0, Clear},
+	}
+	for _, c := range cases {
+		assert.Equal(t, i.State(start.Add(c.after), c.fingerprint), c.want, "%+v", c)
+	}
+	i.Acquit(1)
+	i.Acquit(2)
+	assert.Equal(t, i.State(start, 1), Clear)
+	assert.Equal(t, i.State(start, 2), Poison)
+	assert.Equal(t, len(i.List(start)), 1)
+	assert.Equal(t, len(i.List(start.Add(time.Hour))), 0)
+	assert.Equal(t, len(i.entries), 0)
+}
+
+// TestMerge guards against convictions that gossip loses, revives after expiry or makes permanent.
+func TestMerge(t *testing.T) {
+	from, to := newIsolator(), newIsolator()
+	from.Crashed(start, 1, true)
+	from.Crashed(start, 2, false)
+	list := from.List(start)
+	to.Merge(start, list)
+	to.Merge(start, nil)
+	assert.Equal(t, to.State(start, 1), Poison)
+	assert.Equal(t, to.State(start, 2), Suspect)
+	to.Merge(start.Add(2*time.Hour), list)
+	assert.Equal(t, to.State(start.Add(2*time.Hour), 1), Clear)
+	assert.Equal(t, len(newMerged(list, start.Add(2*time.Hour)).entries), 0)
+	far := start.Add(1000 * time.Hour).UnixMilli()
+	to.Merge(start, []*protocol.Conviction{{Fingerprint: 4, Convicted: true, ExpiresUnixMs: far}})
+	assert.Equal(t, to.State(start.Add(time.Hour), 4), Clear)
+}
+
+func newMerged(list []*protocol.Conviction, now time.Time) *Isolator {
+	i := newIsolator()
+	i.Merge(now, list)
+	return i
+}
+
+// TestEntries guards against a table that grows without bound, and against suspects displacing convictions.
+func TestEntries(t *testing.T) {
+	i := newIsolator()
+	i.Crashed(start, 1, true)
+	for f := range uint64(20) {
+		i.Crashed(start.Add(30*time.Minute), f+2, false)
+	}
+	assert.Equal(t, len(i.entries), 3)
+	assert.Equal(t, i.State(start.Add(30*time.Minute), 1), Poison)
+}
