Add membership, ranking and the ticket path between routers

Cause: a request waits in the router that holds its connection, so routers need to agree on who schedules a pool cell and need a path for tickets and grants that survives a lost scheduler.

Change: ranker (rendezvous ranking and pool cells), detector (SWIM-like membership, delta gossip, VM list hints, convictions), messenger (connect service, batching outbox, stream pump with heartbeats), ticketer (the holder's side) and runner (the scheduler's side). New message fields: Hello.held, Ticket.cell, the pool, cell and attempt of a Release, the pool and cell of a Grant, SchedulerMessage.backlogs (not sent yet).

Tested: go test -race of these packages, ten times; three routers on virtual time and over real streams on loopback. Seen failing with: hash arguments swapped in First, a score that depends on the position, a constant order of scores, a cell hash that depends on the number of cells (ranker tests); tickets kept local (TestThreeRouters); a silence limit of 5 s (TestFrozenScheduler, TestLateGrants); HTTP/2 without encryption not enabled in the client, streams without the server's context (TestLoopback). detector, messenger and ticketer have no tests of their own yet.

--- /dev/null
+++ b/internal/detector/conviction.go
@@ -0,0 +1,66 @@
+package detector
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// maxConvictions bounds the memory for poison fingerprints. The one that expires first makes room.
+const maxConvictions = 4096
+
+// mergeConvictions adds what others know: the larger crash count, the later expiry, and a conviction stays one.
+func (t *table) mergeConvictions(now time.Time, convictions []*protocol.Conviction) {
+	for _, c := range convictions {
+		if c.GetExpiresUnixMs() <= now.UnixMilli() {
+			continue
+		}
+		known := t.convictions[c.GetFingerprint()]
+		merged := &protocol.Conviction{
+			Fingerprint:   c.GetFingerprint(),
+			Crashes:       max(c.GetCrashes(), known.GetCrashes()),
+			ExpiresUnixMs: max(c.GetExpiresUnixMs(), known.GetExpiresUnixMs()),
+			Convicted:     c.GetConvicted() || known.GetConvicted(),
+		}
+		if proto.Equal(merged, known) {
+			continue
+		}
+		if known == nil && len(t.convictions) >= maxConvictions {
+			t.dropConviction(t.oldestConviction())
+		}
+		t.convictions[c.GetFingerprint()] = merged
+		t.deltas.addConviction(c.GetFingerprint())
+		t.changed = true
+	}
+}
+
+func (t *table) expireConvictions(now time.Time) {
+	for fingerprint, c := range t.convictions {
+		if c.GetExpiresUnixMs() <= now.UnixMilli() {
+			t.dropConviction(fingerprint)
+		}
+	}
+}
+
+func (t *table) dropConviction(fingerprint uint64) {
+	delete(t.convictions, fingerprint)
+	t.deltas.dropConviction(fingerprint)
+	t.changed = true
+}
+
+func (t *table) oldestConviction() uint64 {
+	return slices.MinFunc(t.sortedConvictions(), func(a, b *protocol.Conviction) int {
+		return cmp.Compare(a.GetExpiresUnixMs(), b.GetExpiresUnixMs())
+	}).GetFingerprint()
+}
+
+func (t *table) sortedConvictions() []*protocol.Conviction {
+	return slices.SortedFunc(maps.Values(t.convictions), func(a, b *protocol.Conviction) int {
+		return cmp.Compare(a.GetFingerprint(), b.GetFingerprint())
+	})
+}
--- /dev/null
+++ b/internal/detector/view.go
@@ -0,0 +1,99 @@
+package detector
+
+import (
+	"time"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// Member is one row of a view.
+type Member struct {
+	Name              string
+	Address           string
+	DataCentre        string
+	Incarnation       uint64
+	State             protocol.MemberState
+	CatalogueRevision uint64
+	CatalogueOffset   int64
+	// Known is when this router first heard of the member.
+	Known time.Time
+	// Left says that a dead member had announced its departure.
+	Left bool
+}
+
+// View is one immutable state of the member table.
+type View struct {
+	Version uint64
+	// Self is this router's own name.
+	Self string
+	// Members is sorted by name and includes this router and dead members.
+	Members []Member
+	// Convictions are the poison fingerprints known to the routers, sorted by fingerprint.
+	Convictions []*protocol.Conviction
+	vms         vmHints
+	ranked      []string
+	byName      map[string]int
+}
+
+// Ranked returns the names of the members that take roles: alive and suspect ones. Suspect members keep their
+// roles until they are dead, so that a lost packet moves none. Holders don't depend on it: they turn to the next
+// rank as soon as their stream breaks.
+func (v *View) Ranked() []string { return v.ranked }
+
+// Member returns a member by name.
+func (v *View) Member(name string) (Member, bool) {
+	i, ok := v.byName[name]
+	if !ok {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// VMLeaving says whether the VM list reports the VM of an upstream ("ip:port") as leaving.
+func (v *View) VMLeaving(address string) bool { return v.vms.leaves(address) }
+
+// Alone returns the share of each engine's capacity that one router may use when it can't coordinate with others.
+func (v *View) Alone() float64 {
+	known, _ := v.counts()
+	return 1 / float64(max(1, known))
+}
+
+// Share returns the share of each engine's capacity that the schedulers on this side of a partition may use. It
+// is 1 unless less than half of the known members are left.
+func (v *View) Share() float64 {
+	known, present := v.counts()
+	if 2*present >= known {
+		return 1
+	}
+	return float64(max(1, present)) / float64(known)
+}
+
+// counts returns the number of members, without those that left as planned, and how many of them aren't dead.
+func (v *View) counts() (known, present int) {
+	for _, m := range v.Members {
+		switch m.State {
+		case protocol.MemberState_MEMBER_STATE_DEAD:
+			if !m.Left {
+				known++
+			}
+		case protocol.MemberState_MEMBER_STATE_ALIVE, protocol.MemberState_MEMBER_STATE_SUSPECT:
+			known++
+			present++
+		}
+	}
+	return known, present
+}
+
+func newView(version uint64, self string, members []Member, vms vmHints, convictions []*protocol.Conviction) *View {
+	view := &View{
+		Version: version, Self: self, Members: members, vms: vms, Convictions: convictions,
+		byName: make(map[string]int, len(members)),
+	}
+	for i, m := range members {
+		view.byName[m.Name] = i
+		if m.State == protocol.MemberState_MEMBER_STATE_ALIVE || m.State == protocol.MemberState_MEMBER_STATE_SUSPECT {
+			view.ranked = append(view.ranked, m.Name)
+		}
+	}
+	return view
+}
--- /dev/null
+++ b/internal/detector/vmlist.go
@@ -0,0 +1,92 @@
+package detector
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// vmPollInterval is the time between reads of the VM list.
+const vmPollInterval = time.Second
+
+// vmRoleRouter is the role of routers in the VM list.
+const vmRoleRouter = "router"
+
+// vmHints is what the VM list says: a hint, since the list lags behind. It is replaced, never changed in place.
+type vmHints struct {
+	// routers are addresses that may be routers.
+	routers []string
+	// leaving holds addresses ("ip:port", or "ip" for a whole VM) that are leaving.
+	leaving map[string]bool
+}
+
+// leaves says whether the VM of an address is leaving.
+func (h vmHints) leaves(address string) bool {
+	if len(h.leaving) == 0 {
+		return false
+	}
+	host, _, err := net.SplitHostPort(address)
+	return h.leaving[address] || err == nil && h.leaving[host]
+}
+
+// newVMHints converts the VM list. An address without a port gets the port of this router's own address.
+func newVMHints(vms []kernel.VM, ownAddress string) vmHints {
+	_, ownPort, _ := net.SplitHostPort(ownAddress)
+	hints := vmHints{leaving: make(map[string]bool)}
+	for _, vm := range vms {
+		if vm.State == kernel.VMLeaving {
+			hints.leaving[vm.Address] = true
+		}
+		if vm.Role != vmRoleRouter || vm.State == kernel.VMLeaving {
+			continue
+		}
+		address := vm.Address
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			address = net.JoinHostPort(address, ownPort)
+		}
+		hints.routers = append(hints.routers, address)
+	}
+	slices.Sort(hints.routers)
+	return hints
+}
+
+func (h vmHints) equal(other vmHints) bool {
+	return slices.Equal(h.routers, other.routers) && maps.Equal(h.leaving, other.leaving)
+}
+
+// pollVMList reads the VM list until ctx ends. While the list can't be read, the last one stays in use.
+func (d *Detector) pollVMList(ctx context.Context) error {
+	ticker := time.NewTicker(vmPollInterval)
+	defer ticker.Stop()
+	for {
+		d.readVMList(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Detector) readVMList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, vmPollInterval)
+	defer cancel()
+	vms, err := d.settings.VMList.VMs(ctx)
+	if err != nil {
+		d.settings.Logger.Debug("read VM list", zap.Error(err))
+		return
+	}
+	hints := newVMHints(vms, d.settings.Address)
+	d.update(func(_ time.Time, t *table) {
+		if !hints.equal(t.vms) {
+			t.vms = hints
+			t.changed = true
+		}
+	})
+}
--- /dev/null
+++ b/internal/messenger/client.go
@@ -0,0 +1,136 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/protocol/protocolconnect"
+)
+
+// Timeouts of connections between routers. A connection to a vanished VM is dropped after SendPingTimeout and
+// PingTimeout, so that later calls don't queue on it.
+const (
+	sendPingTimeout  = time.Second
+	pingTimeout      = time.Second
+	writeByteTimeout = 2 * time.Second
+	idleTimeout      = time.Minute
+	// CallTimeout bounds the unary calls but Gossip, whose caller sets its own.
+	CallTimeout = 2 * time.Second
+)
+
+func http2Config() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		SendPingTimeout:      sendPingTimeout,
+		PingTimeout:          pingTimeout,
+		WriteByteTimeout:     writeByteTimeout,
+		MaxConcurrentStreams: 10_000,
+	}
+}
+
+// Pool calls other routers by address ("ip:port"). All calls of one address share one connection.
+type Pool struct {
+	transport *http.Transport
+	scheme    string
+	mu        sync.Mutex
+	clients   map[string]protocolconnect.RouterServiceClient
+}
+
+// NewPool returns an empty pool and its clean-up function. tlsConfig may be nil: the traffic is then
+// unencrypted HTTP/2.
+func NewPool(tlsConfig *tls.Config) (*Pool, func()) {
+	pool := &Pool{scheme: "http://", clients: make(map[string]protocolconnect.RouterServiceClient)}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	protocols.SetHTTP2(tlsConfig != nil)
+	if tlsConfig != nil {
+		pool.scheme = "https://"
+	}
+	pool.transport = &http.Transport{
+		Protocols:       protocols,
+		TLSClientConfig: tlsConfig,
+		HTTP2:           http2Config(),
+		IdleConnTimeout: idleTimeout,
+	}
+	return pool, pool.transport.CloseIdleConnections
+}
+
+func (p *Pool) client(address string) protocolconnect.RouterServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client, ok := p.clients[address]
+	if !ok {
+		// Messages are small and frequent: compression would cost more processor time than it saves.
+		client = protocolconnect.NewRouterServiceClient(&http.Client{Transport: p.transport}, p.scheme+address,
+			connect.WithAcceptCompression("gzip", nil, nil))
+		p.clients[address] = client
+	}
+	return client
+}
+
+// Forget drops the client of a member that is dead.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.clients, address)
+}
+
+// Gossip sends a probe. Errors: *CallError.
+func (p *Pool) Gossip(ctx context.Context, address string, request *protocol.GossipRequest) (*protocol.GossipResponse, error) {
+	response, err := p.client(address).Gossip(ctx, request)
+	if err != nil {
+		return nil, &CallError{Operation: "gossip", Address: address, Cause: err}
+	}
+	return response, nil
+}
+
+// Snapshot fetches the peer's catalogue snapshot. Errors: *CallError.
+func (p *Pool) Snapshot(ctx context.Context, address string, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	response, err := p.client(address).Snapshot(ctx, request)
+	if err != nil {
+		return nil, &CallError{Operation: "fetch snapshot", Address: address, Cause: err}
+	}
+	return response, nil
+}
+
+// Claim registers claims in the peer's memory. Errors: *CallError.
+func (p *Pool) Claim(ctx context.Context, address string, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	response, err := p.client(address).Claim(ctx, request)
+	if err != nil {
+		return nil, &CallError{Operation: "claim", Address: address, Cause: err}
+	}
+	return response, nil
+}
+
+// Schedule runs one Schedule stream to the router at address until it breaks or ctx ends. The first message in
+// the outbox must carry a hello. Errors: *CallError, never nil.
+func (p *Pool) Schedule(ctx context.Context, address string, outbox *Outbox[protocol.HolderMessage], receive func(*protocol.SchedulerMessage)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := p.client(address).Schedule(ctx)
+	if err != nil {
+		return &CallError{Operation: "open schedule stream", Address: address, Cause: err}
+	}
+	raw := &clientStream{BidiStreamForClientSimple: stream, cancel: cancel}
+	err = Pump(ctx, raw, outbox, &protocol.HolderMessage{Heartbeat: true}, receive)
+	_ = stream.CloseRequest()
+	_ = stream.CloseResponse()
+	return &CallError{Operation: "schedule stream", Address: address, Cause: err}
+}
+
+type clientStream struct {
+	*connect.BidiStreamForClientSimple[protocol.HolderMessage, protocol.SchedulerMessage]
+	cancel context.CancelFunc
+}
+
+// Interrupt cancels the HTTP request, which makes Send and Receive return.
+func (s *clientStream) Interrupt() { s.cancel() }
--- /dev/null
+++ b/internal/messenger/server.go
@@ -0,0 +1,139 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/protocol/protocolconnect"
+)
+
+// shutdownTimeout bounds how long Serve waits for unary calls when it stops.
+const shutdownTimeout = time.Second
+
+// Session takes the messages of one holder stream. Receive and Broken are called in order by one goroutine,
+// Broken once at the end; neither may block.
+type Session interface {
+	Receive(message *protocol.HolderMessage)
+	Broken(err error)
+}
+
+// Handlers answer the calls of other routers.
+type Handlers struct {
+	// Accept opens a session for a holder; replies go to outbox. Closing the outbox ends the stream.
+	Accept   func(hello *protocol.Hello, outbox *Outbox[protocol.SchedulerMessage]) Session
+	Gossip   func(ctx context.Context, request *protocol.GossipRequest) (*protocol.GossipResponse, error)
+	Snapshot func(ctx context.Context, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error)
+	Claim    func(ctx context.Context, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error)
+}
+
+// Mount returns the path and the HTTP handler of the RouterService.
+func Mount(handlers Handlers) (string, http.Handler) {
+	path, handler := protocolconnect.NewRouterServiceHandler(&service{handlers: handlers})
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
+		handler.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// Serve answers other routers on the listener until ctx ends; tlsConfig may be nil. It returns the first error of the
+// server, nil after ctx has ended.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler, tlsConfig *tls.Config) error {
+	group, groupCtx := errgroup.WithContext(ctx)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	protocols.SetHTTP2(tlsConfig != nil)
+	server := &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		TLSConfig:         tlsConfig,
+		HTTP2:             http2Config(),
+		ReadHeaderTimeout: CallTimeout,
+		BaseContext:       func(net.Listener) context.Context { return groupCtx },
+	}
+	group.Go(func() error {
+		serve := server.Serve
+		if tlsConfig != nil {
+			serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+		}
+		if err := serve(listener); ctx.Err() == nil {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-groupCtx.Done()
+		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if server.Shutdown(stopCtx) != nil {
+			_ = server.Close()
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+type controllerKey struct{}
+
+type service struct {
+	handlers Handlers
+}
+
+func (s *service) Schedule(ctx context.Context, stream *connect.BidiStream[protocol.HolderMessage, protocol.SchedulerMessage]) error {
+	controller, _ := ctx.Value(controllerKey{}).(*http.ResponseController)
+	err := ServeStream(ctx, &serverStream{BidiStream: stream, controller: controller}, s.handlers.Accept)
+	return connect.NewError(connect.CodeUnavailable, err)
+}
+
+// ServeStream runs the scheduler's end of one stream until it breaks or ctx ends. The error is never nil.
+func ServeStream(ctx context.Context, raw Raw[protocol.SchedulerMessage, protocol.HolderMessage],
+	accept func(*protocol.Hello, *Outbox[protocol.SchedulerMessage]) Session,
+) error {
+	var session Session
+	outbox := NewSchedulerOutbox()
+	err := Pump(ctx, raw, outbox, &protocol.SchedulerMessage{Heartbeat: true}, func(message *protocol.HolderMessage) {
+		if session == nil && message.GetHello() == nil {
+			outbox.Close()
+			return
+		}
+		if session == nil {
+			session = accept(message.GetHello(), outbox)
+		}
+		session.Receive(message)
+	})
+	if session == nil {
+		return &NoHelloError{}
+	}
+	session.Broken(err)
+	return err
+}
+
+func (s *service) Gossip(ctx context.Context, request *protocol.GossipRequest) (*protocol.GossipResponse, error) {
+	return s.handlers.Gossip(ctx, request)
+}
+
+func (s *service) Snapshot(ctx context.Context, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
+	return s.handlers.Snapshot(ctx, request)
+}
+
+func (s *service) Claim(ctx context.Context, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error) {
+	return s.handlers.Claim(ctx, request)
+}
+
+type serverStream struct {
+	*connect.BidiStream[protocol.HolderMessage, protocol.SchedulerMessage]
+	controller *http.ResponseController
+}
+
+// Interrupt sets deadlines in the past, which makes Send and Receive return.
+func (s *serverStream) Interrupt() {
+	past := time.Unix(1, 0)
+	_ = s.controller.SetReadDeadline(past)
+	_ = s.controller.SetWriteDeadline(past)
+}
--- /dev/null
+++ b/internal/ranker/cell.go
@@ -0,0 +1,33 @@
+package ranker
+
+import (
+	"strconv"
+)
+
+// DefaultCellEngines is the largest number of engines that one scheduler handles.
+const DefaultCellEngines = 64
+
+// Role returns the role name of one pool cell.
+func Role(pool string, cell int) string {
+	return pool + "/" + strconv.Itoa(cell)
+}
+
+// Cells returns the number of cells of a pool with the given number of engines, at least 1.
+func Cells(engines, cellEngines int) int {
+	if cellEngines <= 0 {
+		cellEngines = DefaultCellEngines
+	}
+	return max(1, (engines+cellEngines-1)/cellEngines)
+}
+
+// Cell maps a key (an engine name, a prefix hash) to one of the cells of a pool. An added cell takes over keys
+// from the others and moves no key between them.
+func Cell(key string, cells int) int {
+	best, bestScore := 0, uint64(0)
+	for cell := range cells {
+		if s := score(key, strconv.Itoa(cell)); s > bestScore {
+			best, bestScore = cell, s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/ranker/rank_test.go
@@ -0,0 +1,59 @@
+package ranker
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func names(n int) []string {
+	members := make([]string, n)
+	for i := range members {
+		members[i] = fmt.Sprintf("router-%d", i)
+	}
+	return members
+}
+
+// TestRankMovesOnlyOwnRoles guards against a membership change that moves schedulers between other members.
+func TestRankMovesOnlyOwnRoles(t *testing.T) {
+	members := names(20)
+	smaller := slices.Delete(slices.Clone(members), 7, 8)
+	moved := 0
+	for i := range 2000 {
+		role := Role("pool", i)
+		before, after := Rank(role, members), Rank(role, smaller)
+		without := slices.DeleteFunc(slices.Clone(before), func(m string) bool { return m == members[7] })
+		assert.DeepEqual(t, after, without)
+		if before[0] == members[7] {
+			moved++
+		}
+	}
+	assert.Assert(t, moved > 50 && moved < 150, "the removed member had %d of 2000 roles", moved)
+}
+
+// TestRankIgnoresOrder guards against two routers ranking the same members differently.
+func TestRankIgnoresOrder(t *testing.T) {
+	members := names(9)
+	reversed := slices.Clone(members)
+	slices.Reverse(reversed)
+	for i := range 100 {
+		role := Role("pool", i)
+		assert.DeepEqual(t, Rank(role, members), Rank(role, reversed))
+		assert.Equal(t, First(role, members), Rank(role, reversed)[0])
+	}
+	assert.Equal(t, First("role", nil), "")
+}
+
+// TestCell guards against engines moving between existing cells when a pool grows by one cell.
+func TestCell(t *testing.T) {
+	assert.Equal(t, Cells(0, 64), 1)
+	assert.Equal(t, Cells(64, 64), 1)
+	assert.Equal(t, Cells(65, 64), 2)
+	for i := range 500 {
+		key := fmt.Sprintf("engine-%d", i)
+		before, after := Cell(key, 4), Cell(key, 5)
+		assert.Assert(t, after == before || after == 4, "%s moved from cell %d to %d", key, before, after)
+	}
+}
--- /dev/null
+++ b/internal/runner/catalogue.go
@@ -0,0 +1,88 @@
+package runner
+
+import (
+	"time"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/ranker"
+)
+
+// cellPool returns the part of a pool that belongs to one cell: its engines and its part of the queue limit.
+func cellPool(catalogue *cataloguer.Catalogue, name string, index, cellEngines int) (cataloguer.Pool, bool) {
+	for _, pool := range catalogue.Pools {
+		if pool.Name != name {
+			continue
+		}
+		cells := ranker.Cells(len(pool.Upstreams), cellEngines)
+		if index >= cells {
+			return cataloguer.Pool{}, false
+		}
+		part := pool
+		part.MaxQueue = divide(pool.MaxQueue, cells)
+		part.Upstreams = nil
+		for _, upstream := range pool.Upstreams {
+			if ranker.Cell(upstream.Name, cells) == index {
+				part.Upstreams = append(part.Upstreams, upstream)
+			}
+		}
+		return part, true
+	}
+	return cataloguer.Pool{}, false
+}
+
+// divide splits a limit among cells, rounding up; 0 means no limit and stays 0.
+func divide(limit, cells int) int { return (limit + cells - 1) / cells }
+
+func (c *cell) part() (cataloguer.Pool, bool) {
+	return cellPool(c.runner.options.Catalogue.Current(), c.pool, c.index, c.runner.options.CellEngines)
+}
+
+func (c *cell) inCatalogue() bool {
+	_, ok := c.part()
+	return ok
+}
+
+// review applies the newest catalogue and view.
+func (c *cell) review(now time.Time) {
+	if current := c.runner.options.Catalogue.Current(); current != c.catalogue {
+		c.catalogue = current
+		c.applyCatalogue(now, current)
+	}
+	c.applyView(now)
+}
+
+func (c *cell) applyCatalogue(now time.Time, catalogue *cataloguer.Catalogue) {
+	part, _ := c.part()
+	cells := 1
+	for _, pool := range catalogue.Pools {
+		if pool.Name == c.pool {
+			cells = ranker.Cells(len(pool.Upstreams), c.runner.options.CellEngines)
+		}
+	}
+	infos := make([]EngineInfo, len(part.Upstreams))
+	for i, u := range part.Upstreams {
+		infos[i] = EngineInfo{
+			Name: u.Name, DataCentre: u.DataCentre, Generation: u.Generation, Slots: u.Slots,
+			PrefillPerSec: float64(u.PrefillPerSec), TokensPerSec: float64(u.TokensPerSec), KVTokens: u.KVTokens,
+		}
+	}
+	weights := make(map[string]float64, len(catalogue.Workspaces))
+	for _, w := range catalogue.Workspaces {
+		weights[w.Name] = w.Weight
+	}
+	works := make(map[string]cataloguer.Work)
+	for _, w := range catalogue.Works {
+		if w.Pool == c.pool {
+			w.Limits.Concurrency = divide(w.Limits.Concurrency, cells)
+			w.Limits.TokensPerMinute = divide(w.Limits.TokensPerMinute, cells)
+			works[w.Name] = w
+		}
+	}
+	if limiter, ok := c.scheduler.(queueLimiter); ok {
+		limiter.SetMaxQueue(part.MaxQueue)
+	}
+	c.scheduler.SetWorkspaces(weights)
+	c.scheduler.SetWorks(works)
+	c.scheduler.SetEngines(now, infos)
+	c.pollEngines(part)
+}
--- /dev/null
+++ b/internal/runner/engine.go
@@ -0,0 +1,157 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/kernel"
+)
+
+const (
+	// pollInterval is the time between load reports of one engine.
+	pollInterval = time.Second
+	// pollTimeout bounds one poll. It is below the interval, so that a hung engine is reported each time.
+	pollTimeout = 800 * time.Millisecond
+)
+
+// engine is one upstream that the cell polls.
+type engine struct {
+	address  string
+	protocol string
+	cancel   context.CancelFunc
+	leaving  bool
+	// reported is set by the first load report, successful or not.
+	reported bool
+}
+
+// pollEngines starts and stops the polling of upstreams after a catalogue change.
+func (c *cell) pollEngines(pool cataloguer.Pool) {
+	wanted := make(map[string]cataloguer.Upstream, len(pool.Upstreams))
+	for _, u := range pool.Upstreams {
+		wanted[u.Name] = u
+	}
+	for name, e := range c.engines {
+		if u, ok := wanted[name]; !ok || u.Address != e.address || pool.Protocol != e.protocol {
+			c.closeEngine(name)
+		}
+	}
+	for name, u := range wanted {
+		if c.engines[name] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(c.runner.ctx)
+		e := &engine{address: u.Address, protocol: pool.Protocol, cancel: cancel}
+		c.engines[name] = e
+		c.unreported++
+		c.runner.spawn(func() { c.poll(ctx, name, e) })
+	}
+}
+
+func (c *cell) closeEngine(name string) {
+	e := c.engines[name]
+	e.cancel()
+	if !e.reported {
+		c.unreported--
+	}
+	delete(c.engines, name)
+}
+
+func (c *cell) closeEngines() {
+	for name := range c.engines {
+		c.closeEngine(name)
+	}
+}
+
+// upstream polls one engine or service. cacheEvents is nil for services.
+type upstream struct {
+	load        func(context.Context) (kernel.LoadReport, error)
+	cacheEvents func(context.Context, uint64) (kernel.CacheEvents, error)
+}
+
+// connect makes the client of an upstream by the adapter that the pool names.
+func connect(protocol, address string) (upstream, func(), error) {
+	if factory, err := kernel.Engines.Lookup(protocol); err == nil {
+		client, cleanup, err := factory(address)
+		if err != nil {
+			return upstream{}, nil, err
+		}
+		return upstream{load: client.Load, cacheEvents: client.CacheEvents}, cleanup, nil
+	}
+	factory, err := kernel.Services.Lookup(protocol)
+	if err != nil {
+		return upstream{}, nil, err
+	}
+	client, cleanup, err := factory(address)
+	if err != nil {
+		return upstream{}, nil, err
+	}
+	return upstream{load: client.Load}, cleanup, nil
+}
+
+// poll reads load reports and cache events of one engine until ctx ends.
+func (c *cell) poll(ctx context.Context, name string, e *engine) {
+	client, cleanup, err := connect(e.protocol, e.address)
+	if err != nil {
+		c.runner.options.Logger.Error("connect to upstream", zap.String("upstream", name), zap.Error(err))
+		c.post(func(now time.Time) { c.observe(now, name, e, kernel.LoadReport{}, err) })
+		return
+	}
+	defer cleanup()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	var after uint64
+	var instance string
+	for {
+		report, err := c.pollLoad(ctx, client, name, e)
+		if err == nil && report.Instance != instance {
+			// A restarted engine counts its events from the start.
+			instance, after = report.Instance, 0
+		}
+		if err == nil && client.cacheEvents != nil {
+			after = c.pollCache(ctx, client, name, e, after)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *cell) pollLoad(ctx context.Context, client upstream, name string, e *engine) (kernel.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := client.load(ctx)
+	c.post(func(now time.Time) { c.observe(now, name, e, report, err) })
+	return report, err
+}
+
+func (c *cell) pollCache(ctx context.Context, client upstream, name string, e *engine, after uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	events, err := client.cacheEvents(ctx, after)
+	if err != nil {
+		return after
+	}
+	c.post(func(now time.Time) {
+		if c.engines[name] == e && len(events.Events) > 0 {
+			c.scheduler.ObserveCache(now, name, events)
+		}
+	})
+	return events.Next
+}
+
+// observe passes on a load report of an engine that still belongs to the cell.
+func (c *cell) observe(now time.Time, name string, e *engine, report kernel.LoadReport, err error) {
+	if c.engines[name] != e {
+		return
+	}
+	if !e.reported {
+		e.reported = true
+		c.unreported--
+	}
+	c.scheduler.ObserveLoad(now, name, report, err)
+}
--- /dev/null
+++ b/internal/runner/fifo_test.go
@@ -0,0 +1,153 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+)
+
+// fifo is a scheduler without tiers and limits: it grants in order of arrival while engines have free slots.
+type fifo struct {
+	engines []EngineInfo
+	queue   []waiting
+	used    map[string]string // holder/request to engine
+	share   float64
+	paused  func() bool
+}
+
+type waiting struct {
+	holder string
+	ticket *protocol.Ticket
+}
+
+func (f *fifo) SetEngines(_ time.Time, engines []EngineInfo)            { f.engines = engines }
+func (f *fifo) SetWorkspaces(map[string]float64)                        {}
+func (f *fifo) SetWorks(map[string]cataloguer.Work)                     {}
+func (f *fifo) SetCapacityShare(share float64)                          { f.share = share }
+func (f *fifo) ObserveLoad(time.Time, string, kernel.LoadReport, error) {}
+func (f *fifo) ObserveCache(time.Time, string, kernel.CacheEvents)      {}
+func (f *fifo) SetLeaving(time.Time, string, bool)                      {}
+func (f *fifo) AddConvictions(time.Time, []*protocol.Conviction)        {}
+func (f *fifo) Convictions(time.Time) []*protocol.Conviction            { return nil }
+func (f *fifo) NextWake(time.Time) time.Time                            { return time.Time{} }
+func (f *fifo) Backlog() [4]int                                         { return [4]int{len(f.queue)} }
+func (f *fifo) Dump() any                                               { return map[string]int{"queue": len(f.queue), "used": len(f.used)} }
+func (f *fifo) Submit(_ time.Time, holder string, ticket *protocol.Ticket) {
+	f.queue = append(f.queue, waiting{holder: holder, ticket: ticket})
+}
+
+func (f *fifo) Cancel(_ time.Time, holder, id string) {
+	f.queue = slices.DeleteFunc(f.queue, func(w waiting) bool {
+		return w.holder == holder && w.ticket.GetRequestId() == id
+	})
+}
+
+func (f *fifo) Release(_ time.Time, holder string, release *protocol.Release) {
+	delete(f.used, holder+"/"+release.GetRequestId())
+}
+
+func (f *fifo) DropHolder(_ time.Time, holder string) {
+	f.queue = slices.DeleteFunc(f.queue, func(w waiting) bool { return w.holder == holder })
+	for key := range f.used {
+		if len(key) > len(holder) && key[:len(holder)+1] == holder+"/" {
+			delete(f.used, key)
+		}
+	}
+}
+
+func (f *fifo) Step(time.Time) []Decision {
+	var decisions []Decision
+	if f.paused() {
+		return nil
+	}
+	for len(f.queue) > 0 {
+		engine, ok := f.free()
+		if !ok {
+			break
+		}
+		w := f.queue[0]
+		f.queue = f.queue[1:]
+		f.used[w.holder+"/"+w.ticket.GetRequestId()] = engine
+		decisions = append(decisions, Decision{Holder: w.holder, Grant: &protocol.Grant{
+			RequestId: w.ticket.GetRequestId(), Engine: engine, Attempt: w.ticket.GetAttempt(),
+		}})
+	}
+	return decisions
+}
+
+func (f *fifo) free() (string, bool) {
+	for _, e := range f.engines {
+		busy := 0
+		for _, used := range f.used {
+			if used == e.Name {
+				busy++
+			}
+		}
+		if busy < e.Slots {
+			return e.Name, true
+		}
+	}
+	return "", false
+}
+
+// fakeEngine answers load reports and nothing else.
+type fakeEngine struct{ kernel.EngineProtocol }
+
+func (fakeEngine) Load(context.Context) (kernel.LoadReport, error) {
+	return kernel.LoadReport{Instance: "1", BatchSlots: 8}, nil
+}
+
+func (fakeEngine) CacheEvents(_ context.Context, after uint64) (kernel.CacheEvents, error) {
+	return kernel.CacheEvents{Next: after}, nil
+}
+
+func init() {
+	kernel.Engines.Register("fake", func(string) (kernel.EngineProtocol, func(), error) {
+		return fakeEngine{}, func() {}, nil
+	})
+}
+
+// fixedCatalogue is a catalogue whose value a test may replace.
+type fixedCatalogue struct {
+	mu      sync.Mutex
+	current *cataloguer.Catalogue
+	notify  map[int]func(*cataloguer.Catalogue)
+	next    int
+}
+
+func (f *fixedCatalogue) Current() *cataloguer.Catalogue {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
+
+func (f *fixedCatalogue) Subscribe(notify func(*cataloguer.Catalogue)) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.notify == nil {
+		f.notify = make(map[int]func(*cataloguer.Catalogue))
+	}
+	id := f.next
+	f.next++
+	f.notify[id] = notify
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.notify, id)
+	}
+}
+
+func catalogueOf(slots int, pools ...string) *fixedCatalogue {
+	c := &cataloguer.Catalogue{Revision: 1}
+	for _, name := range pools {
+		c.Pools = append(c.Pools, cataloguer.Pool{Name: name, Protocol: "fake", Upstreams: []cataloguer.Upstream{
+			{Name: name + "-engine", Address: "127.0.0.1:1", Slots: slots},
+		}})
+	}
+	return &fixedCatalogue{current: c}
+}
--- /dev/null
+++ b/internal/runner/holder.go
@@ -0,0 +1,209 @@
+package runner
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// holder is what a cell knows of one router that sends it tickets.
+type holder struct {
+	session *session
+	// broken is when the session's stream broke; zero while it is open.
+	broken  time.Time
+	records map[string]*record
+}
+
+// record is one ticket of a holder that waits here or holds a grant of this cell.
+type record struct {
+	attempt uint32
+	granted bool
+	engine  string
+}
+
+func holderList(holders map[string]*holder) []*holder {
+	list := make([]*holder, 0, len(holders))
+	for _, h := range holders {
+		list = append(list, h)
+	}
+	return list
+}
+
+// holder returns the state of the session's holder, or nil if a later session has replaced this one.
+func (c *cell) holder(now time.Time, s *session) *holder {
+	h, ok := c.holders[s.holder]
+	switch {
+	case !ok:
+		h = &holder{session: s, records: make(map[string]*record)}
+		c.holders[s.holder] = h
+	case h.session.sequence > s.sequence:
+		return nil
+	case h.session != s:
+		c.replace(now, h, s)
+	}
+	return h
+}
+
+// replace moves a holder to its new stream. The tickets that waited are sent again by the holder, and the grants that
+// it doesn't name as held were lost with the old stream.
+func (c *cell) replace(now time.Time, h *holder, s *session) {
+	if h.session.incarnation != s.incarnation {
+		c.scheduler.DropHolder(now, s.holder)
+		h.records = make(map[string]*record)
+	}
+	for id, r := range h.records {
+		if !r.granted || !s.held[id] {
+			c.forget(now, s.holder, h, id)
+		}
+	}
+	h.session, h.broken = s, time.Time{}
+}
+
+// forget withdraws a waiting ticket, or frees a grant that its holder doesn't use.
+func (c *cell) forget(now time.Time, name string, h *holder, id string) {
+	r := h.records[id]
+	delete(h.records, id)
+	if !r.granted {
+		c.scheduler.Cancel(now, name, id)
+		return
+	}
+	c.scheduler.Release(now, name, &protocol.Release{
+		RequestId: id, Engine: r.engine, Kind: protocol.ReleaseKind_RELEASE_KIND_UNUSED, Attempt: r.attempt,
+		Pool: c.pool, Cell: uint32(c.index),
+	})
+}
+
+// resume applies the hello of a new session to the holder's grants.
+func (c *cell) resume(now time.Time, s *session) {
+	if _, known := c.holders[s.holder]; known {
+		c.holder(now, s)
+	}
+}
+
+// broken withdraws the waiting tickets of a session: the holder sends them elsewhere.
+func (c *cell) broken(now time.Time, s *session) {
+	h, ok := c.holders[s.holder]
+	if !ok || h.session != s {
+		return
+	}
+	h.broken = now
+	for id, r := range h.records {
+		if !r.granted {
+			c.forget(now, s.holder, h, id)
+		}
+	}
+}
+
+// submit adds tickets. A request that is known already comes with a later attempt: the holder no longer waits for the
+// earlier one.
+func (c *cell) submit(now time.Time, s *session, tickets []*protocol.Ticket) {
+	h := c.holder(now, s)
+	if h == nil {
+		return
+	}
+	for _, ticket := range tickets {
+		id := ticket.GetRequestId()
+		if r, known := h.records[id]; known {
+			if ticket.GetAttempt() <= r.attempt {
+				continue
+			}
+			c.forget(now, s.holder, h, id)
+		}
+		h.records[id] = &record{attempt: ticket.GetAttempt()}
+		c.scheduler.Submit(now, s.holder, ticket)
+	}
+}
+
+// cancel withdraws waiting tickets. A grant that crossed the cancel comes back as a release.
+func (c *cell) cancel(now time.Time, s *session, ids []string) {
+	h, ok := c.holders[s.holder]
+	if !ok || h.session != s {
+		return
+	}
+	for _, id := range ids {
+		if r, known := h.records[id]; known && !r.granted {
+			c.forget(now, s.holder, h, id)
+		}
+	}
+}
+
+// release frees grants. A release of an earlier attempt was settled when the later attempt came.
+func (c *cell) release(now time.Time, s *session, releases []*protocol.Release) {
+	h := c.holder(now, s)
+	if h == nil {
+		return
+	}
+	for _, release := range releases {
+		r, known := h.records[release.GetRequestId()]
+		if !known || !r.granted || r.attempt != release.GetAttempt() {
+			continue
+		}
+		delete(h.records, release.GetRequestId())
+		c.scheduler.Release(now, s.holder, release)
+	}
+}
+
+// expire drops holders whose stream broke and that are dead, or didn't come back in time.
+func (c *cell) expire(now time.Time) {
+	view := c.runner.options.Members.View()
+	for name, h := range c.holders {
+		if h.broken.IsZero() {
+			continue
+		}
+		member, known := view.Member(name)
+		dead := !known || member.State == protocol.MemberState_MEMBER_STATE_DEAD
+		if dead || now.Sub(h.broken) >= dropAfter {
+			c.scheduler.DropHolder(now, name)
+			delete(c.holders, name)
+		}
+	}
+}
+
+// decide takes the scheduler's decisions and sends one message to each holder.
+func (c *cell) decide(now time.Time) {
+	messages := make(map[*session]*protocol.SchedulerMessage)
+	for _, decision := range c.scheduler.Step(now) {
+		h := c.holders[decision.Holder]
+		id := decision.Grant.GetRequestId()
+		if decision.Refusal != nil {
+			id = decision.Refusal.GetRequestId()
+		}
+		if h == nil || h.records[id] == nil {
+			c.returnUnknown(now, decision)
+			continue
+		}
+		message := messages[h.session]
+		if message == nil {
+			message = &protocol.SchedulerMessage{}
+			messages[h.session] = message
+		}
+		r := h.records[id]
+		if decision.Refusal != nil {
+			refusal := proto.CloneOf(decision.Refusal)
+			refusal.Attempt = r.attempt
+			delete(h.records, id)
+			message.Refusals = append(message.Refusals, refusal)
+			continue
+		}
+		grant := proto.CloneOf(decision.Grant)
+		grant.Attempt, grant.Pool, grant.Cell = r.attempt, c.pool, uint32(c.index)
+		r.granted, r.engine = true, grant.GetEngine()
+		message.Grants = append(message.Grants, grant)
+	}
+	for s, message := range messages {
+		s.send(message)
+	}
+}
+
+// returnUnknown frees a grant for a ticket that is no longer known here.
+func (c *cell) returnUnknown(now time.Time, decision Decision) {
+	if decision.Grant == nil {
+		return
+	}
+	c.scheduler.Release(now, decision.Holder, &protocol.Release{
+		RequestId: decision.Grant.GetRequestId(), Engine: decision.Grant.GetEngine(),
+		Kind: protocol.ReleaseKind_RELEASE_KIND_UNUSED, Pool: c.pool, Cell: uint32(c.index),
+	})
+}
--- /dev/null
+++ b/internal/runner/loopback_test.go
@@ -0,0 +1,92 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"coltsfootplank/internal/detector"
+	"coltsfootplank/internal/messenger"
+	"coltsfootplank/internal/ticketer"
+)
+
+// startReal starts a router on loopback with real connections.
+func startReal(t *testing.T, group *errgroup.Group, name string, catalogue *fixedCatalogue, seeds ...string) (*node, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	n := &node{name: name}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	pool, cleanup := messenger.NewPool(nil)
+	t.Cleanup(cleanup)
+	n.detector = detector.New(detector.Settings{Name: name, Address: address, Seeds: seeds}, pool)
+	n.runner = New(Options{Self: name, Members: n.detector, Catalogue: catalogue, Factory: n.factory})
+	n.ticketer = ticketer.New(ticketer.Options{
+		Self: name, Incarnation: uint64(time.Now().UnixMilli()), Members: n.detector, Catalogue: catalogue,
+		Remote: pool, Local: n.runner,
+	})
+	path, handler := messenger.Mount(messenger.Handlers{Accept: n.runner.Accept, Gossip: n.detector.Handle})
+	assert.Equal(t, path, "/coltsfootplank.v1.RouterService/")
+	group.Go(func() error { return messenger.Serve(n.ctx, listener, handler, nil) })
+	for _, run := range []func(context.Context) error{n.detector.Run, n.runner.Run, n.ticketer.Run} {
+		group.Go(func() error { _ = run(n.ctx); return nil })
+	}
+	n.detector.Ready()
+	return n, address
+}
+
+func allGranted(requests []*request) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if granted := countGranted(requests); granted < len(requests) {
+			return poll.Continue("%d of %d granted", granted, len(requests))
+		}
+		return poll.Success()
+	}
+}
+
+// TestLoopback guards against the packages working together only over the in-memory connections of the other tests:
+// three routers over real connect streams, one of which dies, and no goroutine is left at the end.
+func TestLoopback(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	var group errgroup.Group
+	catalogue := catalogueOf(100, "chat")
+	a, seed := startReal(t, &group, "a", catalogue)
+	b, _ := startReal(t, &group, "b", catalogue, seed)
+	c, _ := startReal(t, &group, "c", catalogue, seed)
+	f := &fabric{nodes: map[string]*node{"a": a, "b": b, "c": c}}
+	defer func() {
+		for _, n := range f.nodes {
+			n.cancel()
+		}
+		assert.NilError(t, group.Wait())
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range f.nodes {
+			if known := len(n.detector.View().Ranked()); known < 3 {
+				return poll.Continue("router %s knows %d members", n.name, known)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+
+	ranked := f.ranking()
+	holder := ranked[2]
+	requests := holder.submit("chat", 0, 50)
+	poll.WaitOn(t, allGranted(requests), poll.WithTimeout(2*time.Second), poll.WithDelay(time.Millisecond))
+	holder.release(requests...)
+
+	ranked[0].cancel()
+	requests = holder.submit("chat", 100, 50)
+	poll.WaitOn(t, allGranted(requests), poll.WithTimeout(2*time.Second), poll.WithDelay(time.Millisecond))
+	for _, r := range requests {
+		assert.Equal(t, r.granted(), 1)
+	}
+	holder.release(requests...)
+}
--- /dev/null
+++ b/internal/runner/scheduler.go
@@ -0,0 +1,57 @@
+package runner
+
+import (
+	"time"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+)
+
+// EngineInfo describes one upstream to a scheduler.
+type EngineInfo struct {
+	Name          string
+	DataCentre    string
+	Generation    string
+	Slots         int
+	PrefillPerSec float64
+	TokensPerSec  float64
+	KVTokens      int
+}
+
+// Decision is one grant or refusal for a holder.
+type Decision struct {
+	Holder  string
+	Grant   *protocol.Grant
+	Refusal *protocol.Refusal
+}
+
+// Scheduler is the state machine of one pool cell. It isn't safe for concurrent use: one goroutine per scheduler
+// makes all calls.
+type Scheduler interface {
+	SetEngines(now time.Time, engines []EngineInfo)
+	SetWorkspaces(weights map[string]float64)
+	SetWorks(works map[string]cataloguer.Work)
+	SetCapacityShare(share float64)
+	Submit(now time.Time, holder string, ticket *protocol.Ticket)
+	Cancel(now time.Time, holder, requestID string)
+	Release(now time.Time, holder string, release *protocol.Release)
+	DropHolder(now time.Time, holder string)
+	ObserveLoad(now time.Time, engine string, report kernel.LoadReport, err error)
+	ObserveCache(now time.Time, engine string, events kernel.CacheEvents)
+	SetLeaving(now time.Time, engine string, leaving bool)
+	AddConvictions(now time.Time, convictions []*protocol.Conviction)
+	Convictions(now time.Time) []*protocol.Conviction
+	Step(now time.Time) []Decision
+	NextWake(now time.Time) time.Time
+	Backlog() [4]int
+	Dump() any
+}
+
+// Factory makes the scheduler of one pool cell. The pool has the engines and the queue limit of that cell.
+type Factory func(pool cataloguer.Pool, now time.Time) Scheduler
+
+// queueLimiter is implemented by schedulers whose queue limit can change while they run.
+type queueLimiter interface {
+	SetMaxQueue(limit int)
+}
--- /dev/null
+++ b/internal/runner/session.go
@@ -0,0 +1,81 @@
+package runner
+
+import (
+	"time"
+
+	"coltsfootplank/internal/messenger"
+	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/ranker"
+)
+
+// session is one stream of a holder, or the local one. Sessions of one holder are ordered by sequence; a later
+// one replaces the earlier ones.
+type session struct {
+	runner      *Runner
+	holder      string
+	incarnation uint64
+	outbox      *messenger.Outbox[protocol.SchedulerMessage]
+	sequence    uint64
+	// held holds the requests that had a grant of this router when the stream was opened.
+	held map[string]bool
+}
+
+// Receive passes the parts of a message to the cells: cancels, then releases, then tickets.
+func (s *session) Receive(message *protocol.HolderMessage) {
+	if cancels := message.GetCancels(); len(cancels) > 0 {
+		for _, c := range s.runner.all() {
+			c.post(func(now time.Time) { c.cancel(now, s, cancels) })
+		}
+	}
+	for role, releases := range byRole(message.GetReleases()) {
+		if c := s.runner.find(role); c != nil {
+			c.post(func(now time.Time) { c.release(now, s, releases) })
+		}
+	}
+	for role, tickets := range byRole(message.GetTickets()) {
+		if !s.submit(role, tickets) {
+			s.send(&protocol.SchedulerMessage{NotScheduler: []string{role}})
+		}
+	}
+}
+
+// submit returns false if this router doesn't schedule the role.
+func (s *session) submit(role string, tickets []*protocol.Ticket) bool {
+	if !s.runner.accepts(s.holder, role) {
+		return false
+	}
+	for {
+		c := s.runner.cell(tickets[0].GetPool(), int(tickets[0].GetCell()))
+		if c == nil {
+			return false
+		}
+		if c.post(func(now time.Time) { c.submit(now, s, tickets) }) {
+			return true
+		}
+	}
+}
+
+// Broken withdraws the holder's waiting tickets, which it sends elsewhere, and keeps its grants for a while.
+func (s *session) Broken(error) {
+	for _, c := range s.runner.all() {
+		c.post(func(now time.Time) { c.broken(now, s) })
+	}
+}
+
+// send passes a message to the holder. A failure to do so ends the stream, and Broken follows.
+func (s *session) send(message *protocol.SchedulerMessage) { _ = s.outbox.Put(message) }
+
+// celled is a message about one pool cell.
+type celled interface {
+	GetPool() string
+	GetCell() uint32
+}
+
+func byRole[T celled](messages []T) map[string][]T {
+	roles := make(map[string][]T)
+	for _, m := range messages {
+		role := ranker.Role(m.GetPool(), int(m.GetCell()))
+		roles[role] = append(roles[role], m)
+	}
+	return roles
+}
