Add the log follower, the catalogue fold and claims on the log

Cause: no package kept state on the platform's log yet.

Change: - follower tails a stream with long polls and backoff, and reports records that retention dropped. - cataloguer parses catalogues strictly with line numbers, indexes them for the request path, folds edits by compare-and-set, and repeats an append whose answer was lost under the same nonce until the outcome is certain.

--- /dev/null
+++ b/internal/cataloguer/apply_test.go
@@ -0,0 +1,212 @@
+package cataloguer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/fakes"
+	"coltsfootplank/internal/kernel"
+)
+
+// start runs a cataloguer until the test ends and waits until it has read the log.
+func start(t *testing.T, log kernel.LogProtocol, options Options) *Cataloguer {
+	t.Helper()
+	c := New(log, options, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return c.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		assert.Assert(t, errors.Is(group.Wait(), context.Canceled))
+	})
+	synctest.Wait()
+	return c
+}
+
+func workspaceYAML(name string, weight int) []byte {
+	return fmt.Appendf(nil, "workspaces: [{name: %s, weight: %d, key_hashes: []}]\n", name, weight)
+}
+
+// TestApplyFaults guards against an edit that is reported as accepted, rejected or without effect when it is not.
+func TestApplyFaults(t *testing.T) {
+	always := func(fate fakes.LostAnswer) func(*fakes.Log) {
+		return func(l *fakes.Log) { l.SetFate(func(string, []byte) fakes.LostAnswer { return fate }) }
+	}
+	next := func(fate fakes.LostAnswer) func(*fakes.Log) {
+		return func(l *fakes.Log) { l.LoseNext(fate) }
+	}
+	cases := []struct {
+		name     string
+		fault    func(*fakes.Log)
+		want     string
+		revision uint64
+	}{
+		{name: "no fault", fault: func(*fakes.Log) {}, revision: 1},
+		{name: "answer lost, effective", fault: next(fakes.LostEffective), revision: 1},
+		{name: "answer lost, without effect", fault: next(fakes.LostIneffective), revision: 1},
+		{name: "rate limited once", fault: next(fakes.AnswerRateLimited), revision: 1},
+		{name: "all answers lost, effective", fault: always(fakes.LostEffective), revision: 1},
+		{name: "all appends lost", fault: always(fakes.LostIneffective), want: "*cataloguer.OutcomeUnknownError"},
+		{name: "always rate limited", fault: always(fakes.AnswerRateLimited), want: "*kernel.LogUnavailableError"},
+		{name: "outage", fault: func(l *fakes.Log) { l.SetOutage(true) }, want: "*kernel.LogUnavailableError"},
+		{name: "reads down", fault: func(l *fakes.Log) { l.SetReadOutage(true) }, want: "*kernel.LogUnavailableError"},
+		{name: "slow", fault: func(l *fakes.Log) { l.SetDelay(2 * time.Second) }, revision: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := fakes.NewLog()
+				cat := start(t, log, Options{})
+				c.fault(log)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				revision, _, err := cat.Apply(ctx, 0, "ana", workspaceYAML("a", 1))
+				if c.want != "" {
+					assert.Equal(t, fmt.Sprintf("%T", err), c.want, "%v", err)
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, revision, c.revision)
+				assert.Equal(t, cat.Current().Revision, c.revision)
+				other := start(t, log, Options{})
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, other.Current().Revision, c.revision)
+			})
+		})
+	}
+}
+
+// TestApplyLate guards against an edit called without effect although its record is stored later, and
+// against a second edit winning on the same base.
+func TestApplyLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		cat := start(t, log, Options{})
+		log.SetFate(func(string, []byte) fakes.LostAnswer { return fakes.LostLate })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, _, err := cat.Apply(ctx, 0, "ana", workspaceYAML("a", 1))
+		var unknown *OutcomeUnknownError
+		assert.Assert(t, errors.As(err, &unknown), "%v", err)
+		log.SetFate(nil)
+		log.StoreLate()
+		synctest.Wait()
+		assert.Equal(t, cat.Current().Revision, uint64(1))
+		assert.Equal(t, cat.History(1)[0].Nonce, unknown.Nonce)
+		_, _, err = cat.Apply(t.Context(), 0, "rui", workspaceYAML("b", 1))
+		var conflict *ConflictError
+		assert.Assert(t, errors.As(err, &conflict), "%v", err)
+		assert.Equal(t, conflict.Current, uint64(1))
+	})
+}
+
+// TestApplyRace guards against two editors with the same base both being told that they were accepted.
+func TestApplyRace(t *testing.T) {
+	fates := []fakes.LostAnswer{fakes.LostEffective, fakes.LostIneffective, fakes.AnswerDelivered, fakes.AnswerRateLimited}
+	for seed := range len(fates) {
+		synctest.Test(t, func(t *testing.T) {
+			log := fakes.NewLog()
+			log.SetDelay(10 * time.Millisecond)
+			call := seed
+			log.SetFate(func(string, []byte) fakes.LostAnswer { call++; return fates[call%len(fates)] })
+			cats := []*Cataloguer{start(t, log, Options{}), start(t, log, Options{}), start(t, log, Options{})}
+			time.Sleep(time.Second)
+			for round := range uint64(5) {
+				errs := make([]error, len(cats))
+				var group errgroup.Group
+				for i, cat := range cats {
+					group.Go(func() error {
+						_, _, errs[i] = cat.Apply(t.Context(), round, "editor", workspaceYAML(fmt.Sprintf("w%d", i), int(round)+1))
+						return nil
+					})
+				}
+				assert.NilError(t, group.Wait())
+				accepted := 0
+				for _, err := range errs {
+					var conflict *ConflictError
+					if err == nil {
+						accepted++
+					} else {
+						assert.Assert(t, errors.As(err, &conflict), "%v", err)
+					}
+				}
+				assert.Equal(t, accepted, 1, "%v", errs)
+				time.Sleep(time.Second)
+			}
+			for _, cat := range cats {
+				assert.Equal(t, cat.Current().Revision, uint64(5))
+				assert.DeepEqual(t, cat.Current().Workspaces, cats[0].Current().Workspaces)
+			}
+		})
+	}
+}
+
+// TestRepublish guards against a catalogue that a new router can't rebuild once retention has dropped the edits,
+// and against snapshots that are appended again and again.
+func TestRepublish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		cat := start(t, log, Options{Retention: time.Hour})
+		for i := range uint64(3) {
+			_, _, err := cat.Apply(t.Context(), i, "ana", workspaceYAML("a", int(i)+1))
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, cat.Republish(t.Context()))
+		assert.Equal(t, len(log.Records(Stream)), 3)
+		time.Sleep(31 * time.Minute)
+		assert.NilError(t, cat.Republish(t.Context()))
+		assert.NilError(t, cat.Republish(t.Context()))
+		assert.Equal(t, len(log.Records(Stream)), 4)
+		log.Trim(Stream, 3)
+		other := start(t, log, Options{Retention: time.Hour})
+		assert.Assert(t, other.Complete())
+		assert.Equal(t, other.Current().Revision, uint64(3))
+		assert.NilError(t, other.Republish(t.Context()))
+		assert.Equal(t, len(log.Records(Stream)), 1)
+		_, _, err := other.Apply(t.Context(), 3, "ana", workspaceYAML("a", 9))
+		assert.NilError(t, err)
+	})
+}
+
+// TestSnapshotFromPeer guards against a router that stays without a catalogue while the log is down or trimmed,
+// and against edits on a catalogue with lost records.
+func TestSnapshotFromPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		peer := start(t, log, Options{})
+		_, _, err := peer.Apply(t.Context(), 0, "ana", workspaceYAML("a", 1))
+		assert.NilError(t, err)
+		log.Trim(Stream, 1)
+		var reachable atomic.Bool
+		cat := start(t, log, Options{FetchSnapshot: func(context.Context) ([]byte, uint64, int64, error) {
+			if !reachable.Load() {
+				return nil, 0, 0, &kernel.NotSentError{}
+			}
+			data, revision, offset := peer.Snapshot()
+			return data, revision, offset, nil
+		}})
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, cat.Current().Revision, uint64(0))
+		_, _, err = cat.Apply(t.Context(), 0, "rui", workspaceYAML("b", 1))
+		var unavailable *kernel.LogUnavailableError
+		assert.Assert(t, errors.As(err, &unavailable), "%v", err)
+		reachable.Store(true)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, cat.Current().Revision, uint64(1))
+		assert.Assert(t, cat.Complete())
+		data, revision, offset := peer.Snapshot()
+		adopted, err := cat.Adopt(data, revision, offset)
+		assert.NilError(t, err)
+		assert.Assert(t, !adopted)
+	})
+}
--- a/internal/cataloguer/entries.go
+++ b/internal/cataloguer/entries.go
@@ -78,11 +78,14 @@
 	Limits         Limits        `yaml:"limits,omitempty"`
 }
 
-// Catalogue is one revision of all entries. It is immutable once published.
+// Catalogue is one revision of all entries. It is immutable once published. Offset is the log offset of the
+// record that made this revision, -1 for revision 0.
 type Catalogue struct {
 	Revision   uint64      `yaml:"revision"`
 	Offset     int64       `yaml:"-"`
 	Workspaces []Workspace `yaml:"workspaces"`
 	Pools      []Pool      `yaml:"pools"`
 	Works      []Work      `yaml:"works"`
+
+	index *index
 }
--- /dev/null
+++ b/internal/claimer/claimer_test.go
@@ -0,0 +1,221 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/fakes"
+	"coltsfootplank/internal/kernel"
+)
+
+var deposit = Scope{Workspace: "caruaru", Work: "deposit", Key: "k1", Fingerprint: 1}
+
+// start runs a claimer and waits until it has read the log. The returned function stops it.
+func start(t *testing.T, log kernel.LogProtocol, router string, incarnation uint64) (*Claimer, func()) {
+	t.Helper()
+	c := New(log, Identity{Router: router, Incarnation: incarnation}, Options{}, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return c.Run(ctx) })
+	synctest.Wait()
+	return c, func() {
+		cancel()
+		assert.Assert(t, errors.Is(group.Wait(), context.Canceled))
+	}
+}
+
+func claimWithin(t *testing.T, c *Claimer, limit time.Duration, scope Scope) (Verdict, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	return c.Claim(ctx, scope, "request")
+}
+
+func isUnavailable(err error) bool {
+	var unavailable *UnavailableError
+	return errors.As(err, &unavailable)
+}
+
+// TestClaimFaults guards against a claim that is lost with its answer, and against a refused claim that keeps
+// the scope closed.
+func TestClaimFaults(t *testing.T) {
+	always := func(fate fakes.LostAnswer) func(*fakes.Log) {
+		return func(l *fakes.Log) { l.SetFate(func(string, []byte) fakes.LostAnswer { return fate }) }
+	}
+	next := func(fate fakes.LostAnswer) func(*fakes.Log) {
+		return func(l *fakes.Log) { l.LoseNext(fate) }
+	}
+	cases := []struct {
+		name  string
+		fault func(*fakes.Log)
+		won   bool
+	}{
+		{name: "no fault", fault: func(*fakes.Log) {}, won: true},
+		{name: "answer lost, effective", fault: next(fakes.LostEffective), won: true},
+		{name: "answer lost, without effect", fault: next(fakes.LostIneffective), won: true},
+		{name: "answer lost, late", fault: next(fakes.LostLate), won: true},
+		{name: "rate limited", fault: next(fakes.AnswerRateLimited), won: true},
+		{name: "slow", fault: func(l *fakes.Log) { l.SetDelay(4 * time.Second) }, won: true},
+		{name: "too slow", fault: func(l *fakes.Log) { l.SetDelay(15 * time.Second) }},
+		{name: "all appends late", fault: always(fakes.LostLate)},
+		{name: "all appends lost", fault: always(fakes.LostIneffective)},
+		{name: "outage", fault: func(l *fakes.Log) { l.SetOutage(true) }},
+		{name: "reads down", fault: func(l *fakes.Log) { l.SetReadOutage(true) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := fakes.NewLog()
+				a, stopA := start(t, log, "a", 1)
+				defer stopA()
+				b, stopB := start(t, log, "b", 1)
+				defer stopB()
+				c.fault(log)
+				verdict, err := claimWithin(t, a, 20*time.Second, deposit)
+				log.SetFate(nil)
+				log.SetDelay(0)
+				log.SetOutage(false)
+				log.StoreLate()
+				time.Sleep(time.Minute)
+				again, err2 := claimWithin(t, b, time.Second, deposit)
+				assert.NilError(t, err2)
+				if c.won {
+					assert.NilError(t, err)
+					assert.Equal(t, verdict.State, Won)
+					assert.Equal(t, again.State, Duplicate)
+					assert.Equal(t, again.ClaimID, verdict.ClaimID)
+					return
+				}
+				assert.Assert(t, isUnavailable(err), "%v", err)
+				assert.Equal(t, again.State, Won)
+			})
+		})
+	}
+}
+
+// TestClaimCopy guards against a running claim that is voided because a second copy of its record is read.
+func TestClaimCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		a, stopA := start(t, log, "a", 1)
+		defer stopA()
+		log.LoseNext(fakes.LostLate)
+		verdict, err := claimWithin(t, a, time.Second, deposit)
+		assert.NilError(t, err)
+		assert.Equal(t, verdict.State, Won)
+		assert.Equal(t, log.StoreLate(), 1)
+		time.Sleep(time.Second)
+		b, stopB := start(t, log, "b", 1)
+		defer stopB()
+		again, err := claimWithin(t, b, time.Second, deposit)
+		assert.NilError(t, err)
+		assert.Equal(t, again.State, Duplicate)
+	})
+}
+
+// TestClaimRepeats guards against a repeat that runs, gets the wrong answer, or is accepted with another body;
+// and against the claim of a dead router being taken over.
+func TestClaimRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		a, stopA := start(t, log, "a", 1)
+		won, err := claimWithin(t, a, time.Second, deposit)
+		assert.NilError(t, err)
+		assert.Equal(t, won.State, Won)
+		stopA()
+		a, stopA = start(t, log, "a", 2)
+		defer stopA()
+		other := deposit
+		other.Fingerprint = 2
+		for range 2 {
+			repeat, err := claimWithin(t, a, time.Second, deposit)
+			assert.NilError(t, err)
+			assert.Equal(t, repeat.State, Duplicate)
+			_, err = claimWithin(t, a, time.Second, other)
+			var mismatch *FingerprintMismatchError
+			assert.Assert(t, errors.As(err, &mismatch), "%v", err)
+			time.Sleep(time.Hour)
+		}
+		result := Result{Status: 201, ContentType: "text/plain", Body: []byte("booked")}
+		assert.NilError(t, a.RecordResult(t.Context(), deposit, won.ClaimID, result))
+		assert.NilError(t, a.Void(t.Context(), deposit, won.ClaimID))
+		synctest.Wait()
+		repeat, err := claimWithin(t, a, time.Second, deposit)
+		assert.NilError(t, err)
+		assert.Equal(t, repeat.State, Answered)
+		assert.DeepEqual(t, *repeat.Result, result)
+	})
+}
+
+// TestClaimRace guards against two routers that both win a scope, and against a loser that learns nothing.
+func TestClaimRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		var claimers []*Claimer
+		for i := range 3 {
+			c, stop := start(t, log, fmt.Sprint(i), 1)
+			defer stop()
+			claimers = append(claimers, c)
+		}
+		log.SetDelay(20 * time.Millisecond)
+		verdicts := make([]Verdict, len(claimers))
+		var group errgroup.Group
+		for i, c := range claimers {
+			group.Go(func() (err error) {
+				verdicts[i], err = c.Claim(t.Context(), deposit, "request")
+				return err
+			})
+		}
+		assert.NilError(t, group.Wait())
+		won := 0
+		for _, verdict := range verdicts {
+			assert.Equal(t, verdict.ClaimID, verdicts[0].ClaimID)
+			if verdict.State == Won {
+				won++
+			}
+		}
+		assert.Equal(t, won, 1)
+	})
+}
+
+// TestClaimGap guards against a key called fresh although a record that retention dropped may hold its claim.
+func TestClaimGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		a, stopA := start(t, log, "a", 1)
+		_, err := claimWithin(t, a, time.Second, deposit)
+		assert.NilError(t, err)
+		log.Trim(Stream, 1)
+		time.Sleep(time.Hour)
+		kept := Scope{Key: "kept"}
+		_, err = claimWithin(t, a, time.Second, kept)
+		assert.NilError(t, err)
+		stopA()
+
+		b, stopB := start(t, log, "b", 1)
+		defer stopB()
+		_, err = claimWithin(t, b, time.Second, deposit)
+		assert.Assert(t, isUnavailable(err), "%v", err)
+		verdict, err := claimWithin(t, b, time.Second, kept)
+		assert.NilError(t, err)
+		assert.Equal(t, verdict.State, Duplicate)
+		time.Sleep(2 * time.Hour)
+		verdict, err = claimWithin(t, b, time.Second, Scope{Key: keyMadeAt(time.Now())})
+		assert.NilError(t, err)
+		assert.Equal(t, verdict.State, Won)
+		_, err = claimWithin(t, b, time.Second, Scope{Key: keyMadeAt(time.Now().Add(-4 * time.Hour))})
+		assert.Assert(t, isUnavailable(err), "%v", err)
+		time.Sleep(24 * time.Hour)
+		verdict, err = claimWithin(t, b, time.Second, deposit)
+		assert.NilError(t, err)
+		assert.Equal(t, verdict.State, Won)
+	})
+}
--- /dev/null
+++ b/internal/claimer/dump.go
@@ -0,0 +1,46 @@
+package claimer
+
+// counts are totals since the start.
+type counts struct {
+	Won           uint64 `json:"won"`
+	VoidedLate    uint64 `json:"voided_late"`
+	Appends       uint64 `json:"appends"`
+	FailedAppends uint64 `json:"failed_appends"`
+}
+
+// dump is the section of the state dump.
+type dump struct {
+	Next        int64  `json:"next"`
+	Healthy     bool   `json:"healthy"`
+	CaughtUp    bool   `json:"caught_up"`
+	LagMS       int64  `json:"lag_ms"`
+	Scopes      int    `json:"scopes"`
+	Waiting     int    `json:"waiting"`
+	Queued      int    `json:"queued"`
+	WindowMS    int64  `json:"window_ms"`
+	GapExists   bool   `json:"gap_exists"`
+	GapBeforeMS int64  `json:"gap_before_unix_ms,omitempty"`
+	Counts      counts `json:"counts"`
+}
+
+// Dump returns the section of the state dump.
+func (c *Claimer) Dump() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := dump{
+		Next:      c.follower.Next(),
+		Healthy:   c.follower.Healthy(),
+		CaughtUp:  c.follower.CaughtUp(),
+		LagMS:     c.follower.Lag().Milliseconds(),
+		Scopes:    len(c.fold.scopes),
+		Waiting:   len(c.waiters),
+		Queued:    len(c.queue),
+		WindowMS:  c.windowDuration().Milliseconds(),
+		GapExists: c.gap.exists,
+		Counts:    c.counts,
+	}
+	if c.gap.exists {
+		d.GapBeforeMS = c.gap.before.UnixMilli()
+	}
+	return d
+}
--- /dev/null
+++ b/internal/fakes/log.go
@@ -0,0 +1,251 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// OutageError is the cause of the errors that the fake log returns on purpose.
+type OutageError struct {
+	Switch string
+}
+
+func (e *OutageError) Error() string { return fmt.Sprintf("fake log: %s is switched on", e.Switch) }
+
+// LostAnswer says what happens to an append whose answer is lost.
+type LostAnswer int
+
+// Fates of an append.
+const (
+	// AnswerDelivered leaves the append alone.
+	AnswerDelivered LostAnswer = iota
+	// LostEffective stores the record and loses the answer.
+	LostEffective
+	// LostIneffective drops the record and loses the answer.
+	LostIneffective
+	// LostLate loses the answer; the record is stored by the next call of StoreLate.
+	LostLate
+	// AnswerRateLimited refuses the append because of the rate.
+	AnswerRateLimited
+)
+
+type lateRecord struct {
+	stream string
+	data   []byte
+}
+
+// Log is an in-memory kernel.LogProtocol. Offsets start at 0. Its methods may be called concurrently.
+type Log struct {
+	mu      sync.Mutex
+	streams map[string][]kernel.LogRecord
+	first   map[string]int64
+	next    map[string]int64
+	changed chan struct{}
+
+	appendDown bool
+	readDown   bool
+	delay      time.Duration
+	fate       func(stream string, data []byte) LostAnswer
+	late       []lateRecord
+	appends    int
+}
+
+// NewLog returns an empty log without faults.
+func NewLog() *Log {
+	return &Log{
+		streams: make(map[string][]kernel.LogRecord),
+		first:   make(map[string]int64),
+		next:    make(map[string]int64),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetOutage makes appends and reads fail without effect.
+func (l *Log) SetOutage(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appendDown, l.readDown = down, down
+	l.wake()
+}
+
+// SetReadOutage makes only reads fail.
+func (l *Log) SetReadOutage(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readDown = down
+	l.wake()
+}
+
+// SetDelay delays every call.
+func (l *Log) SetDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+// SetFate sets the function that decides the fate of each append; nil delivers all answers.
+func (l *Log) SetFate(fate func(stream string, data []byte) LostAnswer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fate = fate
+}
+
+// LoseNext gives the next append this fate and delivers the answers after it.
+func (l *Log) LoseNext(fate LostAnswer) {
+	used := false
+	l.SetFate(func(string, []byte) LostAnswer {
+		if used {
+			return AnswerDelivered
+		}
+		used = true
+		return fate
+	})
+}
+
+// StoreLate stores the records whose fate was LostLate and returns how many there were.
+func (l *Log) StoreLate() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	late := l.late
+	l.late = nil
+	for _, record := range late {
+		l.store(record.stream, record.data)
+	}
+	return len(late)
+}
+
+// Trim drops the records of a stream before offset first.
+func (l *Log) Trim(stream string, first int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first[stream] = max(l.first[stream], min(first, l.next[stream]))
+	l.streams[stream] = slices.DeleteFunc(l.streams[stream], func(record kernel.LogRecord) bool {
+		return record.Offset < l.first[stream]
+	})
+}
+
+// Records returns the records kept of a stream.
+func (l *Log) Records(stream string) []kernel.LogRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.streams[stream])
+}
+
+// Appends returns the number of calls of Append that reached the log.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Append implements kernel.LogProtocol.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	if err := l.pause(ctx); err != nil {
+		return 0, &kernel.AppendUnknownError{Stream: stream, Cause: err}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.appendDown {
+		return 0, &kernel.LogUnavailableError{Operation: "append", Cause: &OutageError{Switch: "outage"}}
+	}
+	l.appends++
+	fate := AnswerDelivered
+	if l.fate != nil {
+		fate = l.fate(stream, data)
+	}
+	lost := &kernel.AppendUnknownError{Stream: stream, Cause: &OutageError{Switch: "lost answer"}}
+	switch fate {
+	case LostEffective:
+		l.store(stream, data)
+		return 0, lost
+	case LostIneffective:
+		return 0, lost
+	case LostLate:
+		l.late = append(l.late, lateRecord{stream: stream, data: slices.Clone(data)})
+		return 0, lost
+	case AnswerRateLimited:
+		return 0, &kernel.RateLimitedError{Operation: "append"}
+	}
+	return l.store(stream, data), nil
+}
+
+// Read implements kernel.LogProtocol.
+func (l *Log) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (kernel.LogPage, error) {
+	if err := l.pause(ctx); err != nil {
+		return kernel.LogPage{}, &kernel.LogUnavailableError{Operation: "read", Cause: err}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, err := l.page(stream, from, limit)
+		if err != nil || len(page.Records) > 0 || wait <= 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			return kernel.LogPage{}, &kernel.LogUnavailableError{Operation: "read", Cause: ctx.Err()}
+		}
+	}
+}
+
+func (l *Log) page(stream string, from int64, limit int) (kernel.LogPage, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.readDown {
+		return kernel.LogPage{}, nil, &kernel.LogUnavailableError{Operation: "read", Cause: &OutageError{Switch: "outage"}}
+	}
+	first := l.first[stream]
+	if from < first {
+		return kernel.LogPage{}, nil, &kernel.TrimmedError{Stream: stream, First: first}
+	}
+	page := kernel.LogPage{First: first, Next: from}
+	for _, record := range l.streams[stream] {
+		if record.Offset < from {
+			continue
+		}
+		if len(page.Records) == limit {
+			break
+		}
+		page.Records = append(page.Records, record)
+		page.Next = record.Offset + 1
+	}
+	return page, l.changed, nil
+}
+
+func (l *Log) store(stream string, data []byte) int64 {
+	offset := l.next[stream]
+	l.next[stream]++
+	l.streams[stream] = append(l.streams[stream], kernel.LogRecord{Offset: offset, Data: slices.Clone(data)})
+	l.wake()
+	return offset
+}
+
+func (l *Log) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *Log) pause(ctx context.Context) error {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	if delay <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
