Add the callers' API and the holder of waiting requests

Cause: a caller's request needs one owner that dispatches it at most once and refuses it truthfully. Change: the receiver serves token streams and service paths; the holder claims keyed requests, sends tickets, and dispatches on a grant. A planned stop finishes every accepted request. Tested: 10 scripted ends of a request, a caller that disconnects during a booking, a drain, the waiting limit, on virtual time. Seen failing with: the unsent check removed, bookings bound to their caller's connection, surplus grants kept, claims not voided, stored results ignored, not_run said for a lost connection, the drain flag ignored, the shed order reversed.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -36,10 +36,11 @@
 	follower *follower.Follower
 	current  atomic.Pointer[Catalogue]
 
-	mu          sync.Mutex
-	fold        *fold
-	subscribers []func(*Catalogue)
-	changed     chan struct{}
+	mu             sync.Mutex
+	fold           *fold
+	subscribers    map[int]func(*Catalogue)
+	nextSubscriber int
+	changed        chan struct{}
 }
 
 // New returns a cataloguer with revision 0; Run fills it.
@@ -47,7 +48,8 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	c := &Cataloguer{log: log, options: options, logger: logger, fold: newFold(), changed: make(chan struct{})}
+	c := &Cataloguer{log: log, options: options, logger: logger, fold: newFold(), changed: make(chan struct{}),
+		subscribers: make(map[int]func(*Catalogue))}
 	c.current.Store(c.fold.current)
 	c.follower = follower.New(log, Stream, 0, c.apply, c.trimmed, logger)
 	return c
@@ -80,12 +82,19 @@
 // Lag returns the time since the log was last read.
 func (c *Cataloguer) Lag() time.Duration { return c.follower.Lag() }
 
-// Subscribe calls f for every later revision, in ascending order; revisions in quick succession may be
-// skipped. f must not block and must not call methods of the cataloguer other than Current.
-func (c *Cataloguer) Subscribe(f func(*Catalogue)) {
+// Subscribe calls f for every later revision, in ascending order, until the returned function is called; revisions in
+// quick succession may be skipped. f must not block and must not call methods of the cataloguer other than Current.
+func (c *Cataloguer) Subscribe(f func(*Catalogue)) (unsubscribe func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.subscribers = append(c.subscribers, f)
+	id := c.nextSubscriber
+	c.nextSubscriber++
+	c.subscribers[id] = f
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.subscribers, id)
+	}
 }
 
 // Snapshot returns the state of the fold for a peer: its encoded form, revision and offset.
--- /dev/null
+++ b/internal/holder/holder_test.go
@@ -0,0 +1,347 @@
+package holder
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/claimer"
+	"coltsfootplank/internal/dispatcher"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/recorder"
+	"coltsfootplank/internal/ticketer"
+)
+
+// fakeTickets decides on each attempt by a script and keeps the releases.
+type fakeTickets struct {
+	mu       sync.Mutex
+	decide   func(attempt int, decider ticketer.Decider)
+	decider  ticketer.Decider
+	attempts int
+	releases []protocol.ReleaseKind
+	cancels  int
+}
+
+func (f *fakeTickets) Submit(_ *protocol.Ticket, decider ticketer.Decider) {
+	f.decider = decider
+	f.next()
+}
+
+func (f *fakeTickets) next() {
+	f.mu.Lock()
+	f.attempts++
+	attempt := f.attempts
+	f.mu.Unlock()
+	f.decide(attempt, f.decider)
+}
+
+func (f *fakeTickets) Cancel(string) { f.cancels++ }
+
+func (f *fakeTickets) Release(release *protocol.Release) {
+	f.releases = append(f.releases, release.GetKind())
+	switch release.GetKind() {
+	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+		if f.cancels == 0 {
+			f.next()
+		}
+	default:
+	}
+}
+
+// fakeClaims answers every claim alike and keeps what is voided and recorded.
+type fakeClaims struct {
+	verdict claimer.Verdict
+	err     error
+	voided  int
+	results int
+}
+
+func (f *fakeClaims) Claim(context.Context, claimer.Scope, string) (claimer.Verdict, error) {
+	return f.verdict, f.err
+}
+
+func (f *fakeClaims) Void(context.Context, claimer.Scope, string) error {
+	f.voided++
+	return nil
+}
+
+func (f *fakeClaims) RecordResult(context.Context, claimer.Scope, string, claimer.Result) error {
+	f.results++
+	return nil
+}
+
+// fakeService fails its first calls by a list of errors, then answers.
+type fakeService struct {
+	kernel.ServiceProtocol
+	errs  []error
+	calls int
+	runs  int
+	pause time.Duration
+}
+
+func (f *fakeService) Call(ctx context.Context, _ kernel.ServiceRequest) (kernel.ServiceResponse, error) {
+	f.calls++
+	if len(f.errs) > 0 {
+		err := f.errs[0]
+		f.errs = f.errs[1:]
+		if _, unsent := err.(*kernel.NotSentError); !unsent {
+			f.runs++
+		}
+		return kernel.ServiceResponse{}, err
+	}
+	f.runs++
+	timer := time.NewTimer(f.pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return kernel.ServiceResponse{}, &kernel.LostError{Cause: context.Cause(ctx)}
+	case <-timer.C:
+	}
+	return kernel.ServiceResponse{Status: 200, Body: []byte("booked")}, nil
+}
+
+type fakeCatalogue struct{ catalogue *cataloguer.Catalogue }
+
+func (f fakeCatalogue) Current() *cataloguer.Catalogue { return f.catalogue }
+
+// fakeAnswer keeps the answer of a service.
+type fakeAnswer struct{ body string }
+
+func (f *fakeAnswer) Token(kernel.Frame) error { return nil }
+func (f *fakeAnswer) Finish(int) error         { return nil }
+func (f *fakeAnswer) Response(response kernel.ServiceResponse) error {
+	f.body = string(response.Body)
+	return nil
+}
+
+// fixture is a holder with one service upstream.
+type fixture struct {
+	holder  *Holder
+	tickets *fakeTickets
+	claims  *fakeClaims
+	service *fakeService
+	work    *cataloguer.Work
+}
+
+var protocolNames = struct {
+	sync.Mutex
+	current *fakeService
+}{}
+
+func init() {
+	kernel.Services.Register("holder_test", func(string) (kernel.ServiceProtocol, func(), error) {
+		return protocolNames.current, func() {}, nil
+	})
+}
+
+func newFixture(settings Settings) *fixture {
+	catalogue := (&cataloguer.Catalogue{
+		Revision: 1,
+		Pools: []cataloguer.Pool{{
+			Name: "desk", Protocol: "holder_test",
+			Upstreams: []cataloguer.Upstream{{Name: "desk-1", Address: "127.0.0.1:1", Slots: 1}},
+		}},
+		Works: []cataloguer.Work{{Name: "booking", Class: cataloguer.ClassUnary, Pool: "desk", Path: "/bookings"}},
+	}).Index()
+	f := &fixture{
+		tickets: &fakeTickets{}, service: &fakeService{}, work: &catalogue.Works[0],
+		claims: &fakeClaims{verdict: claimer.Verdict{State: claimer.Won, ClaimID: "c"}},
+	}
+	f.tickets.decide = func(_ int, decider ticketer.Decider) {
+		decider.Granted(&protocol.Grant{Engine: "desk-1"})
+	}
+	protocolNames.current = f.service
+	clients, _ := dispatcher.NewClients()
+	f.holder = New(settings, fakeCatalogue{catalogue}, f.tickets, f.claims, clients,
+		recorder.New("r", 100), metrics.NewRegistry(), zap.NewNop())
+	return f
+}
+
+func (f *fixture) request() *Request {
+	return &Request{
+		ID: "id", Workspace: "w", Work: f.work, Key: "k", Arrived: time.Now(), Answer: &fakeAnswer{},
+	}
+}
+
+// TestServe guards against a request that runs twice, a "not run" for one that ran, a claim that stays when
+// nothing ran, and a grant that is never released.
+func TestServe(t *testing.T) {
+	notSent := &kernel.NotSentError{Cause: io.EOF}
+	lost := &kernel.LostError{Cause: io.EOF}
+	refuse := func(code Code) func(int, ticketer.Decider) {
+		return func(_ int, decider ticketer.Decider) { decider.Refused(&protocol.Refusal{Code: string(code)}) }
+	}
+	grantUnknownEngineFirst := func(attempt int, decider ticketer.Decider) {
+		engine := "desk-1"
+		if attempt == 1 {
+			engine = "gone"
+		}
+		decider.Granted(&protocol.Grant{Engine: engine})
+	}
+	cases := []struct {
+		name     string
+		arrange  func(f *fixture)
+		outcome  Outcome
+		code     Code
+		runs     int
+		voided   int
+		results  int
+		releases []protocol.ReleaseKind
+	}{
+		{
+			name: "answered", runs: 1, results: 1,
+			releases: []protocol.ReleaseKind{protocol.ReleaseKind_RELEASE_KIND_ANSWERED},
+		},
+		{
+			name: "not sent, then answered", arrange: func(f *fixture) { f.service.errs = []error{notSent} },
+			runs: 1, results: 1, releases: []protocol.ReleaseKind{
+				protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE, protocol.ReleaseKind_RELEASE_KIND_ANSWERED,
+			},
+		},
+		{
+			name: "lost after the first byte", arrange: func(f *fixture) { f.service.errs = []error{lost} },
+			outcome: OutcomeUnknown, code: CodeUpstreamLost, runs: 1,
+			releases: []protocol.ReleaseKind{protocol.ReleaseKind_RELEASE_KIND_LOST},
+		},
+		{
+			name: "grant for an engine that left the catalogue", arrange: func(f *fixture) { f.tickets.decide = grantUnknownEngineFirst },
+			runs: 1, results: 1, releases: []protocol.ReleaseKind{
+				protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_ANSWERED,
+			},
+		},
+		{
+			name: "shed", arrange: func(f *fixture) { f.tickets.decide = refuse(CodeOverloaded) },
+			outcome: OutcomeNotRun, code: CodeOverloaded, voided: 1,
+		},
+		{
+			name:    "no decision before the deadline",
+			arrange: func(f *fixture) { f.tickets.decide = func(int, ticketer.Decider) {} },
+			outcome: OutcomeNotRun, code: CodeDeadlineExpired, voided: 1,
+		},
+		{
+			name: "claimed before", arrange: func(f *fixture) { f.claims.verdict = claimer.Verdict{State: claimer.Duplicate} },
+			outcome: OutcomeUnknown, code: CodeDuplicate,
+		},
+		{
+			name: "answered before", arrange: func(f *fixture) {
+				f.claims.verdict = claimer.Verdict{State: claimer.Answered, Result: &claimer.Result{Status: 200, Body: []byte("booked")}}
+			},
+		},
+		{
+			name: "log down", arrange: func(f *fixture) { f.claims.err = &claimer.UnavailableError{Reason: "down"} },
+			outcome: OutcomeNotRun, code: CodeClaimUnavailable,
+		},
+		{
+			name:    "grant and refusal at the same moment",
+			arrange: func(f *fixture) { f.tickets.decide = refuseThenGrant },
+			outcome: OutcomeNotRun, code: CodeOverloaded, voided: 1,
+			releases: []protocol.ReleaseKind{protocol.ReleaseKind_RELEASE_KIND_UNUSED},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(DefaultSettings())
+				if c.arrange != nil {
+					c.arrange(f)
+				}
+				request := f.request()
+				refusal := f.holder.Serve(t.Context(), request)
+				if c.outcome == "" {
+					assert.Assert(t, refusal == nil, "%v", refusal)
+					assert.Equal(t, request.Answer.(*fakeAnswer).body, "booked")
+				} else {
+					assert.Equal(t, refusal.Outcome, c.outcome)
+					assert.Equal(t, refusal.Code, c.code)
+				}
+				assert.Equal(t, f.service.runs, c.runs)
+				assert.Equal(t, f.claims.voided, c.voided)
+				assert.Equal(t, f.claims.results, c.results)
+				assert.DeepEqual(t, f.tickets.releases, c.releases)
+				assert.Equal(t, len(f.holder.Requests()), 0)
+			})
+		})
+	}
+}
+
+func refuseThenGrant(_ int, decider ticketer.Decider) {
+	decider.Refused(&protocol.Refusal{Code: string(CodeOverloaded)})
+	decider.Granted(&protocol.Grant{Engine: "desk-1"})
+}
+
+// TestServeCallerGone guards against a booking that is cut off because its caller disconnected after dispatch.
+func TestServeCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(DefaultSettings())
+		f.service.pause = 2 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		refusal := f.holder.Serve(ctx, f.request())
+		assert.Assert(t, refusal == nil, "%v", refusal)
+		assert.Equal(t, f.claims.results, 1)
+	})
+}
+
+// TestDrain guards against a planned stop that cuts off an accepted request or accepts a new one.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(DefaultSettings())
+		f.service.pause = 3 * time.Second
+		var group sync.WaitGroup
+		var first *Refusal
+		group.Go(func() { first = f.holder.Serve(t.Context(), f.request()) })
+		time.Sleep(time.Second)
+		drained := make(chan time.Time, 1)
+		group.Go(func() {
+			assert.Check(t, f.holder.Drain(t.Context()))
+			drained <- time.Now()
+		})
+		synctest.Wait()
+		second := f.request()
+		second.ID = "second"
+		refusal := f.holder.Serve(t.Context(), second)
+		assert.Equal(t, refusal.Code, CodeDraining)
+		assert.Equal(t, refusal.Outcome, OutcomeNotRun)
+		began := time.Now()
+		group.Wait()
+		assert.Assert(t, first == nil, "%v", first)
+		assert.Equal(t, (<-drained).Sub(began), 2*time.Second)
+		assert.Equal(t, f.service.runs, 1)
+	})
+}
+
+// TestWaitingLimit guards against a router that sheds a higher tier while a lower one waits in it.
+func TestWaitingLimit(t *testing.T) {
+	cases := []struct {
+		name  string
+		tiers []int
+		shed  int
+	}{
+		{"newcomer of the lowest tier", []int{0, 1, 3}, 2},
+		{"lower tier waits", []int{3, 0, 0}, 0},
+		{"newest of the lowest tier", []int{2, 2, 0}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(2)
+			requests := make([]*Request, 0, len(c.tiers))
+			var shed *Request
+			for _, tier := range c.tiers {
+				request := &Request{Work: &cataloguer.Work{Tier: tier}}
+				requests = append(requests, request)
+				shed = table.add(request)
+			}
+			assert.Assert(t, shed == requests[c.shed])
+			assert.Equal(t, table.count, 2)
+		})
+	}
+}
--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -31,8 +31,8 @@
 			CacheInterval:     500 * time.Millisecond,
 			PoisonRetention:   10 * time.Minute,
 			RetryBudget:       0.2,
-			QueuePolicy:       "fair",
-			EnginePolicy:      "first_token",
+			QueuePolicy:       "tier_fair",
+			EnginePolicy:      "expected_first_token",
 		},
 		Claims: Claims{
 			Retention:      24 * time.Hour,
--- /dev/null
+++ b/internal/receiver/answer.go
@@ -0,0 +1,164 @@
+package receiver
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/tmaxmax/go-sse"
+
+	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/kernel"
+)
+
+// doneMarker is the last event of a whole stream.
+const doneMarker = "[DONE]"
+
+// chatAnswer writes a chat completion as server-sent events, or as one JSON body if the caller wants no stream.
+type chatAnswer struct {
+	w         http.ResponseWriter
+	requestID string
+	model     string
+	stream    bool
+	started   bool
+	text      strings.Builder
+	tokens    int
+}
+
+func newChatAnswer(w http.ResponseWriter, request *holder.Request, stream bool) *chatAnswer {
+	return &chatAnswer{w: w, requestID: request.ID, model: request.Work.Name, stream: stream}
+}
+
+// chunk is one event of a stream. Index is the token's index.
+type chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Model   string        `json:"model"`
+	Index   int           `json:"index"`
+	Choices []chunkChoice `json:"choices"`
+}
+
+type chunkChoice struct {
+	Index        int     `json:"index"`
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+// completion is the answer to a caller that wants no stream.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   usage              `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int         `json:"index"`
+	Message      chatMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// Token writes one token, or collects it if the caller wants no stream.
+func (a *chatAnswer) Token(frame kernel.Frame) error {
+	a.tokens++
+	if !a.stream {
+		a.text.WriteString(frame.Token)
+		return nil
+	}
+	return a.event("", chunk{
+		ID: a.requestID, Object: "chat.completion.chunk", Model: a.model, Index: frame.Index,
+		Choices: []chunkChoice{{Delta: delta{Content: frame.Token}}},
+	})
+}
+
+// Finish ends a whole answer.
+func (a *chatAnswer) Finish(total int) error {
+	reason := "stop"
+	if !a.stream {
+		a.w.Header().Set(headerContentType, "application/json")
+		err := json.NewEncoder(a.w).Encode(completion{
+			ID: a.requestID, Object: "chat.completion", Model: a.model, Usage: usage{CompletionTokens: total},
+			Choices: []completionChoice{{
+				Message: chatMessage{Role: "assistant", Content: a.text.String()}, FinishReason: reason,
+			}},
+		})
+		if err != nil {
+			return &WriteError{Cause: err}
+		}
+		return nil
+	}
+	err := a.event("", chunk{
+		ID: a.requestID, Object: "chat.completion.chunk", Model: a.model, Index: total,
+		Choices: []chunkChoice{{FinishReason: &reason}},
+	})
+	if err != nil {
+		return err
+	}
+	return a.send("", doneMarker)
+}
+
+// Response passes on the stored result of an earlier request with the same key.
+func (a *chatAnswer) Response(response kernel.ServiceResponse) error {
+	a.w.Header().Set(headerContentType, response.ContentType)
+	a.w.WriteHeader(response.Status)
+	if _, err := a.w.Write(response.Body); err != nil {
+		return &WriteError{Cause: err}
+	}
+	return nil
+}
+
+// refuse answers with a refusal: as a status if nothing was written yet, else as the last event of the stream.
+func (a *chatAnswer) refuse(refusal *holder.Refusal) {
+	if !a.started {
+		writeRefusal(a.w, a.requestID, refusal)
+		return
+	}
+	// An error means that the caller is gone.
+	_ = a.event("error", newRefusalBody(a.requestID, refusal))
+}
+
+func (a *chatAnswer) event(kind string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return &WriteError{Cause: err}
+	}
+	return a.send(kind, string(data))
+}
+
+func (a *chatAnswer) send(kind, data string) error {
+	if !a.started {
+		a.started = true
+		a.w.Header().Set(headerContentType, "text/event-stream")
+		a.w.Header().Set("Cache-Control", "no-store")
+	}
+	message := sse.Message{}
+	if kind != "" {
+		message.Type = sse.Type(kind)
+	}
+	message.AppendData(data)
+	var buffer bytes.Buffer
+	if _, err := message.WriteTo(&buffer); err != nil {
+		return &WriteError{Cause: err}
+	}
+	if _, err := a.w.Write(buffer.Bytes()); err != nil {
+		return &WriteError{Cause: err}
+	}
+	return flush(a.w)
+}
+
+func flush(w http.ResponseWriter) error {
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return &WriteError{Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/receiver/errors.go
@@ -0,0 +1,22 @@
+package receiver
+
+import "fmt"
+
+// WriteError reports that an answer could not be written to the caller.
+type WriteError struct {
+	Cause error
+}
+
+func (e *WriteError) Error() string {
+	return fmt.Sprintf("write answer to caller: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *WriteError) Unwrap() error { return e.Cause }
+
+// AnswerKindError reports a token stream for a kind of work that has none.
+type AnswerKindError struct{}
+
+func (e *AnswerKindError) Error() string {
+	return "write answer: a plain service has no token stream"
+}
--- /dev/null
+++ b/internal/receiver/routes.go
@@ -0,0 +1,29 @@
+package receiver
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Names of the headers that callers and this router exchange.
+const (
+	headerAuthorization = "Authorization"
+	headerKey           = "Idempotency-Key"
+	headerDeadline      = "X-Deadline-Ms"
+	headerRequestID     = "X-Request-Id"
+	headerRetryAfter    = "Retry-After"
+	headerContentType   = "Content-Type"
+)
+
+// Handler returns the callers' API.
+func (r *Receiver) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/live", r.live)
+	router.Get("/ready", r.ready)
+	router.Get("/v1/models", r.models)
+	router.Post("/v1/chat/completions", r.chat)
+	router.NotFound(r.service)
+	router.MethodNotAllowed(r.service)
+	return router
+}
--- /dev/null
+++ b/internal/receiver/service.go
@@ -0,0 +1,53 @@
+package receiver
+
+import (
+	"net/http"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/kernel"
+)
+
+// service answers a call of a plain service by its path in the catalogue.
+func (r *Receiver) service(w http.ResponseWriter, request *http.Request) {
+	held, refusal := r.intake(w, request, func(catalogue *cataloguer.Catalogue, _ []byte) (*cataloguer.Work, *holder.Refusal) {
+		work, ok := catalogue.WorkByPath(request.Method, request.URL.Path)
+		if !ok {
+			return nil, unknownEntry()
+		}
+		return work, nil
+	})
+	if refusal != nil {
+		writeRefusal(w, held.ID, refusal)
+		return
+	}
+	held.Method, held.Path = request.Method, request.URL.RequestURI()
+	held.PromptTokens, held.MaxTokens = 1, 1
+	held.Answer = &serviceAnswer{w: w}
+	if refusal := r.server.Serve(request.Context(), held); refusal != nil {
+		writeRefusal(w, held.ID, refusal)
+	}
+}
+
+// serviceAnswer passes on the answer of a plain service.
+type serviceAnswer struct {
+	w http.ResponseWriter
+}
+
+// Response writes the whole answer.
+func (a *serviceAnswer) Response(response kernel.ServiceResponse) error {
+	if response.ContentType != "" {
+		a.w.Header().Set(headerContentType, response.ContentType)
+	}
+	a.w.WriteHeader(response.Status)
+	if _, err := a.w.Write(response.Body); err != nil {
+		return &WriteError{Cause: err}
+	}
+	return flush(a.w)
+}
+
+// Token fails: a plain service has no token stream.
+func (a *serviceAnswer) Token(kernel.Frame) error { return &AnswerKindError{} }
+
+// Finish fails: a plain service has no token stream.
+func (a *serviceAnswer) Finish(int) error { return &AnswerKindError{} }
--- /dev/null
+++ b/internal/receiver/status.go
@@ -0,0 +1,49 @@
+package receiver
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+func (r *Receiver) live(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (r *Receiver) ready(w http.ResponseWriter, _ *http.Request) {
+	if r.server.Draining() || !r.settings.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// modelRow is one model in the list of models.
+type modelRow struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string     `json:"object"`
+	Data   []modelRow `json:"data"`
+}
+
+func (r *Receiver) models(w http.ResponseWriter, request *http.Request) {
+	catalogue := r.catalogue.Current()
+	workspace, refusal := r.authenticate(catalogue, request)
+	if refusal != nil {
+		writeRefusal(w, "", refusal)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelRow{}}
+	for i := range catalogue.Works {
+		work := &catalogue.Works[i]
+		if work.Model != "" && work.Allows(workspace.Name) {
+			list.Data = append(list.Data, modelRow{ID: work.Name, Object: "model", OwnedBy: work.Owner})
+		}
+	}
+	w.Header().Set(headerContentType, "application/json")
+	// An error means that the caller is gone.
+	_ = json.NewEncoder(w).Encode(list)
+}
