Add loadgen, the open-loop load generator

Cause: goodput by tier and wasted prefill need a load whose arrivals don't slow down with the answers, and a check that every answer is whole and its own. Change: program loadgen with run and sample. Poisson arrivals in phases from a seed, tier mix and log-normal lengths from YAML, prompts with beginnings shared by workspace. Each request goes to a random router; another is tried only if no byte was sent. Outcomes by tier, HdrHistogram latencies from the planned arrival, prefill counters of the stand-ins, table or JSON, bounds on losses and goodput by exit code. net/http is kept from repeating keyed requests by itself. Test: go test -race ./... passes in loadgen, three times in a row. Seen failing with these mutations: seed ignored, log-normal mean not corrected, rate 30% higher, always the first router, unlimited prefixes, empty settings accepted, token order not checked, foreign id accepted, missing end mark accepted, short answer accepted, not_run after a token accepted, foreign booking accepted, request sent again after its first byte, next router never tried, body that net/http may rewind, time-out counted as a lost connection, limits or headers left out, refused requests in the latencies, losses not counted, codes not printed, nested counters counted twice, counters not relative, unlimited requests in flight, skipped ones not counted, no settle time-out, answers cut off at an interrupt, bounds not checked.

--- /dev/null
+++ b/loadgen/internal/commander/run.go
@@ -0,0 +1,45 @@
+package commander
+
+import (
+	"coltsfootplank/loadgen/internal/planner"
+	"coltsfootplank/loadgen/internal/reporter"
+	"coltsfootplank/loadgen/internal/runner"
+)
+
+type runCommand struct {
+	Settings   string  `help:"Load settings file." required:""`
+	JSON       bool    `help:"Print the report as JSON instead of a table." name:"json"`
+	MaxLost    int     `help:"Exit with 3 if more accepted requests than this have no whole answer; -1 turns the check off." default:"-1"`
+	MinGoodput float64 `help:"Exit with 3 if the share of good answers is below this (0 to 1)." default:"0"`
+}
+
+// Run sends the load and prints the report.
+func (c *runCommand) Run(s session) error {
+	settings, err := planner.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	report, err := runner.Run(s.ctx, settings, s.diagnostics)
+	if report != nil {
+		if printErr := c.print(s, report); printErr != nil {
+			return printErr
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if c.MaxLost >= 0 && report.Lost > c.MaxLost {
+		return &BoundError{What: "number of lost answers", Got: float64(report.Lost), Want: float64(c.MaxLost)}
+	}
+	if report.Total.Goodput < c.MinGoodput {
+		return &BoundError{What: "goodput", Got: report.Total.Goodput, Want: c.MinGoodput}
+	}
+	return nil
+}
+
+func (c *runCommand) print(s session, report *reporter.Report) error {
+	if c.JSON {
+		return report.WriteJSON(s.out)
+	}
+	return report.WriteTable(s.out)
+}
--- /dev/null
+++ b/loadgen/internal/runner/runner.go
@@ -0,0 +1,110 @@
+// Package runner sends planned requests at their times, whether or not earlier ones were answered (open loop).
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootplank/loadgen/internal/planner"
+	"coltsfootplank/loadgen/internal/reporter"
+	"coltsfootplank/loadgen/internal/sender"
+	"coltsfootplank/loadgen/internal/statreader"
+)
+
+// progressInterval is the time between two progress lines.
+const progressInterval = time.Second
+
+// sendFunc sends one request and waits for the end of its answer.
+type sendFunc func(ctx context.Context, request planner.Request, arrival time.Time) sender.Result
+
+// Run sends the whole plan and returns the report. When the context ends, it stops sending, but still waits for
+// outstanding answers up to the settle timeout. Progress lines go to progress.
+func Run(ctx context.Context, settings *planner.Settings, progress io.Writer) (*reporter.Report, error) {
+	before, err := statreader.Read(ctx, settings.Stats)
+	if err != nil {
+		return nil, err
+	}
+	s, closeAll := sender.New(settings.Routers, settings.AnswerTimeout)
+	defer closeAll()
+	report := run(ctx, settings, s.Send, progress)
+	after, err := statreader.Read(context.WithoutCancel(ctx), settings.Stats)
+	if err != nil {
+		return report, err
+	}
+	report.Prefill = after.Since(before)
+	return report, nil
+}
+
+func run(ctx context.Context, settings *planner.Settings, send sendFunc, progress io.Writer) *reporter.Report {
+	collector := reporter.NewCollector()
+	start := time.Now()
+	var lines errgroup.Group
+	stopLines := make(chan struct{})
+	lines.Go(func() error {
+		printProgress(collector, start, stopLines, progress)
+		return nil
+	})
+	sendAll(ctx, settings, send, collector, start)
+	elapsed := time.Since(start)
+	close(stopLines)
+	// The functions of both groups return no error; results tell of failures.
+	_ = lines.Wait()
+	return collector.Report(settings.Seed, elapsed)
+}
+
+// sendAll returns when all answers have ended.
+func sendAll(ctx context.Context, settings *planner.Settings, send sendFunc, collector *reporter.Collector, start time.Time) {
+	answers, giveUp := context.WithCancel(context.WithoutCancel(ctx))
+	defer giveUp()
+	var requests errgroup.Group
+	requests.SetLimit(settings.MaxInFlight)
+	plan := planner.New(settings)
+	for request, more := plan.Next(); more; request, more = plan.Next() {
+		arrival := start.Add(request.At)
+		if !sleepUntil(ctx, arrival) {
+			break
+		}
+		started := requests.TryGo(func() error {
+			collector.Add(send(answers, request, arrival))
+			return nil
+		})
+		if !started {
+			collector.Skipped()
+			continue
+		}
+		collector.Sent()
+	}
+	settle := time.AfterFunc(settings.SettleTimeout, giveUp)
+	defer settle.Stop()
+	_ = requests.Wait()
+}
+
+// sleepUntil returns false if the context ended first.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
+
+func printProgress(collector *reporter.Collector, start time.Time, stop <-chan struct{}, progress io.Writer) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			// A closed progress output must not stop the load.
+			_, _ = fmt.Fprintln(progress, collector.Progress(time.Since(start)))
+		}
+	}
+}
--- /dev/null
+++ b/loadgen/internal/sender/answer.go
@@ -0,0 +1,170 @@
+package sender
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"coltsfootplank/loadgen/internal/planner"
+)
+
+// Bounds of what is read of one answer.
+const (
+	maxBodyBytes  = 4 << 20
+	maxEventBytes = 1 << 20
+)
+
+// requestIDHeader carries the router's id of the request on every answer.
+const requestIDHeader = "X-Request-Id"
+
+// problem is the error body of the routers, also sent as the last event of a failed stream.
+type problem struct {
+	Error *struct {
+		Outcome string `json:"outcome"`
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func read(request planner.Request, response *http.Response, arrival time.Time) Result {
+	streamed := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	var result Result
+	if request.Work.Kind == planner.KindStream && response.StatusCode == http.StatusOK && streamed {
+		result = readStream(request, response, arrival)
+	} else {
+		result = readBody(request, response)
+	}
+	result.RequestID = response.Header.Get(requestIDHeader)
+	if result.RequestID == "" && !result.Outcome.Lost() {
+		result.Outcome, result.Detail = Corrupt, "no "+requestIDHeader+" header"
+	}
+	return result
+}
+
+// readBody reads an answer that isn't a stream: a service's answer, or an error.
+func readBody(request planner.Request, response *http.Response) Result {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return Result{Outcome: ConnectionLost, Detail: err.Error()}
+	}
+	var refusal problem
+	if response.StatusCode >= http.StatusBadRequest {
+		if json.Unmarshal(body, &refusal) != nil || refusal.Error == nil || refusal.Error.Outcome == "" {
+			return Result{Outcome: Failed, Code: fmt.Sprintf("status_%d", response.StatusCode), Detail: string(body)}
+		}
+		return refusal.result()
+	}
+	if request.Work.Kind == planner.KindStream {
+		return Result{Outcome: Corrupt, Detail: "the answer is not an event stream"}
+	}
+	// A service that repeats the caller's reference lets a mixed-up answer be noticed.
+	var echo struct {
+		Reference string `json:"reference"`
+	}
+	sent := strings.Contains(request.Work.Body, "{reference}")
+	if json.Unmarshal(body, &echo) == nil && sent && echo.Reference != "" && echo.Reference != request.Reference {
+		return Result{Outcome: Corrupt, Detail: "answer to " + echo.Reference + " instead of " + request.Reference}
+	}
+	return Result{Outcome: Good}
+}
+
+// result maps the routers' error body to an outcome.
+func (p problem) result() Result {
+	result := Result{Outcome: Failed, Code: p.Error.Code, Detail: p.Error.Message}
+	switch {
+	case p.Error.Code == "stream_truncated":
+		result.Outcome = Truncated
+	case p.Error.Outcome == string(NotRun):
+		result.Outcome = NotRun
+	case p.Error.Outcome == string(Unknown):
+		result.Outcome = Unknown
+	}
+	return result
+}
+
+// chunk is one event of a stream. Index is the token index.
+type chunk struct {
+	ID      string `json:"id"`
+	Index   *int   `json:"index"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+func (c chunk) token() bool { return len(c.Choices) > 0 && c.Choices[0].Delta.Content != "" }
+
+// readStream reads a stream to its end. It is whole only if each token index came once and in order, all events
+// carry the id of this request, and the end mark was seen.
+func readStream(request planner.Request, response *http.Response, arrival time.Time) Result {
+	const endMark = "[DONE]"
+	id := response.Header.Get(requestIDHeader)
+	result := Result{Outcome: ConnectionLost, Detail: "the stream has no end mark"}
+	last := time.Time{}
+	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			result.Detail = err.Error()
+			return result
+		}
+		if event.Type == "error" {
+			return endedByError(result, event.Data)
+		}
+		if event.Data == endMark {
+			return endedWhole(result, request)
+		}
+		var got chunk
+		if err := json.Unmarshal([]byte(event.Data), &got); err != nil {
+			return corrupt(result, "event is not JSON: "+err.Error())
+		}
+		if got.ID != id && got.ID != "chatcmpl-"+id {
+			return corrupt(result, fmt.Sprintf("event of request %q in the stream of %q", got.ID, id))
+		}
+		if !got.token() {
+			continue
+		}
+		if got.Index == nil || *got.Index != result.Tokens {
+			return corrupt(result, fmt.Sprintf("token %d expected in %s", result.Tokens, event.Data))
+		}
+		now := time.Now()
+		if result.Tokens == 0 {
+			result.FirstToken = now.Sub(arrival)
+		} else {
+			result.Gaps = append(result.Gaps, now.Sub(last))
+		}
+		last = now
+		result.Tokens++
+	}
+	return result
+}
+
+func corrupt(result Result, detail string) Result {
+	result.Outcome, result.Detail = Corrupt, detail
+	return result
+}
+
+func endedByError(result Result, data string) Result {
+	var failure problem
+	if err := json.Unmarshal([]byte(data), &failure); err != nil || failure.Error == nil {
+		return corrupt(result, "error event without an error: "+data)
+	}
+	ended := failure.result()
+	if ended.Outcome == NotRun && result.Tokens > 0 {
+		return corrupt(result, "not_run after a token")
+	}
+	result.Outcome, result.Code, result.Detail = ended.Outcome, ended.Code, ended.Detail
+	return result
+}
+
+func endedWhole(result Result, request planner.Request) Result {
+	if result.Tokens == 0 || request.Work.ExactOutput && result.Tokens != request.OutputTokens {
+		return corrupt(result, fmt.Sprintf("end mark after %d of %d tokens", result.Tokens, request.OutputTokens))
+	}
+	result.Outcome, result.Detail = Good, ""
+	return result
+}
