--- /dev/null
+++ b/internal/scheduler/tickets.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"time"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// Submit queues a ticket. A repeated request id replaces the ticket and keeps its age; if it is granted already,
+// the grant is sent again, since the holder still waits for it.
+func (s *Scheduler) Submit(now time.Time, holder string, ticket *protocol.Ticket) {
+	s.at(now)
+	since := now.Add(-time.Duration(max(0, ticket.GetAgeMs())) * time.Millisecond)
+	if old := s.requests[ticket.GetRequestId()]; old != nil {
+		if old.engine != nil && old.engine.usable() && old.holder == holder {
+			old.ticket = ticket
+			s.grantDecision(old)
+			return
+		}
+		if old.since.Before(since) {
+			since = old.since
+		}
+		s.forgetRequest(old)
+	}
+	r := s.newRequest(now, holder, ticket)
+	r.since = since
+	s.remember(r)
+	if s.infeasible(r, now) {
+		s.refuse(r, CodeDeadlineInfeasible, "the queue ahead leaves no time for the run", s.retryAfter(r.bucket))
+		return
+	}
+	s.enqueue(r)
+}
+
+// newRequest estimates the ticket's work.
+func (s *Scheduler) newRequest(now time.Time, holder string, ticket *protocol.Ticket) *request {
+	s.sequence++
+	tier := tierOf(ticket)
+	r := &request{
+		ticket: ticket, holder: holder, tier: tier, bucket: s.order.Bucket(tier), sequence: s.sequence,
+		laneIndex: -1, accountIndex: -1, deadlineIndex: -1,
+	}
+	workspace := ticket.GetWorkspace()
+	r.account = s.buckets[r.bucket].account(workspace, s.weight(workspace))
+	s.estimate(r)
+	if ticket.GetDeadlineMs() > 0 {
+		r.deadline = now.Add(time.Duration(ticket.GetDeadlineMs()) * time.Millisecond)
+		r.latestStart = r.deadline.Add(-seconds(s.engines.bestSeconds(r)))
+	}
+	return r
+}
+
+// estimate sets the expected lengths and the class of a request.
+func (s *Scheduler) estimate(r *request) {
+	work := s.works[r.ticket.GetWork()]
+	r.prompt = float64(r.ticket.GetPromptTokens())
+	r.declared = float64(r.ticket.GetOutputTokens())
+	if r.declared == 0 {
+		r.declared = float64(work.ExpectedOutput)
+	}
+	if r.declared == 0 && r.prompt > 0 {
+		r.declared = float64(s.settings.DefaultOutputTokens)
+	}
+	r.output = s.lengths.Estimate(r.lengthKey(), r.declared)
+	r.class = classShort
+	if r.output > float64(s.settings.LongTokens) {
+		r.class = classLong
+	}
+	r.seconds = s.engines.meanSeconds(r)
+}
+
+// Cancel drops a ticket whose caller has gone. A grant that was not used is given back to the workspace's share.
+func (s *Scheduler) Cancel(now time.Time, holder, requestID string) {
+	s.at(now)
+	r := s.requests[requestID]
+	if r == nil || r.holder != holder {
+		return
+	}
+	s.refund(r)
+	s.forgetRequest(r)
+}
+
+// refund gives the charge of a grant back.
+func (s *Scheduler) refund(r *request) {
+	if r.engine == nil {
+		return
+	}
+	r.account.charge(-r.charged)
+	r.charged = 0
+}
+
+// Release ends a grant. A grant that was returned unused goes back to the queue at its old place. A release for
+// a grant that this scheduler never made only feeds the observations.
+func (s *Scheduler) Release(now time.Time, holder string, release *protocol.Release) {
+	s.at(now)
+	r := s.requests[release.GetRequestId()]
+	if r == nil || r.engine == nil || r.holder != holder || r.engine.info.Name != release.GetEngine() {
+		return
+	}
+	switch release.GetKind() {
+	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+		s.refund(r)
+		s.engines.end(r, s.engines.now)
+		s.enqueue(r)
+	default:
+		s.settle(r, release)
+		s.forgetRequest(r)
+	}
+}
+
+// settle corrects the charge of a grant to the work that was done: uncached prompt and output tokens.
+func (s *Scheduler) settle(r *request, release *protocol.Release) {
+	prompt := float64(release.GetPromptTokens()) - float64(release.GetCachedTokens())
+	done := max(1, max(0, prompt)+float64(release.GetOutputTokens()))
+	r.account.charge(done - r.charged)
+}
+
+// DropHolder frees the tickets and grants of a holder that died.
+func (s *Scheduler) DropHolder(now time.Time, holder string) {
+	s.at(now)
+	for _, r := range s.holders[holder] {
+		s.forgetRequest(r)
+	}
+}
