Use the catalogue's own types in the administration API; align scheduling settings

Cause: the catalogue and the scheduler now exist; second copies of their error types, history rows and defaults would drift apart. Change: administrator works on the interface that *cataloguer.Cataloguer has. Seen failing with these mutations: unknown outcome answered as unavailable, check-only applied, time or text of the catalogue left out, a policy that is no plug-in, another default than the scheduler's, retry bounds not compared.

--- a/internal/administrator/server.go
+++ b/internal/administrator/server.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 
+	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -31,12 +32,12 @@
 
 // GetCatalogue returns the newest revision that this router knows.
 func (s *Server) GetCatalogue(context.Context, *protocol.GetCatalogueRequest) (*protocol.GetCatalogueResponse, error) {
-	current, err := s.catalogue.Current()
+	current := s.catalogue.Current()
+	text, err := current.Marshal()
 	if err != nil {
 		return nil, coded(err)
 	}
-	return &protocol.GetCatalogueResponse{
-		Revision: current.Revision, Offset: current.Offset, Yaml: string(current.YAML)}, nil
+	return &protocol.GetCatalogueResponse{Revision: current.Revision, Offset: current.Offset, Yaml: string(text)}, nil
 }
 
 // ApplyCatalogue replaces the catalogue, or only checks the new one.
@@ -45,10 +46,10 @@
 		return nil, coded(&MissingEditorError{})
 	}
 	text := []byte(request.Yaml)
-	if err := s.catalogue.Validate(text); err != nil {
-		return nil, coded(err)
-	}
 	if request.ValidateOnly {
+		if _, err := cataloguer.Parse(text); err != nil {
+			return nil, coded(err)
+		}
 		return &protocol.ApplyCatalogueResponse{}, nil
 	}
 	revision, offset, err := s.catalogue.Apply(ctx, request.BaseRevision, request.Editor, text)
@@ -68,7 +69,7 @@
 	for _, row := range s.catalogue.History(limit) {
 		response.Entries = append(response.Entries, &protocol.HistoryEntry{
 			Revision: row.Revision, Offset: row.Offset, Editor: row.Editor, Accepted: row.Accepted,
-			Reason: row.Reason, AppliedUnixMs: row.Applied.UnixMilli(),
+			Reason: row.Reason, AppliedUnixMs: row.AppliedUnixMS,
 		})
 	}
 	return response, nil
--- a/internal/administrator/server_test.go
+++ b/internal/administrator/server_test.go
@@ -6,30 +6,30 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/dumper"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/protocol/protocolconnect"
 )
 
+var _ Catalogue = (*cataloguer.Cataloguer)(nil)
+
 // fakeCatalogue answers Apply with a fixed error, or accepts the edit.
 type fakeCatalogue struct {
 	failure  error
-	invalid  error
 	applied  int
 	gotLimit int
 }
 
-func (f *fakeCatalogue) Current() (Snapshot, error) {
-	return Snapshot{Revision: 7, Offset: 70, YAML: []byte("revision: 7\n")}, nil
+func (f *fakeCatalogue) Current() *cataloguer.Catalogue {
+	return &cataloguer.Catalogue{Revision: 7, Offset: 70, Workspaces: []cataloguer.Workspace{{Name: "forge", Weight: 2}}}
 }
-func (f *fakeCatalogue) Validate([]byte) error { return f.invalid }
 func (f *fakeCatalogue) Apply(_ context.Context, base uint64, _ string, _ []byte) (uint64, int64, error) {
 	if f.failure != nil {
 		return 0, 0, f.failure
@@ -37,9 +37,9 @@
 	f.applied++
 	return base + 1, 71, nil
 }
-func (f *fakeCatalogue) History(limit int) []HistoryRow {
+func (f *fakeCatalogue) History(limit int) []cataloguer.HistoryEntry {
 	f.gotLimit = limit
-	return []HistoryRow{{Revision: 7, Offset: 70, Editor: "ana", Accepted: true, Applied: time.UnixMilli(1234)}}
+	return []cataloguer.HistoryEntry{{Revision: 7, Offset: 70, Editor: "ana", Accepted: true, AppliedUnixMS: 1234}}
 }
 
 type fakeDrainer struct{ calls int }
@@ -66,12 +66,12 @@
 		failure error
 		want    connect.Code
 	}{
-		{"conflict", &ConflictError{Base: 6, Current: 7}, connect.CodeAborted},
-		{"invalid", &ValidationError{Problems: []string{"no pool"}}, connect.CodeInvalidArgument},
+		{"conflict", &cataloguer.ConflictError{Base: 6, Current: 7}, connect.CodeAborted},
+		{"invalid", cataloguer.ValidationErrors{{Reason: "no pool"}}, connect.CodeInvalidArgument},
 		{"log down", &kernel.LogUnavailableError{Operation: "append"}, connect.CodeUnavailable},
 		{"over the rate", &kernel.RateLimitedError{Operation: "append"}, connect.CodeUnavailable},
 		{"append answer lost", &kernel.AppendUnknownError{Stream: "catalogue"}, connect.CodeUnknown},
-		{"unknown over unavailable", &OutcomeUnknownError{Cause: &kernel.LogUnavailableError{}}, connect.CodeUnknown},
+		{"unknown over unavailable", &cataloguer.OutcomeUnknownError{Cause: &kernel.LogUnavailableError{}}, connect.CodeUnknown},
 		{"deadline", context.DeadlineExceeded, connect.CodeUnknown},
 		{"other", io.ErrUnexpectedEOF, connect.CodeInternal},
 	}
@@ -82,27 +82,28 @@
 	}
 }
 
-// TestApply guards against edits that are applied although they are invalid, only to be checked, or anonymous.
+// TestApply guards against edits that are applied although they are only to be checked, or anonymous.
 func TestApply(t *testing.T) {
-	invalid := &ValidationError{Problems: []string{"no pool"}}
 	cases := []struct {
 		name    string
 		request *protocol.ApplyCatalogueRequest
-		invalid error
 		applied int
 		failed  bool
 	}{
-		{"accepted", &protocol.ApplyCatalogueRequest{BaseRevision: 7, Editor: "ana"}, nil, 1, false},
-		{"check only", &protocol.ApplyCatalogueRequest{BaseRevision: 7, Editor: "ana", ValidateOnly: true}, nil, 0, false},
-		{"invalid", &protocol.ApplyCatalogueRequest{BaseRevision: 7, Editor: "ana"}, invalid, 0, true},
-		{"anonymous", &protocol.ApplyCatalogueRequest{BaseRevision: 7}, nil, 0, true},
+		{"accepted", &protocol.ApplyCatalogueRequest{BaseRevision: 7, Editor: "ana"}, 1, false},
+		{"check only", &protocol.ApplyCatalogueRequest{BaseRevision: 7, Editor: "ana", ValidateOnly: true}, 0, false},
+		{"check invalid", &protocol.ApplyCatalogueRequest{Editor: "ana", ValidateOnly: true, Yaml: "wroks: []"}, 0, true},
+		{"anonymous", &protocol.ApplyCatalogueRequest{BaseRevision: 7}, 0, true},
 	}
 	for _, c := range cases {
-		catalogue := &fakeCatalogue{invalid: c.invalid}
+		catalogue := &fakeCatalogue{}
 		client, _ := serve(t, catalogue, &fakeDrainer{})
 		answer, err := client.ApplyCatalogue(t.Context(), c.request)
 		assert.Equal(t, err != nil, c.failed, c.name)
 		assert.Equal(t, catalogue.applied, c.applied, c.name)
+		if c.failed {
+			assert.Equal(t, connect.CodeOf(err), connect.CodeInvalidArgument, c.name)
+		}
 		if c.applied > 0 {
 			assert.Equal(t, answer.Revision, uint64(8))
 			assert.Equal(t, answer.Offset, int64(71))
@@ -118,7 +119,10 @@
 	current, err := client.GetCatalogue(t.Context(), &protocol.GetCatalogueRequest{})
 	assert.NilError(t, err)
 	assert.Equal(t, current.Revision, uint64(7))
-	assert.Equal(t, current.Yaml, "revision: 7\n")
+	assert.Equal(t, current.Offset, int64(70))
+	decoded, err := cataloguer.Parse([]byte(current.Yaml))
+	assert.NilError(t, err)
+	assert.Equal(t, decoded.Workspaces[0].Name, "forge")
 
 	for asked, want := range map[uint32]int{0: defaultHistoryRows, 5: 5, 1 << 31: maxHistoryRows} {
 		history, err := client.History(t.Context(), &protocol.HistoryRequest{Limit: asked})
--- /dev/null
+++ b/internal/loader/policies_test.go
@@ -0,0 +1,28 @@
+package loader_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/loader"
+	"coltsfootplank/internal/scheduler"
+)
+
+// TestPolicies guards against defaults that name no plug-in, or that differ from those that the scheduler was
+// measured with.
+func TestPolicies(t *testing.T) {
+	settings, want := loader.Defaults().Scheduling, scheduler.DefaultSettings()
+	_, err := scheduler.Orders.Lookup(settings.QueuePolicy)
+	assert.NilError(t, err)
+	_, err = scheduler.EngineChoices.Lookup(settings.EnginePolicy)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, scheduler.Settings{
+		OrderPolicy: settings.QueuePolicy, EngineChoice: settings.EnginePolicy, Seed: want.Seed,
+		MaxQueue: settings.MaxQueue, LongTokens: settings.LongTokens, LongShare: settings.LongShare,
+		UrgentReserve: settings.UrgentReserve, UrgentTier: settings.UrgentTier, TokenRoom: settings.TokenRoom,
+		DefaultPrefillPerSec: settings.DefaultPrefillPerSecond, DefaultTokensPerSec: settings.DefaultTokensPerSecond,
+		DefaultOutputTokens: settings.DefaultOutputTokens,
+		RetryAfterMin:       settings.RetryAfterMin, RetryAfterMax: settings.RetryAfterMax,
+	}, want)
+}
--- a/internal/loader/settings_test.go
+++ b/internal/loader/settings_test.go
@@ -44,6 +44,7 @@
 		{"duplicate key", "name: r2\n", "r.yaml:8", new(*SyntaxError)},
 		{"broken text", "log: {level\n", "r.yaml:8", new(*SyntaxError)},
 		{"timeout below two heartbeats", "scheduling:\n  stream_timeout: 300ms\n", "r.yaml:9: scheduling.stream_timeout: must be", new(*ConflictError)},
+		{"retry bounds", "scheduling: {retry_after_min: 2s, retry_after_max: 1s}\n", "r.yaml:8: scheduling.retry_after_max", new(*ConflictError)},
 		{"republish too late", "catalogue: {republish_after: 13h}\n", "r.yaml:8: catalogue.republish_after", new(*ConflictError)},
 		{"probe timeout too long", "membership: {probe_timeout: 1s}\n", "r.yaml:8: membership.probe_timeout", new(*ConflictError)},
 		{"key without certificate", "tls:\n  admin:\n    key_file: k.pem\n", "r.yaml:10: tls.admin.key_file", new(*ConflictError)},
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -28,8 +28,22 @@
 	LongTokens int `yaml:"long_tokens" unit:"tokens" min:"1" max:"1000000" help:"expected output above which work counts as long"`
 	// LongShare bounds the slots of an engine for long work, so that short work always finds one.
 	LongShare float64 `yaml:"long_share" unit:"share of 1" min:"0.05" max:"1" help:"share of an engine's slots that long work may take"`
-	// TokenRoom bounds the tokens in flight on an engine for which the catalogue states no kv_tokens.
-	TokenRoom int `yaml:"token_room" unit:"tokens" min:"1000" max:"100000000" help:"tokens in flight on an engine without kv_tokens in the catalogue"`
+	// UrgentReserve is the share of an engine's slots that less urgent tiers leave free.
+	UrgentReserve float64 `yaml:"urgent_reserve" unit:"share of 1" min:"0" max:"0.9" help:"share of an engine's slots that tiers below urgent_tier leave free"`
+	// UrgentTier is the last tier that may use the reserved slots.
+	UrgentTier int `yaml:"urgent_tier" unit:"tier" min:"0" max:"3" help:"last tier that may use the reserved slots"`
+	// TokenRoom bounds the tokens in flight on an engine, so that its cache is not thrown out by running work.
+	TokenRoom float64 `yaml:"token_room" unit:"share of 1" min:"0.05" max:"1" help:"share of an engine's kv_tokens that requests in flight may fill"`
+	// DefaultPrefillPerSecond stands in for engines without a speed in the catalogue.
+	DefaultPrefillPerSecond float64 `yaml:"default_prefill_per_second" unit:"tokens per second" min:"1" max:"10000000" help:"prefill speed of an engine that the catalogue states none for"`
+	// DefaultTokensPerSecond stands in for engines without a speed in the catalogue.
+	DefaultTokensPerSecond float64 `yaml:"default_tokens_per_second" unit:"tokens per second" min:"0.1" max:"100000" help:"output speed of one stream on an engine that the catalogue states none for"`
+	// DefaultOutputTokens stands in for work without an expected length.
+	DefaultOutputTokens int `yaml:"default_output_tokens" unit:"tokens" min:"1" max:"1000000" help:"expected output of work that the catalogue states none for"`
+	// RetryAfterMin and RetryAfterMax bound the Retry-After of refusals.
+	RetryAfterMin time.Duration `yaml:"retry_after_min" unit:"duration" min:"10ms" max:"1m" help:"shortest Retry-After of a refusal"`
+	// RetryAfterMax is the upper bound.
+	RetryAfterMax time.Duration `yaml:"retry_after_max" unit:"duration" min:"100ms" max:"1h" help:"longest Retry-After of a refusal; at least retry_after_min"`
 	// StragglerRatio is the share of its own usual speed below which an engine is excluded.
 	StragglerRatio float64 `yaml:"straggler_ratio" unit:"share of 1" min:"0.05" max:"0.95" help:"share of its usual speed below which an engine is excluded"`
 	// StragglerCap bounds the engines of a pool that are excluded as slow at once.
@@ -43,9 +57,9 @@
 	// RetryBudget is the share of a workspace's requests that may be retries.
 	RetryBudget float64 `yaml:"retry_budget" unit:"share of 1" min:"0" max:"1" help:"share of a workspace's requests that may be retries"`
 	// QueuePolicy is the plug-in that orders queued tickets.
-	QueuePolicy string `yaml:"queue_policy" format:"name" required:"true" help:"plug-in that orders queued tickets"`
+	QueuePolicy string `yaml:"queue_policy" format:"name" required:"true" help:"plug-in that orders queued tickets: tier_fair or fifo"`
 	// EnginePolicy is the plug-in that chooses the engine of a grant.
-	EnginePolicy string `yaml:"engine_policy" format:"name" required:"true" help:"plug-in that chooses the engine of a grant"`
+	EnginePolicy string `yaml:"engine_policy" format:"name" required:"true" help:"plug-in that chooses the engine of a grant: expected_first_token, least_loaded or random"`
 }
 
 // Claims tunes the handling of requests with an idempotency key.
