--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -18,6 +18,7 @@
 			VMListInterval: 2 * time.Second,
 		},
 		Scheduling: Scheduling{
+<<<<<<< HEAD
 			HeartbeatInterval: 200 * time.Millisecond,
 			StreamTimeout:     500 * time.Millisecond,
 			CellEngines:       64,
@@ -33,6 +34,30 @@
 			RetryBudget:       0.2,
 			QueuePolicy:       "tier_fair",
 			EnginePolicy:      "expected_first_token",
+=======
+			HeartbeatInterval:       200 * time.Millisecond,
+			StreamTimeout:           500 * time.Millisecond,
+			CellEngines:             64,
+			MaxQueue:                2000,
+			LongTokens:              512,
+			LongShare:               0.5,
+			UrgentReserve:           0.125,
+			UrgentTier:              1,
+			TokenRoom:               0.9,
+			DefaultPrefillPerSecond: 4000,
+			DefaultTokensPerSecond:  40,
+			DefaultOutputTokens:     128,
+			RetryAfterMin:           200 * time.Millisecond,
+			RetryAfterMax:           60 * time.Second,
+			StragglerRatio:          0.5,
+			StragglerCap:            0.25,
+			LoadInterval:            250 * time.Millisecond,
+			CacheInterval:           500 * time.Millisecond,
+			PoisonRetention:         10 * time.Minute,
+			RetryBudget:             0.2,
+			QueuePolicy:             "tier_fair",
+			EnginePolicy:            "expected_first_token",
+>>>>>>> tools
 		},
 		Claims: Claims{
 			Retention:      24 * time.Hour,
