Spread the first catalogue revision between members

Cause: the state dump of a trial with three routers showed revision 0 for the other members for 27 s. The record of the first revision has offset 0, and a row was only taken over for a higher offset. Change: a row is taken over for a higher offset or a higher revision.

--- a/internal/detector/table.go
+++ b/internal/detector/table.go
@@ -118,10 +118,12 @@
 	return row.GetState() > known.GetState()
 }
 
-// mergeCatalogue takes over a later catalogue offset of an otherwise known row. It isn't spread further: each
+// mergeCatalogue takes over a later catalogue revision or offset of an otherwise known row. It isn't spread further: each
 // router tells its own offset on every probe.
 func (t *table) mergeCatalogue(known *record, row *protocol.Member) {
-	if row.GetCatalogueOffset() <= known.member.GetCatalogueOffset() {
+	// The first record of the log has offset 0, so the offset alone doesn't show the first revision.
+	if row.GetCatalogueOffset() <= known.member.GetCatalogueOffset() &&
+		row.GetCatalogueRevision() <= known.member.GetCatalogueRevision() {
 		return
 	}
 	member := proto.CloneOf(known.member)
