--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"testing"
@@ -93,7 +94,8 @@
 	if len(f.errs) > 0 {
 		err := f.errs[0]
 		f.errs = f.errs[1:]
-		if _, unsent := err.(*kernel.NotSentError); !unsent {
+		var notSent *kernel.NotSentError
+		if !errors.As(err, &notSent) {
 			f.runs++
 		}
 		return kernel.ServiceResponse{}, err
--- a/internal/holder/refusal.go
+++ b/internal/holder/refusal.go
@@ -48,6 +48,7 @@
 	RetryAfter time.Duration
 }
 
-func (r *Refusal) Error() string {
+// String returns the refusal for logs.
+func (r *Refusal) String() string {
 	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Message)
 }
--- /dev/null
+++ b/router/internal/assembler/errors.go
@@ -0,0 +1,24 @@
+package assembler
+
+import (
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of the errors of starting and stopping a router.
+var Error = errs.Class("router")
+
+// ListenError reports an address that could not be bound.
+type ListenError struct {
+	Listener string
+	Address  string
+	Cause    error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listen for %s on %s: %v", e.Listener, e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/router/internal/assembler/listeners.go
@@ -0,0 +1,79 @@
+package assembler
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootplank/internal/loader"
+)
+
+const (
+	// readHeaderTimeout bounds how long a caller may take to send the headers.
+	readHeaderTimeout = 10 * time.Second
+	// shutdownTimeout bounds the wait for idle connections at the end of a planned stop.
+	shutdownTimeout = 5 * time.Second
+)
+
+// listeners are the bound addresses of a router.
+type listeners struct {
+	Callers net.Listener
+	Peers   net.Listener
+	Admin   net.Listener
+}
+
+// listen binds all addresses, so that a taken port stops the router at start.
+func listen(settings *loader.Settings, closers *cleanups) (listeners, error) {
+	var result listeners
+	for _, l := range []struct {
+		name    string
+		address string
+		target  *net.Listener
+	}{
+		{"callers", settings.Callers.Listen, &result.Callers},
+		{"peers", settings.Peers.Listen, &result.Peers},
+		{"operators", settings.Admin.Listen, &result.Admin},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return result, &ListenError{Listener: l.name, Address: l.address, Cause: err}
+		}
+		// Closing a listener that its server has closed already fails harmlessly.
+		closers.add(func() { _ = listener.Close() })
+		*l.target = listener
+	}
+	return result, nil
+}
+
+// serveHTTP serves until ctx ends and then lets open connections finish.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, config *tls.Config, maxHeaderBytes int) error {
+	server := &http.Server{
+		Handler: handler, TLSConfig: config, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		serve := server.Serve
+		if config != nil {
+			serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+		}
+		if err := serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return Error.Wrap(err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-groupCtx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(stop); err != nil {
+			return Error.Wrap(server.Close())
+		}
+		return nil
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/router/internal/assembler/platform.go
@@ -0,0 +1,65 @@
+package assembler
+
+import (
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/loader"
+)
+
+// platform holds the clients of the platform's services. VMList and Weights are nil if the settings name none.
+type platform struct {
+	Log     kernel.LogProtocol
+	VMList  kernel.VMListProtocol
+	Weights kernel.WeightStoreProtocol
+}
+
+// cleanups collects clean-up functions and runs them in reverse order.
+type cleanups []func()
+
+func (c *cleanups) add(f func()) { *c = append(*c, f) }
+
+func (c *cleanups) run() {
+	for i := len(*c) - 1; i >= 0; i-- {
+		(*c)[i]()
+	}
+	*c = nil
+}
+
+// newPlatform makes the clients named in the settings.
+func newPlatform(settings loader.Platform, closers *cleanups) (platform, error) {
+	var result platform
+	logFactory, err := kernel.Logs.Lookup(settings.Log.Protocol)
+	if err != nil {
+		return result, err
+	}
+	log, closeLog, err := logFactory(settings.Log.Address)
+	if err != nil {
+		return result, err
+	}
+	closers.add(closeLog)
+	result.Log = log
+	if settings.VMList.Address != "" {
+		factory, err := kernel.VMLists.Lookup(settings.VMList.Protocol)
+		if err != nil {
+			return result, err
+		}
+		list, closeList, err := factory(settings.VMList.Address)
+		if err != nil {
+			return result, err
+		}
+		closers.add(closeList)
+		result.VMList = list
+	}
+	if settings.WeightStore.Address != "" {
+		factory, err := kernel.WeightStores.Lookup(settings.WeightStore.Protocol)
+		if err != nil {
+			return result, err
+		}
+		store, closeStore, err := factory(settings.WeightStore.Address)
+		if err != nil {
+			return result, err
+		}
+		closers.add(closeStore)
+		result.Weights = store
+	}
+	return result, nil
+}
--- /dev/null
+++ b/router/internal/assembler/schedulers.go
@@ -0,0 +1,65 @@
+package assembler
+
+import (
+	"time"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/loader"
+	"coltsfootplank/internal/runner"
+	"coltsfootplank/internal/scheduler"
+)
+
+// schedulerFactory makes the schedulers of the pools from the router's settings.
+func schedulerFactory(settings loader.Scheduling) runner.Factory {
+	return func(pool cataloguer.Pool, now time.Time) runner.Scheduler {
+		return &hosted{Scheduler: scheduler.New(pool.Name, schedulerSettings(settings, pool), now)}
+	}
+}
+
+func schedulerSettings(settings loader.Scheduling, pool cataloguer.Pool) scheduler.Settings {
+	result := scheduler.DefaultSettings()
+	result.OrderPolicy = settings.QueuePolicy
+	result.EngineChoice = settings.EnginePolicy
+	result.MaxQueue = settings.MaxQueue
+	if pool.MaxQueue > 0 {
+		result.MaxQueue = pool.MaxQueue
+	}
+	result.LongTokens = settings.LongTokens
+	result.LongShare = settings.LongShare
+	result.UrgentReserve = settings.UrgentReserve
+	result.UrgentTier = settings.UrgentTier
+	result.TokenRoom = settings.TokenRoom
+	result.DefaultPrefillPerSec = float64(settings.DefaultPrefillPerSecond)
+	result.DefaultTokensPerSec = float64(settings.DefaultTokensPerSecond)
+	result.DefaultOutputTokens = settings.DefaultOutputTokens
+	result.RetryAfterMin = settings.RetryAfterMin
+	result.RetryAfterMax = settings.RetryAfterMax
+	return result
+}
+
+// hosted adapts a scheduler to the types of the runner.
+type hosted struct {
+	*scheduler.Scheduler
+}
+
+// SetEngines passes on the engines of the cell.
+func (h *hosted) SetEngines(now time.Time, engines []runner.EngineInfo) {
+	infos := make([]scheduler.EngineInfo, 0, len(engines))
+	for _, engine := range engines {
+		infos = append(infos, scheduler.EngineInfo(engine))
+	}
+	h.Scheduler.SetEngines(now, infos)
+}
+
+// Step passes on the decisions of the scheduler.
+func (h *hosted) Step(now time.Time) []runner.Decision {
+	decisions := h.Scheduler.Step(now)
+	result := make([]runner.Decision, 0, len(decisions))
+	for _, decision := range decisions {
+		result = append(result, runner.Decision(decision))
+	}
+	return result
+}
+
+// Dump returns the state of the scheduler.
+func (h *hosted) Dump() any { return h.Scheduler.Dump() }
--- /dev/null
+++ b/router/internal/commander/commander.go
@@ -0,0 +1,112 @@
+// Package commander is the command line of the router.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"coltsfootplank/internal/loader"
+	"coltsfootplank/router/internal/assembler"
+)
+
+// Exit codes of the command.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// arguments are the commands and options.
+type arguments struct {
+	Serve serveCommand `cmd:"" help:"Run the daemon until SIGTERM, then stop gracefully."`
+	Check checkCommand `cmd:"" help:"Check a settings file and exit."`
+}
+
+type serveCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"YAML settings file."`
+}
+
+type checkCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"YAML settings file."`
+}
+
+const description = `Entry daemon of coltsfootplank.
+
+Exit codes: 0 planned stop with every accepted request finished; 1 failure; 2 wrong usage or settings.
+SIGTERM and SIGINT start a planned stop.`
+
+// Run runs the command and returns its exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var parsed arguments
+	code := exitOK
+	exited := false
+	parser, err := kong.New(&parsed, kong.Name("router"), kong.Description(description),
+		kong.Writers(stdout, stderr), kong.Exit(func(int) { exited = true }))
+	if err != nil {
+		report(stderr, err)
+		return exitFailure
+	}
+	parsedArgs, err := parser.Parse(args)
+	if exited {
+		return code
+	}
+	if err != nil {
+		report(stderr, err)
+		return exitUsage
+	}
+	switch parsedArgs.Command() {
+	case "check":
+		return check(parsed.Check.Settings, stdout, stderr)
+	default:
+		return serve(parsed.Serve.Settings, stderr)
+	}
+}
+
+func check(file string, stdout, stderr io.Writer) int {
+	settings, code := load(file, stderr)
+	if settings == nil {
+		return code
+	}
+	// An error writing to the terminal leaves nothing to report to.
+	_, _ = fmt.Fprintf(stdout, "%s: settings of router %q are valid\n", file, settings.Name)
+	return exitOK
+}
+
+func load(file string, stderr io.Writer) (*loader.Settings, int) {
+	settings, err := loader.Load(file)
+	if err != nil {
+		report(stderr, err)
+		return nil, exitUsage
+	}
+	return settings, exitOK
+}
+
+func serve(file string, stderr io.Writer) int {
+	settings, code := load(file, stderr)
+	if settings == nil {
+		return code
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	router, cleanup, err := assembler.New(settings)
+	if err != nil {
+		report(stderr, err)
+		return exitFailure
+	}
+	defer cleanup()
+	if err := router.Run(ctx); err != nil {
+		report(stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func report(stderr io.Writer, err error) {
+	// An error writing to the terminal leaves nothing to report to.
+	_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
+}
--- a/router/main.go
+++ b/router/main.go
@@ -1,4 +1,13 @@
-// Command router is part of coltsfootplank.
+// Command router is the daemon of an entry VM: it takes callers' requests, schedules them with its peers, and
+// dispatches each at most once.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"coltsfootplank/router/internal/commander"
+)
+
+func main() {
+	os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
