scheduler: enforce limits and retry budgets, add jitter to Retry-After

Cause: limits for an entry and workspace must hold without holding up other work, and refused callers must not return together or without bound. Change: a lane whose limit is reached is parked until a release or until tokens come in; its tickets are refused limit_exceeded after limit_wait. Submissions that repeat a refused or failed fingerprint draw on the workspace's retry budget; resent tickets don't. Retry-After is the drain time of the queue with jitter from the seeded source.

--- a/internal/scheduler/decision.go
+++ b/internal/scheduler/decision.go
@@ -34,6 +34,7 @@
 		RetryAfterMs: retryAfter.Milliseconds(),
 		Attempt:      r.ticket.GetAttempt(),
 	}})
+	s.retries.Failed(s.engines.now, r.ticket.GetFingerprint())
 	s.forgetRequest(r)
 }
 
@@ -51,9 +52,13 @@
 // refused callers don't return together.
 func (s *Scheduler) retryAfter(bucket int) time.Duration {
 	drain := s.drainSeconds(bucket)
-	jittered := time.Duration(drain * (0.5 + s.random.Float64()) * float64(time.Second))
-	base := min(max(jittered, s.settings.RetryAfterMin), s.settings.RetryAfterMax)
-	return base + time.Duration(s.random.Float64()*float64(s.settings.RetryAfterMin))
+	return s.jitter(seconds(drain))
+}
+
+// jitter spreads a wait over half to one and a half of it, within the bounds of the settings.
+func (s *Scheduler) jitter(wait time.Duration) time.Duration {
+	wait = min(max(wait, s.settings.RetryAfterMin), s.settings.RetryAfterMax)
+	return time.Duration(float64(wait) * (0.5 + s.random.Float64()))
 }
 
 // drainSeconds is the slot time queued in a bucket and those before it, divided by the slots.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "math"
+import (
+	"math"
+	"time"
+
+	"coltsfootplank/internal/limiter"
+)
 
 // bucket holds the queued tickets of one tier (of all tiers under the fifo order).
 type bucket struct {
@@ -52,10 +57,16 @@
 
 // lane is a queue in order of arrival. A parked lane waits for a limit.
 type lane struct {
-	flow   *flow
-	work   string
-	queue  *indexedHeap[*request]
-	parked bool
+	flow  *flow
+	work  string
+	queue *indexedHeap[*request]
+	// parkPos is the position among the parked lanes, -1 if the lane isn't parked; verdict says which limit holds
+	// it up, wakeAt when to look at it without a release.
+	parkPos      int
+	verdict      limiter.Verdict
+	wakeAt       time.Time
+	limitedSince time.Time
+	unparkedAt   time.Time
 }
 
 func newBucket(policy OrderPolicy) *bucket {
@@ -86,7 +97,7 @@
 func (f *flow) oldest() *request {
 	var first *request
 	for _, l := range f.lanes {
-		if l.parked {
+		if l.parkPos >= 0 {
 			continue
 		}
 		if r, ok := l.queue.top(); ok && (first == nil || older(r, first)) {
@@ -101,7 +112,7 @@
 	f := a.flows[r.class]
 	l := f.lanes[r.ticket.GetWork()]
 	if l == nil {
-		l = &lane{flow: f, work: r.ticket.GetWork()}
+		l = &lane{flow: f, work: r.ticket.GetWork(), parkPos: -1}
 		l.queue = newIndexedHeap(older, func(r *request) *int { return &r.laneIndex })
 		f.lanes[l.work] = l
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -49,6 +49,8 @@
 	engine    *engine
 	grantedAt time.Time
 	charged   float64
+	// done is the work in tokens that the release reported; the estimate until then.
+	done float64
 	// prefillWork and decodeWork are what the request added to its engine's work, in seconds.
 	prefillWork float64
 	decodeWork  float64
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/estimator"
+	"coltsfootplank/internal/limiter"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -29,6 +30,11 @@
 	// deadlines orders the queued tickets that have a deadline by their latest start.
 	deadlines *indexedHeap[*request]
 	lengths   *estimator.Lengths
+	limiter   *limiter.Limiter
+	retries   *limiter.Retries
+	// parked orders the lanes that wait for a limit by their next look.
+	parked     *indexedHeap[*lane]
+	limitShare float64
 
 	decisions []Decision
 	// dirty is set by every input, so that the next Step looks for grants.
@@ -49,12 +55,17 @@
 	}
 	s := &Scheduler{
 		pool: pool, settings: settings, order: order, choose: choose,
-		random:   rand.New(rand.NewPCG(settings.Seed, uint64(len(pool)))),
-		requests: make(map[string]*request), holders: make(map[string]map[string]*request),
+		limitShare: 1,
+		random:     rand.New(rand.NewPCG(settings.Seed, uint64(len(pool)))),
+		requests:   make(map[string]*request), holders: make(map[string]map[string]*request),
 		counters: Counters{Since: now, Refusals: make(map[string]int)},
 	}
 	s.engines = newEngineSet(&s.settings, s.random)
 	s.lengths = estimator.NewLengths()
+	s.limiter = limiter.New()
+	s.retries = limiter.NewRetries(settings.Retries)
+	s.parked = newIndexedHeap(func(a, b *lane) bool { return a.wakeAt.Before(b.wakeAt) },
+		func(l *lane) *int { return &l.parkPos })
 	s.deadlines = newIndexedHeap(func(a, b *request) bool { return a.latestStart.Before(b.latestStart) },
 		func(r *request) *int { return &r.deadlineIndex })
 	for range tiers {
@@ -96,6 +107,10 @@
 // SetWorks sets the kinds of work, which bring expected lengths and limits.
 func (s *Scheduler) SetWorks(works map[string]cataloguer.Work) {
 	s.works = works
+	for s.parked.len() > 0 {
+		l, _ := s.parked.top()
+		s.unpark(l)
+	}
 	s.dirty = true
 }
 
@@ -139,7 +154,11 @@
 
 // dequeue takes a queued request out of its queue.
 func (s *Scheduler) dequeue(r *request) {
+	l := r.lane
 	r.account.remove(r)
+	if l.queue.len() == 0 {
+		s.parked.remove(l)
+	}
 	r.lane = nil
 	s.deadlines.remove(r)
 	s.byTier[r.tier]--
@@ -163,7 +182,7 @@
 		s.dequeue(r)
 	}
 	if r.engine != nil {
-		s.engines.end(r, s.engines.now)
+		s.endGrant(r, s.engines.now)
 	}
 	s.engines.unreserve(r)
 	id := r.ticket.GetRequestId()
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"coltsfootplank/internal/limiter"
+)
 
 // Settings of one scheduler. Durations are in nanoseconds as usual in Go, shares are between 0 and 1.
 type Settings struct {
@@ -28,6 +32,10 @@
 	DefaultTokensPerSec  float64
 	// DefaultOutputTokens stands in for tickets and entries without an output estimate.
 	DefaultOutputTokens int
+	// LimitWait is how long a ticket may wait for a limit of its entry and workspace before it is refused.
+	LimitWait time.Duration
+	// Retries bounds the callers' retries of each workspace.
+	Retries limiter.RetrySettings
 	// RetryAfterMin and RetryAfterMax bound the Retry-After of refusals.
 	RetryAfterMin time.Duration
 	RetryAfterMax time.Duration
@@ -48,7 +56,11 @@
 		DefaultPrefillPerSec: 4000,
 		DefaultTokensPerSec:  40,
 		DefaultOutputTokens:  128,
-		RetryAfterMin:        200 * time.Millisecond,
-		RetryAfterMax:        60 * time.Second,
+		LimitWait:            10 * time.Second,
+		Retries: limiter.RetrySettings{
+			Ratio: 0.2, PerSecond: 0.5, Burst: 20, Memory: time.Minute, Entries: 4096,
+		},
+		RetryAfterMin: 200 * time.Millisecond,
+		RetryAfterMax: 60 * time.Second,
 	}
 }
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -13,6 +13,8 @@
 		s.engines.survey()
 	}
 	s.expire(now)
+	s.unparkDue(now)
+
 	s.fill(now)
 	s.shed()
 	s.dirty = false
@@ -26,10 +28,19 @@
 	if s.dirty || len(s.decisions) > 0 {
 		return now
 	}
+	var wake time.Time
+	sooner := func(at time.Time) {
+		if wake.IsZero() || at.Before(wake) {
+			wake = at
+		}
+	}
 	if r, ok := s.deadlines.top(); ok {
-		return r.latestStart
+		sooner(r.latestStart)
 	}
-	return time.Time{}
+	if l, ok := s.parked.top(); ok {
+		sooner(l.wakeAt)
+	}
+	return wake
 }
 
 // fill grants queued tickets, bucket by bucket, as long as engines have room.
@@ -56,6 +67,9 @@
 			break
 		}
 		r := f.first
+		if !s.withinLimits(r, now) {
+			continue
+		}
 		if e := s.choose(s.engines, r); e != nil {
 			if e = s.inTime(r, e, now); e != nil {
 				s.grant(r, e, now)
@@ -98,16 +112,18 @@
 	a := r.account
 	a.bucket.virtual = max(a.bucket.virtual, a.counter)
 	s.dequeue(r)
-	r.charged = r.cost()
+	r.charged, r.done = r.cost(), r.cost()
 	a.charge(r.charged)
 	s.engines.start(e, r, now)
+	s.startLimits(r, now)
 	s.grantDecision(r)
 }
 
 // shed refuses tickets while the queue is over its limit: from the lowest tier present, within it from the
 // workspace furthest over its share, and within that the newest.
 func (s *Scheduler) shed() {
-	for s.settings.MaxQueue > 0 && s.queued() > s.settings.MaxQueue {
+	limit := int(float64(s.settings.MaxQueue) * s.limitShare)
+	for s.settings.MaxQueue > 0 && s.queued() > limit {
 		for i := len(s.buckets) - 1; i >= 0; i-- {
 			if a, ok := s.buckets[i].surplus.top(); ok {
 				victim, _ := a.queued.top()
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -7,11 +7,13 @@
 )
 
 // Submit queues a ticket. A repeated request id replaces the ticket and keeps its age; if it is granted already,
-// the grant is sent again, since the holder still waits for it.
+// the grant is sent again, since the holder still waits for it. A ticket that reports an age was sent before, to
+// another scheduler, and is no caller's retry.
 func (s *Scheduler) Submit(now time.Time, holder string, ticket *protocol.Ticket) {
 	s.at(now)
 	since := now.Add(-time.Duration(max(0, ticket.GetAgeMs())) * time.Millisecond)
-	if old := s.requests[ticket.GetRequestId()]; old != nil {
+	old := s.requests[ticket.GetRequestId()]
+	if old != nil {
 		if old.engine != nil && old.engine.usable() && old.holder == holder {
 			old.ticket = ticket
 			s.grantDecision(old)
@@ -25,6 +27,12 @@
 	r := s.newRequest(now, holder, ticket)
 	r.since = since
 	s.remember(r)
+	workspace := ticket.GetWorkspace()
+	if old == nil && ticket.GetAgeMs() == 0 && !s.retries.Admit(now, workspace, ticket.GetFingerprint()) {
+		s.refuse(r, CodeRetryBudgetExceeded, "the workspace's retry budget is used up",
+			s.jitter(max(s.retries.Wait(workspace), s.retryAfter(r.bucket))))
+		return
+	}
 	if s.infeasible(r, now) {
 		s.refuse(r, CodeDeadlineInfeasible, "the queue ahead leaves no time for the run", s.retryAfter(r.bucket))
 		return
@@ -61,6 +69,9 @@
 	if r.declared == 0 && r.prompt > 0 {
 		r.declared = float64(s.settings.DefaultOutputTokens)
 	}
+	if limit := float64(work.Limits.MaxOutputTokens); limit > 0 {
+		r.declared = min(r.declared, limit)
+	}
 	r.output = s.lengths.Estimate(r.lengthKey(), r.declared)
 	r.class = classShort
 	if r.output > float64(s.settings.LongTokens) {
@@ -86,7 +97,13 @@
 		return
 	}
 	r.account.charge(-r.charged)
-	r.charged = 0
+	r.charged, r.done = 0, 0
+}
+
+// endGrant frees the engine and the limits of a granted request.
+func (s *Scheduler) endGrant(r *request, now time.Time) {
+	s.engines.end(r, now)
+	s.endLimits(r, now)
 }
 
 // Release ends a grant. A grant that was returned unused goes back to the queue at its old place. A release for
@@ -100,8 +117,12 @@
 	switch release.GetKind() {
 	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
 		s.refund(r)
-		s.engines.end(r, s.engines.now)
+		s.endGrant(r, now)
 		s.enqueue(r)
+	case protocol.ReleaseKind_RELEASE_KIND_FAILED, protocol.ReleaseKind_RELEASE_KIND_LOST:
+		s.retries.Failed(now, r.ticket.GetFingerprint())
+		s.settle(r, release)
+		s.forgetRequest(r)
 	default:
 		s.settle(r, release)
 		s.forgetRequest(r)
@@ -111,8 +132,8 @@
 // settle corrects the charge of a grant to the work that was done: uncached prompt and output tokens.
 func (s *Scheduler) settle(r *request, release *protocol.Release) {
 	prompt := float64(release.GetPromptTokens()) - float64(release.GetCachedTokens())
-	done := max(1, max(0, prompt)+float64(release.GetOutputTokens()))
-	r.account.charge(done - r.charged)
+	r.done = max(1, max(0, prompt)+float64(release.GetOutputTokens()))
+	r.account.charge(r.done - r.charged)
 }
 
 // DropHolder frees the tickets and grants of a holder that died.
