loadgen: read the stand-in's own counters, find foreign and repeated answers

Cause: the stand-in reports its prefill counters under totals and repeats request id and body hash in service answers; two runs with one seed sent equal bookings, which would count as repeats. Change: prefill counters from totals, with cached tokens; streams and bookings run twice in the report and as a bound (--max-twice); service answers are compared with the request id and the body sent; references differ between runs. Test: go test -race ./... passes in loadgen. Seen failing with these mutations: request id or body hash not compared, equal references in two runs, repeated bookings not counted, counters not relative, bound not checked, repeats left out of the report.

--- a/loadgen/internal/commander/commander_test.go
+++ b/loadgen/internal/commander/commander_test.go
@@ -9,12 +9,14 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
-const load = `routers: [%q]
+const load = `routers: [%[1]q]
+stats: [%[1]q]
 phases: [{duration: 200ms, rate: 100}]
 workspaces: [{name: forge, key: k, weight: 1}]
 works:
@@ -23,8 +25,14 @@
 `
 
 // router answers streams with 12 tokens; broken makes them end without an end mark.
+// Its control port counts one more stream run twice at each reading.
 func router(broken bool) http.HandlerFunc {
+	var readings atomic.Int64
 	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/control/stats" {
+			_, _ = fmt.Fprintf(w, `{"totals":{},"duplicate_streams":%d}`, readings.Add(1))
+			return
+		}
 		w.Header().Set("X-Request-Id", "r")
 		if r.Method == http.MethodGet {
 			_, _ = io.WriteString(w, `{"state":"ready"}`)
@@ -51,6 +59,7 @@
 		{"table", "run --max-lost 0 --min-goodput 1", false, exitSuccess, []string{"goodput", "100.0%", "lost 0"}},
 		{"json", "run --json", false, exitSuccess, []string{`"goodput": 1`}},
 		{"loss", "run --max-lost 0", true, exitBound, []string{"lost: tier 1 connection_lost"}},
+		{"run twice", "run --max-twice 0", false, exitBound, []string{"run twice 1"}},
 		{"loss allowed", "run", true, exitSuccess, []string{"connection_lost"}},
 		{"low goodput", "run --min-goodput 1", true, exitBound, []string{"goodput"}},
 		{"sample", "sample", false, exitSuccess, []string{"== brief (tier 1)", `"t0"`, "lines left out", "data: [DONE]", "== lookup", `{"state":"ready"}`}},
--- a/loadgen/internal/commander/run.go
+++ b/loadgen/internal/commander/run.go
@@ -10,6 +10,7 @@
 	Settings   string  `help:"Load settings file." required:""`
 	JSON       bool    `help:"Print the report as JSON instead of a table." name:"json"`
 	MaxLost    int     `help:"Exit with 3 if more accepted requests than this have no whole answer; -1 turns the check off." default:"-1"`
+	MaxTwice   int     `help:"Exit with 3 if the stand-ins ran more streams and bookings than this more than once; -1 turns the check off." default:"-1"`
 	MinGoodput float64 `help:"Exit with 3 if the share of good answers is below this (0 to 1)." default:"0"`
 }
 
@@ -31,6 +32,9 @@
 	if c.MaxLost >= 0 && report.Lost > c.MaxLost {
 		return &BoundError{What: "number of lost answers", Got: float64(report.Lost), Want: float64(c.MaxLost)}
 	}
+	if c.MaxTwice >= 0 && report.Duplicates > c.MaxTwice {
+		return &BoundError{What: "number of requests run twice", Got: float64(report.Duplicates), Want: float64(c.MaxTwice)}
+	}
 	if report.Total.Goodput < c.MinGoodput {
 		return &BoundError{What: "goodput", Got: report.Total.Goodput, Want: c.MinGoodput}
 	}
--- a/loadgen/internal/planner/plan.go
+++ b/loadgen/internal/planner/plan.go
@@ -18,7 +18,7 @@
 	// Prefix is the shared beginning of the prompt, Prompt the rest.
 	Prefix, Prompt string
 	OutputTokens   int
-	// Reference is unique in this load.
+	// Reference is unique in this plan.
 	Reference string
 }
 
--- a/loadgen/internal/reporter/report.go
+++ b/loadgen/internal/reporter/report.go
@@ -20,9 +20,11 @@
 	Tiers   []Tier `json:"tiers"`
 	Total   Tier   `json:"total"`
 	// Lost counts accepted requests without a whole answer.
-	Lost     int                 `json:"lost"`
-	Examples []Example           `json:"examples,omitempty"`
-	Prefill  *statreader.Prefill `json:"prefill,omitempty"`
+	Lost int `json:"lost"`
+	// Duplicates counts streams and bookings that the stand-ins ran more than once.
+	Duplicates int                 `json:"duplicates"`
+	Examples   []Example           `json:"examples,omitempty"`
+	Prefill    *statreader.Prefill `json:"prefill,omitempty"`
 }
 
 // Tier is the result of one tier. Goodput is the share of all requests of the tier that were answered whole and
--- a/loadgen/internal/reporter/report_test.go
+++ b/loadgen/internal/reporter/report_test.go
@@ -76,10 +76,11 @@
 func TestOutput(t *testing.T) {
 	c := collected()
 	report := c.Report(5, 2*time.Second)
-	report.Prefill = &statreader.Prefill{Tokens: 1000, Wasted: 50, Recomputed: 100}
+	report.Prefill = &statreader.Prefill{Computed: 1000, Wasted: 50, Recomputed: 100}
+	report.Duplicates = 7
 	var table, text strings.Builder
 	assert.NilError(t, report.WriteTable(&table))
-	for _, want := range []string{"goodput", "80.0%", "100.0/100.0/100.0", "lost 5", "not_run/overloaded 1",
+	for _, want := range []string{"goodput", "80.0%", "100.0/100.0/100.0", "lost 5", "run twice 7", "not_run/overloaded 1",
 		"wasted 50 (5.0%), computed again 100 (10.0%)", "request r-code_corrupt"} {
 		assert.Assert(t, strings.Contains(table.String(), want), "%q is missing in\n%s", want, table.String())
 	}
--- a/loadgen/internal/reporter/table.go
+++ b/loadgen/internal/reporter/table.go
@@ -59,15 +59,17 @@
 			t.Failed, t.Truncated, t.ConnectionLost, t.Corrupt, 100*t.Goodput, t.GoodputPerSecond, t.FirstTokenMS, t.GapMS, t.TotalMS)
 	}
 	_ = table.Flush()
-	fmt.Fprintf(&text, "seed %d, %.1f s, sent %d, skipped %d, lost %d, tokens %d\n", r.Seed, r.Seconds, r.Sent, r.Skipped, r.Lost, r.Total.Tokens)
+	fmt.Fprintf(&text, "seed %d, %.1f s, sent %d, skipped %d, lost %d, run twice %d, tokens %d\n", r.Seed, r.Seconds, r.Sent,
+		r.Skipped, r.Lost, r.Duplicates, r.Total.Tokens)
 	if len(r.Total.Codes) > 0 {
 		fmt.Fprintf(&text, "codes: %s\n", countsText(r.Total.Codes))
 	}
 	if r.Prefill == nil {
 		text.WriteString("prefill: not known\n")
 	} else {
-		fmt.Fprintf(&text, "prefill tokens: computed %d, wasted %d (%.1f%%), computed again %d (%.1f%%)\n", r.Prefill.Tokens,
-			r.Prefill.Wasted, r.Prefill.Percent(r.Prefill.Wasted), r.Prefill.Recomputed, r.Prefill.Percent(r.Prefill.Recomputed))
+		fmt.Fprintf(&text, "prefill tokens: computed %d, wasted %d (%.1f%%), computed again %d (%.1f%%), from cache %d\n",
+			r.Prefill.Computed, r.Prefill.Wasted, r.Prefill.Percent(r.Prefill.Wasted), r.Prefill.Recomputed,
+			r.Prefill.Percent(r.Prefill.Recomputed), r.Prefill.Cached)
 	}
 	for _, example := range r.Examples {
 		fmt.Fprintf(&text, "lost: tier %d %s %s request %s: %s\n", example.Tier, example.Outcome, example.Code, example.RequestID, example.Detail)
--- a/loadgen/internal/runner/runner.go
+++ b/loadgen/internal/runner/runner.go
@@ -35,7 +35,8 @@
 	if err != nil {
 		return report, err
 	}
-	report.Prefill = after.Since(before)
+	difference := after.Since(before)
+	report.Prefill, report.Duplicates = difference.Prefill, difference.Duplicates
 	return report, nil
 }
 
--- a/loadgen/internal/sender/answer.go
+++ b/loadgen/internal/sender/answer.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tmaxmax/go-sse"
 
 	"coltsfootplank/loadgen/internal/planner"
@@ -62,15 +63,28 @@
 	if request.Work.Kind == planner.KindStream {
 		return Result{Outcome: Corrupt, Detail: "the answer is not an event stream"}
 	}
-	// A service that repeats the caller's reference lets a mixed-up answer be noticed.
+	if detail := foreignAnswer(request, response, body); detail != "" {
+		return Result{Outcome: Corrupt, Detail: detail}
+	}
+	return Result{Outcome: Good}
+}
+
+// foreignAnswer says why a service's answer belongs to another request. Services that repeat neither the request
+// id nor the hash of the body can't be checked.
+func foreignAnswer(request planner.Request, response *http.Response, body []byte) string {
 	var echo struct {
-		Reference string `json:"reference"`
+		RequestID string `json:"request_id"`
+		BodyHash  string `json:"body_hash"`
 	}
-	sent := strings.Contains(request.Work.Body, "{reference}")
-	if json.Unmarshal(body, &echo) == nil && sent && echo.Reference != "" && echo.Reference != request.Reference {
-		return Result{Outcome: Corrupt, Detail: "answer to " + echo.Reference + " instead of " + request.Reference}
+	// An answer that isn't JSON repeats nothing.
+	_ = json.Unmarshal(body, &echo)
+	if id := response.Header.Get(requestIDHeader); echo.RequestID != "" && echo.RequestID != id {
+		return fmt.Sprintf("answer to request %q instead of %q", echo.RequestID, id)
 	}
-	return Result{Outcome: Good}
+	if hash := fmt.Sprintf("%016x", xxhash.Sum64(serviceBody(request))); echo.BodyHash != "" && echo.BodyHash != hash {
+		return fmt.Sprintf("answer to a body with hash %s instead of %s", echo.BodyHash, hash)
+	}
+	return ""
 }
 
 // result maps the routers' error body to an outcome.
--- a/loadgen/internal/sender/sender.go
+++ b/loadgen/internal/sender/sender.go
@@ -19,6 +19,8 @@
 
 // Sender sends requests. Its methods may be called concurrently.
 type Sender struct {
+	// run makes the references of two runs with one seed different; equal bodies would look like repeats.
+	run     string
 	routers []string
 	client  *http.Client
 	timeout time.Duration
@@ -27,7 +29,7 @@
 // New returns a sender for the routers' addresses, and a function that closes its connections.
 func New(routers []string, answerTimeout time.Duration) (*Sender, func()) {
 	transport := newTransport()
-	s := &Sender{routers: routers, client: &http.Client{Transport: transport}, timeout: answerTimeout}
+	s := &Sender{run: uuid.NewString(), routers: routers, client: &http.Client{Transport: transport}, timeout: answerTimeout}
 	return s, transport.CloseIdleConnections
 }
 
@@ -46,6 +48,7 @@
 func (s *Sender) SendRecorded(ctx context.Context, request planner.Request, arrival time.Time, transcript *Transcript) Result {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
+	request.Reference += "-" + s.run
 	response, refusal := s.open(ctx, request)
 	result := refusal
 	if response != nil {
@@ -131,8 +134,8 @@
 			return nil, err
 		}
 		body = encoded
-	} else if request.Work.Body != "" {
-		body = []byte(strings.ReplaceAll(request.Work.Body, "{reference}", request.Reference))
+	} else {
+		body = serviceBody(request)
 	}
 	var reader io.Reader
 	if len(body) > 0 {
@@ -156,6 +159,11 @@
 	return call, nil
 }
 
+// serviceBody returns the body of a service call.
+func serviceBody(request planner.Request) []byte {
+	return []byte(strings.ReplaceAll(request.Work.Body, "{reference}", request.Reference))
+}
+
 // outsideLimits reports whether a whole answer came too late. The gap limit is for the mean of one answer.
 func outsideLimits(work *planner.Work, result Result) bool {
 	over := func(value, limit time.Duration) bool { return limit > 0 && value > limit }
--- a/loadgen/internal/sender/sender_test.go
+++ b/loadgen/internal/sender/sender_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/loadgen/internal/planner"
@@ -103,17 +104,19 @@
 		{"refused stream", stream, 503, `{"error":{"outcome":"not_run","code":"overloaded"}}`, NotRun, "overloaded"},
 		{"unknown stream", stream, 502, `{"error":{"outcome":"unknown","code":"upstream_lost"}}`, Unknown, "upstream_lost"},
 		{"no stream", stream, 200, `{}`, Corrupt, ""},
-		{"booked", booking, 201, `{"reference":"ref-1"}`, Good, ""},
-		{"booked without echo", booking, 200, `{"ok":true}`, Good, ""},
-		{"other's booking", booking, 200, `{"reference":"ref-2"}`, Corrupt, ""},
+		{"booked", booking, 201, `{"request_id":"r","body_hash":"HASH"}`, Good, ""},
+		{"booked without echo", booking, 200, `ok`, Good, ""},
+		{"other's booking", booking, 200, `{"request_id":"q","body_hash":"HASH"}`, Corrupt, ""},
+		{"other's body", booking, 200, `{"request_id":"r","body_hash":"0123456789abcdef"}`, Corrupt, ""},
 		{"refused by the service", booking, 422, `bad`, Failed, "status_422"},
 		{"duplicate", booking, 409, `{"error":{"outcome":"unknown","code":"duplicate"}}`, Unknown, "duplicate"},
 	}
 	for _, c := range cases {
-		got := send(t, c.work, func(w http.ResponseWriter, _ *http.Request) {
+		got := send(t, c.work, func(w http.ResponseWriter, r *http.Request) {
+			received, _ := io.ReadAll(r.Body)
 			w.Header().Set(requestIDHeader, "r")
 			w.WriteHeader(c.status)
-			_, _ = fmt.Fprint(w, c.body)
+			_, _ = fmt.Fprint(w, strings.ReplaceAll(c.body, "HASH", fmt.Sprintf("%016x", xxhash.Sum64(received))))
 		})
 		assert.Equal(t, got.Outcome, c.want, "%s: %s", c.name, got.Detail)
 		assert.Equal(t, got.Code, c.code, c.name)
@@ -125,14 +128,20 @@
 // TestRequestFormat guards against requests that lack what the catalogue demands.
 func TestRequestFormat(t *testing.T) {
 	var got *http.Request
+	bodies := map[string]bool{}
 	work := &planner.Work{Kind: planner.KindUnary, Method: "POST", Path: "/v1/b?x=1", Body: "{reference}",
 		Key: planner.KeyUUIDv7, Deadline: 1500 * time.Millisecond}
-	send(t, work, func(_ http.ResponseWriter, r *http.Request) { got = r })
+	for range 2 {
+		send(t, work, func(_ http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			got, bodies[string(body)] = r, true
+		})
+	}
+	assert.Equal(t, len(bodies), 2, "two runs sent the same body")
 	assert.Equal(t, got.URL.String(), "/v1/b?x=1")
 	assert.Equal(t, got.Header.Get("Authorization"), "Bearer secret")
 	assert.Equal(t, got.Header.Get("X-Deadline-Ms"), "1500")
 	assert.Equal(t, got.Header.Get("Idempotency-Key")[14], byte('7'))
-	assert.Equal(t, got.ContentLength, int64(len("ref-1")))
 }
 
 // TestLimits guards against late answers counting as good.
--- a/loadgen/internal/statreader/stats.go
+++ b/loadgen/internal/statreader/stats.go
@@ -1,4 +1,4 @@
-// Package statreader reads the prefill counters of the platform stand-ins.
+// Package statreader reads the counters of the platform stand-ins.
 package statreader
 
 import (
@@ -12,16 +12,26 @@
 // readTimeout bounds one read, so that a silent stand-in can't hold up the report.
 const readTimeout = 5 * time.Second
 
-// Prefill counts prompt tokens. Wasted ones were computed and thrown away, recomputed ones were computed again
-// although they had been cached.
+// Stats are the counters of all stand-ins. Prefill is nil if there are no such counters.
+type Stats struct {
+	Prefill *Prefill
+	// Duplicates counts streams and bookings that ran more than once.
+	Duplicates int
+}
+
+// Prefill counts prompt tokens. Wasted ones were computed for streams that nobody received to the end,
+// recomputed ones had been computed before.
 type Prefill struct {
-	Tokens     int64 `json:"prefill_tokens"`
+	Computed   int64 `json:"prefill_tokens"`
 	Wasted     int64 `json:"wasted_prefill_tokens"`
 	Recomputed int64 `json:"recomputed_prefill_tokens"`
+	Cached     int64 `json:"cached_prefill_tokens"`
 }
 
 // Percent returns the share of the computed tokens in percent.
-func (p *Prefill) Percent(part int64) float64 { return 100 * float64(part) / float64(max(p.Tokens, 1)) }
+func (p *Prefill) Percent(part int64) float64 {
+	return 100 * float64(part) / float64(max(p.Computed, 1))
+}
 
 // StatsError reports counters that could not be read.
 type StatsError struct {
@@ -43,33 +53,59 @@
 
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
 
-// Read sums the counters of all stand-ins. It returns nil without an error if they have no prefill counters.
-func Read(ctx context.Context, addresses []string) (*Prefill, error) {
-	var sum Prefill
-	found := false
+// answer is the part of GET /control/stats that is used; all of it may be missing.
+type answer struct {
+	Totals *struct {
+		Computed   int64 `json:"prefill_computed"`
+		Wasted     int64 `json:"prefill_wasted"`
+		Recomputed int64 `json:"prefill_recomputed"`
+		Cached     int64 `json:"prefill_cached"`
+	} `json:"totals"`
+	DuplicateStreams int `json:"duplicate_streams"`
+	Desks            struct {
+		RequestIDs []string `json:"duplicate_request_ids"`
+		Bodies     []string `json:"duplicate_bodies"`
+	} `json:"desks"`
+}
+
+// Read sums the counters of all stand-ins.
+func Read(ctx context.Context, addresses []string) (Stats, error) {
+	var sum Stats
 	for _, address := range addresses {
-		stats, err := get(ctx, address)
+		got, err := get(ctx, address)
 		if err != nil {
-			return nil, &StatsError{Address: address, Cause: err}
+			return Stats{}, &StatsError{Address: address, Cause: err}
 		}
-		found = sum.add(stats) || found
-	}
-	if !found {
-		return nil, nil
+		// The bodies of bookings are unique, so a body that ran twice is a booking that ran twice; it may or
+		// may not have had the same request id.
+		sum.Duplicates += got.DuplicateStreams + max(len(got.Desks.RequestIDs), len(got.Desks.Bodies))
+		if got.Totals == nil {
+			continue
+		}
+		if sum.Prefill == nil {
+			sum.Prefill = &Prefill{}
+		}
+		sum.Prefill.Computed += got.Totals.Computed
+		sum.Prefill.Wasted += got.Totals.Wasted
+		sum.Prefill.Recomputed += got.Totals.Recomputed
+		sum.Prefill.Cached += got.Totals.Cached
 	}
-	return &sum, nil
+	return sum, nil
 }
 
-// Since returns the difference to an earlier reading; nil if either reading has no counters.
-func (p *Prefill) Since(earlier *Prefill) *Prefill {
-	if p == nil || earlier == nil {
-		return nil
+// Since returns the difference to an earlier reading.
+func (s Stats) Since(earlier Stats) Stats {
+	difference := Stats{Duplicates: s.Duplicates - earlier.Duplicates}
+	if s.Prefill != nil && earlier.Prefill != nil {
+		difference.Prefill = &Prefill{
+			Computed: s.Prefill.Computed - earlier.Prefill.Computed, Wasted: s.Prefill.Wasted - earlier.Prefill.Wasted,
+			Recomputed: s.Prefill.Recomputed - earlier.Prefill.Recomputed, Cached: s.Prefill.Cached - earlier.Prefill.Cached,
+		}
 	}
-	return &Prefill{Tokens: p.Tokens - earlier.Tokens, Wasted: p.Wasted - earlier.Wasted,
-		Recomputed: p.Recomputed - earlier.Recomputed}
+	return difference
 }
 
-func get(ctx context.Context, address string) (any, error) {
+func get(ctx context.Context, address string) (*answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/control/stats", nil)
@@ -85,34 +121,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &StatusError{Status: response.StatusCode}
 	}
-	var stats any
-	err = json.NewDecoder(response.Body).Decode(&stats)
-	return stats, err
-}
-
-// add sums the counters of one answer. They stand at its top, or in nested objects of single engines.
-func (p *Prefill) add(value any) bool {
-	found := false
-	switch typed := value.(type) {
-	case map[string]any:
-		if tokens, ok := typed["prefill_tokens"].(float64); ok {
-			p.Tokens += int64(tokens)
-			p.Wasted += count(typed["wasted_prefill_tokens"])
-			p.Recomputed += count(typed["recomputed_prefill_tokens"])
-			return true
-		}
-		for _, nested := range typed {
-			found = p.add(nested) || found
-		}
-	case []any:
-		for _, nested := range typed {
-			found = p.add(nested) || found
-		}
-	}
-	return found
-}
-
-func count(value any) int64 {
-	number, _ := value.(float64)
-	return int64(number)
+	var got answer
+	err = json.NewDecoder(response.Body).Decode(&got)
+	return &got, err
 }
--- a/loadgen/internal/statreader/stats_test.go
+++ b/loadgen/internal/statreader/stats_test.go
@@ -13,13 +13,13 @@
 func TestRead(t *testing.T) {
 	cases := []struct {
 		name, body string
-		want       *Prefill
+		want       Stats
 	}{
-		{"at the top", `{"prefill_tokens":10,"wasted_prefill_tokens":2,"recomputed_prefill_tokens":3,"engines":{"e1":{"prefill_tokens":10}}}`,
-			&Prefill{Tokens: 20, Wasted: 4, Recomputed: 6}},
-		{"by engine", `{"engines":[{"prefill_tokens":4,"wasted_prefill_tokens":1},{"prefill_tokens":6}]}`,
-			&Prefill{Tokens: 20, Wasted: 2}},
-		{"none", `{"appends":3}`, nil},
+		{"all", `{"totals":{"prefill_computed":10,"prefill_wasted":2,"prefill_recomputed":3,"prefill_cached":4},
+			"engines":{"e1":{"prefill_computed":10}}, "duplicate_streams":1,
+			"desks":{"duplicate_request_ids":["a"],"duplicate_bodies":["a","b"]}}`,
+			Stats{Prefill: &Prefill{Computed: 20, Wasted: 4, Recomputed: 6, Cached: 8}, Duplicates: 6}},
+		{"none", `{"log":{"appends":3}}`, Stats{}},
 	}
 	for _, c := range cases {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -39,8 +39,9 @@
 
 // TestSince guards against counters of an earlier run in the report.
 func TestSince(t *testing.T) {
-	got := (&Prefill{Tokens: 30, Wasted: 5, Recomputed: 9}).Since(&Prefill{Tokens: 10, Wasted: 1, Recomputed: 2})
-	assert.DeepEqual(t, got, &Prefill{Tokens: 20, Wasted: 4, Recomputed: 7})
-	assert.Assert(t, (*Prefill)(nil).Since(got) == nil)
-	assert.Equal(t, got.Percent(got.Wasted), 20.0)
+	later := Stats{Prefill: &Prefill{Computed: 30, Wasted: 5, Recomputed: 9, Cached: 4}, Duplicates: 3}
+	got := later.Since(Stats{Prefill: &Prefill{Computed: 10, Wasted: 1, Recomputed: 2, Cached: 1}, Duplicates: 2})
+	assert.DeepEqual(t, got, Stats{Prefill: &Prefill{Computed: 20, Wasted: 4, Recomputed: 7, Cached: 3}, Duplicates: 1})
+	assert.Assert(t, later.Since(Stats{}).Prefill == nil)
+	assert.Equal(t, got.Prefill.Percent(got.Prefill.Wasted), 20.0)
 }
