Resolve the conflict left in the default settings

Cause: a merge was committed with conflict markers in internal/loader/defaults.go, so the module did not build. Change: keep the defaults that equal the scheduler's. Test: internal builds; go test -race ./loader ./administrator ./dumper ./holder passes.

--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -18,23 +18,6 @@
 			VMListInterval: 2 * time.Second,
 		},
 		Scheduling: Scheduling{
-<<<<<<< HEAD
-			HeartbeatInterval: 200 * time.Millisecond,
-			StreamTimeout:     500 * time.Millisecond,
-			CellEngines:       64,
-			MaxQueue:          2000,
-			LongTokens:        1000,
-			LongShare:         0.5,
-			TokenRoom:         200_000,
-			StragglerRatio:    0.5,
-			StragglerCap:      0.25,
-			LoadInterval:      250 * time.Millisecond,
-			CacheInterval:     500 * time.Millisecond,
-			PoisonRetention:   10 * time.Minute,
-			RetryBudget:       0.2,
-			QueuePolicy:       "tier_fair",
-			EnginePolicy:      "expected_first_token",
-=======
 			HeartbeatInterval:       200 * time.Millisecond,
 			StreamTimeout:           500 * time.Millisecond,
 			CellEngines:             64,
@@ -57,7 +40,6 @@
 			RetryBudget:             0.2,
 			QueuePolicy:             "tier_fair",
 			EnginePolicy:            "expected_first_token",
->>>>>>> tools
 		},
 		Claims: Claims{
 			Retention:      24 * time.Hour,
