loadgen: compare the token count in the last event of a stream

Cause: a stream that lost its last tokens but still has an end mark counted as whole unless exact_output was set. Change: the index of the event with the finish reason must equal the number of tokens seen. Test: go test -race ./internal/sender passes; seen failing with the comparison switched off.

--- a/loadgen/internal/sender/answer.go
+++ b/loadgen/internal/sender/answer.go
@@ -101,7 +101,8 @@
 	return result
 }
 
-// chunk is one event of a stream. Index is the token index.
+// chunk is one event of a stream. Index is the token index; on the event with the finish reason it is the number
+// of tokens.
 type chunk struct {
 	ID      string `json:"id"`
 	Index   *int   `json:"index"`
@@ -109,11 +110,14 @@
 		Delta struct {
 			Content string `json:"content"`
 		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
 }
 
 func (c chunk) token() bool { return len(c.Choices) > 0 && c.Choices[0].Delta.Content != "" }
 
+func (c chunk) finish() bool { return len(c.Choices) > 0 && c.Choices[0].FinishReason != nil }
+
 // readStream reads a stream to its end. It is whole only if each token index came once and in order, all events
 // carry the id of this request, and the end mark was seen.
 func readStream(request planner.Request, response *http.Response, arrival time.Time) Result {
@@ -139,6 +143,9 @@
 		if got.ID != id && got.ID != "chatcmpl-"+id {
 			return corrupt(result, fmt.Sprintf("event of request %q in the stream of %q", got.ID, id))
 		}
+		if !got.token() && got.finish() && got.Index != nil && *got.Index != result.Tokens {
+			return corrupt(result, fmt.Sprintf("%d of %d tokens seen", result.Tokens, *got.Index))
+		}
 		if !got.token() {
 			continue
 		}
--- a/loadgen/internal/sender/sender_test.go
+++ b/loadgen/internal/sender/sender_test.go
@@ -37,6 +37,7 @@
 	}{
 		{"whole", whole + done, Good, ""},
 		{"final event without token", whole + "data: {\"id\":\"r\",\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}]}\n\n" + done, Good, ""},
+		{"final event counts more tokens", whole + "data: {\"id\":\"r\",\"index\":4,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n" + done, Corrupt, ""},
 		{"no end mark", whole, ConnectionLost, ""},
 		{"unfinished end mark", whole + "data: [DONE]", ConnectionLost, ""},
 		{"too short", token("r", 0) + token("r", 1) + done, Corrupt, ""},
