routerctl: make the test of late answers deterministic

Cause: TestExitCodes failed in 7 of 150 runs. The fake router answered with success at the moment of the deadline, and the client sometimes still received that answer in time. Change: the fake answers with the context's error, as a router does. Test: 300 runs without and 40 with -race pass; seen failing with an unknown outcome reported as no change.

--- a/routerctl/internal/commander/commander_test.go
+++ b/routerctl/internal/commander/commander_test.go
@@ -40,6 +40,7 @@
 	f.got = request
 	select {
 	case <-ctx.Done():
+		return nil, ctx.Err()
 	case <-time.After(f.delay):
 	}
 	return &protocol.ApplyCatalogueResponse{Revision: 8, Offset: 71}, f.failure
