Add the HTTP adapters of the platform protocols

Cause: the router reaches engines, services, the log, the VM list and the weight store only through registered adapters, and its promise to send nothing twice depends on telling unsent requests from lost ones. The client counts the bytes written to each connection and seals a connection whose request it reports as not sent, because the trace hooks run before the buffer is flushed. All clients of a process share bounded pools.

--- /dev/null
+++ b/internal/plugins/httpservice/service.go
@@ -0,0 +1,56 @@
+// Package httpservice is the HTTP adapter of the protocol of plain services.
+package httpservice
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/plugins/requester"
+)
+
+// Name is the name in the registry of service protocols.
+const Name = "httpservice"
+
+// pathPrefix precedes the path of each call.
+const pathPrefix = "/v1/"
+
+func init() {
+	kernel.Services.Register(Name, New)
+}
+
+// Service is a client of one plain service.
+type Service struct {
+	client *requester.Client
+}
+
+// New returns a client of the service at "ip:port". Errors: *requester.InvalidAddressError.
+func New(address string) (kernel.ServiceProtocol, func(), error) {
+	client, closeClient, err := requester.New(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &Service{client: client}, closeClient, nil
+}
+
+// Call sends one request on a connection of its own, so that the transport has no reason to send it again. The
+// path may be given with or without the prefix "/v1/". Errors: *kernel.NotSentError, *kernel.LostError.
+func (s *Service) Call(ctx context.Context, request kernel.ServiceRequest) (kernel.ServiceResponse, error) {
+	path := strings.TrimPrefix("/"+strings.TrimPrefix(request.Path, "/"), pathPrefix)
+	answer, err := s.client.Do(ctx, requester.Request{
+		Method: request.Method, Path: pathPrefix + strings.TrimPrefix(path, "/"), ContentType: request.ContentType,
+		Header: map[string]string{"X-Request-Id": request.RequestID}, Body: request.Body, Fresh: true,
+	})
+	if err != nil {
+		return kernel.ServiceResponse{}, err
+	}
+	return kernel.ServiceResponse{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, nil
+}
+
+// Load returns the service's own load report.
+func (s *Service) Load(ctx context.Context) (kernel.LoadReport, error) {
+	var report kernel.LoadReport
+	err := s.client.Fetch(ctx, requester.Request{Method: http.MethodGet, Path: "/v1/load"}, &report)
+	return report, err
+}
--- /dev/null
+++ b/internal/plugins/httpvmlist/list.go
@@ -0,0 +1,40 @@
+// Package httpvmlist is the HTTP adapter of the VM list.
+package httpvmlist
+
+import (
+	"context"
+	"net/http"
+
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/plugins/requester"
+)
+
+// Name is the name in the registry of VM list protocols.
+const Name = "httpvmlist"
+
+func init() {
+	kernel.VMLists.Register(Name, New)
+}
+
+// List is a client of the VM list.
+type List struct {
+	client *requester.Client
+}
+
+// New returns a client of the VM list at "ip:port". Errors: *requester.InvalidAddressError.
+func New(address string) (kernel.VMListProtocol, func(), error) {
+	client, closeClient, err := requester.New(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &List{client: client}, closeClient, nil
+}
+
+// VMs returns the rows of the list. Errors: *kernel.NotSentError, *kernel.LostError, *kernel.RejectedError.
+func (l *List) VMs(ctx context.Context) ([]kernel.VM, error) {
+	var body struct {
+		VMs []kernel.VM `json:"vms"`
+	}
+	err := l.client.Fetch(ctx, requester.Request{Method: http.MethodGet, Path: "/v1/vms"}, &body)
+	return body.VMs, err
+}
--- /dev/null
+++ b/internal/plugins/requester/client.go
@@ -0,0 +1,176 @@
+// Package requester sends HTTP requests to platform services and tells apart the requests that certainly weren't
+// sent from those that may have been.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"coltsfootplank/internal/kernel"
+)
+
+const (
+	// CallTimeout bounds calls that an upstream answers at once.
+	CallTimeout = 5 * time.Second
+	// answerLimit bounds an answer that is read as a whole, in bytes.
+	answerLimit = 64 << 20
+	// rejectionLimit bounds the part of an error answer that goes into an error, in bytes.
+	rejectionLimit = 4 << 10
+)
+
+// Client sends requests to one upstream. It is safe for concurrent use.
+type Client struct {
+	address string
+}
+
+// Request is one HTTP request. Path may contain a query. Fresh opens a connection for it alone, so that it can't
+// be lost on a kept connection that the upstream closes at the same moment.
+type Request struct {
+	Method      string
+	Path        string
+	ContentType string
+	Header      map[string]string
+	Body        []byte
+	Fresh       bool
+}
+
+// Answer is an HTTP answer that was read completely.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// New returns a client for "ip:port" and a function that closes it. Errors: *InvalidAddressError.
+func New(address string) (*Client, func(), error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 {
+		return nil, nil, &InvalidAddressError{Address: address}
+	}
+	shared.acquire()
+	return &Client{address: address}, sync.OnceFunc(shared.release), nil
+}
+
+// Address returns the upstream's "ip:port".
+func (c *Client) Address() string { return c.address }
+
+// Open sends a request and returns when the header of the answer has arrived; the caller closes the body.
+// Redirects aren't followed. A request with a body or with Fresh is never repeated; the transport may repeat
+// another one on a new connection when a kept one breaks. Errors: *kernel.NotSentError if no byte was written,
+// else *kernel.LostError.
+func (c *Client) Open(ctx context.Context, request Request) (*http.Response, error) {
+	trace := &sendTrace{}
+	built, err := c.build(httptrace.WithClientTrace(ctx, trace.hooks()), request)
+	if err != nil {
+		return nil, &kernel.NotSentError{Address: c.address, Cause: err}
+	}
+	transport := shared.kept
+	if request.Fresh {
+		transport = shared.fresh
+	}
+	response, err := transport.RoundTrip(built)
+	if err == nil {
+		return response, nil
+	}
+	if trace.unsent() {
+		return nil, &kernel.NotSentError{Address: c.address, Cause: err}
+	}
+	return nil, &kernel.LostError{Address: c.address, Cause: err}
+}
+
+// Do sends a request and reads the whole answer. Errors: those of Open.
+func (c *Client) Do(ctx context.Context, request Request) (Answer, error) {
+	response, err := c.Open(ctx, request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit+1))
+	if err == nil && len(body) > answerLimit {
+		err = &AnswerTooLargeError{Limit: answerLimit}
+	}
+	if err != nil {
+		return Answer{}, &kernel.LostError{Address: c.address, Cause: err}
+	}
+	return Answer{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
+	}, nil
+}
+
+// Fetch sends a request within CallTimeout and decodes a JSON answer into the value, unless that is nil. Errors:
+// those of Open, and *kernel.RejectedError for a status other than 2xx.
+func (c *Client) Fetch(ctx context.Context, request Request, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	answer, err := c.Do(ctx, request)
+	if err != nil {
+		return err
+	}
+	if answer.Status < http.StatusOK || answer.Status >= http.StatusMultipleChoices {
+		return c.Rejection(answer)
+	}
+	if into == nil {
+		return nil
+	}
+	return c.Decode(answer, into)
+}
+
+// Decode parses the JSON body of an answer. Errors: *kernel.LostError with a *MalformedAnswerError.
+func (c *Client) Decode(answer Answer, into any) error {
+	if err := json.Unmarshal(answer.Body, into); err != nil {
+		return &kernel.LostError{Address: c.address, Cause: &MalformedAnswerError{Cause: err}}
+	}
+	return nil
+}
+
+// Rejection returns an answer as an error.
+func (c *Client) Rejection(answer Answer) *kernel.RejectedError {
+	body := answer.Body[:min(len(answer.Body), rejectionLimit)]
+	return &kernel.RejectedError{
+		Address: c.address, Status: answer.Status, Body: strings.TrimSpace(string(body)),
+	}
+}
+
+// Status returns the HTTP status of a *kernel.RejectedError, and 0 for other errors.
+func Status(err error) int {
+	var rejected *kernel.RejectedError
+	if errors.As(err, &rejected) {
+		return rejected.Status
+	}
+	return 0
+}
+
+func (c *Client) build(ctx context.Context, request Request) (*http.Request, error) {
+	if !strings.HasPrefix(request.Path, "/") {
+		return nil, &InvalidPathError{Path: request.Path}
+	}
+	target, err := url.Parse("http://" + c.address + request.Path)
+	if err != nil {
+		return nil, &InvalidPathError{Path: request.Path}
+	}
+	built, err := http.NewRequestWithContext(ctx, request.Method, target.String(), bytes.NewReader(request.Body))
+	if err != nil {
+		return nil, err
+	}
+	if len(request.Body) > 0 {
+		// Without GetBody the transport can't send the body a second time by itself.
+		built.GetBody = nil
+	}
+	if request.ContentType != "" {
+		built.Header.Set("Content-Type", request.ContentType)
+	}
+	for name, value := range request.Header {
+		built.Header.Set(name, value)
+	}
+	return built, nil
+}
--- /dev/null
+++ b/internal/plugins/requester/errors.go
@@ -0,0 +1,45 @@
+package requester
+
+import "fmt"
+
+// SealedError reports a write on a connection whose request was already reported as not sent.
+type SealedError struct{}
+
+func (*SealedError) Error() string { return "write request: the request was given up before" }
+
+// InvalidAddressError reports an upstream address that isn't "ip:port".
+type InvalidAddressError struct {
+	Address string
+}
+
+func (e *InvalidAddressError) Error() string {
+	return fmt.Sprintf("upstream address %q: want ip:port", e.Address)
+}
+
+// InvalidPathError reports a request path that doesn't start with a slash or can't be parsed.
+type InvalidPathError struct {
+	Path string
+}
+
+func (e *InvalidPathError) Error() string {
+	return fmt.Sprintf("build request: invalid path %q", e.Path)
+}
+
+// MalformedAnswerError reports an answer that isn't the JSON that the protocol asks for.
+type MalformedAnswerError struct {
+	Cause error
+}
+
+func (e *MalformedAnswerError) Error() string { return fmt.Sprintf("parse answer: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *MalformedAnswerError) Unwrap() error { return e.Cause }
+
+// AnswerTooLargeError reports an answer above the size limit.
+type AnswerTooLargeError struct {
+	Limit int
+}
+
+func (e *AnswerTooLargeError) Error() string {
+	return fmt.Sprintf("read answer: larger than %d bytes", e.Limit)
+}
