Test the stand-in platform over HTTP through the adapters

Cause: the routes and faults of the stand-in and the adapters were tested apart, so a disagreement between them would have stayed hidden. Change: tests that start a small platform, switch faults on over the control port and call every part through its registered adapter. The fault drop_at_token now strikes once for each stream on any connection; the flag for the first connection made no difference that a test could see.

--- a/standin/internal/generator/faults.go
+++ b/standin/internal/generator/faults.go
@@ -41,7 +41,7 @@
 		FaultPoison:          "a prompt that contains the text value crashes the engine that runs it",
 		FaultStaleLoad:       "load reports stay as they were when the fault was first seen",
 		FaultLoseCacheEvents: "cache events are lost with probability value (default 1)",
-		FaultDropAtToken:     "each generate connection is cut once, before token number value (default 0)",
+		FaultDropAtToken:     "the connection is cut once for each stream, before token number value (default 0)",
 		FaultDuplicateFrames: "a frame is sent twice with probability value (default 1)",
 		FaultReorderFrames:   "two neighbouring frames change places with probability value (default 1)",
 		FaultForeignFrames:   "a frame of another stream precedes a frame with probability value (default 1)",
--- a/standin/internal/generator/frames.go
+++ b/standin/internal/generator/frames.go
@@ -13,19 +13,17 @@
 type frameWriter struct {
 	engine  *Engine
 	stream  *stream
-	first   bool
 	encoder *json.Encoder
 	control *http.ResponseController
 	held    *kernel.Frame
 }
 
-// sendStream sends frames from a token index on until the final frame. First is true for the connection that
-// sent the prompt.
-func (e *Engine) sendStream(w http.ResponseWriter, r *http.Request, s *stream, from int, first bool) {
+// sendStream sends frames from a token index on until the final frame.
+func (e *Engine) sendStream(w http.ResponseWriter, r *http.Request, s *stream, from int) {
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	writer := &frameWriter{
-		engine: e, stream: s, first: first, encoder: json.NewEncoder(w), control: http.NewResponseController(w),
+		engine: e, stream: s, encoder: json.NewEncoder(w), control: http.NewResponseController(w),
 	}
 	if err := writer.control.Flush(); err != nil {
 		return
@@ -72,10 +70,10 @@
 	}
 }
 
-// dropAt cuts the first connection of the stream once if the fault asks for it at this token.
+// dropAt cuts the connection before a token if the fault asks for it, once for each stream.
 func (w *frameWriter) dropAt(index int) {
 	value, on := w.engine.table.Get(FaultDropAtToken)
-	if !on || !w.first || index < int(value.Or(0)) {
+	if !on || index < int(value.Or(0)) {
 		return
 	}
 	w.engine.mu.Lock()
--- a/standin/internal/generator/routes.go
+++ b/standin/internal/generator/routes.go
@@ -51,7 +51,7 @@
 	if e.table.Hits(FaultCutBeforeAnswer) {
 		hoster.Abort()
 	}
-	e.sendStream(w, r, s, 0, true)
+	e.sendStream(w, r, s, 0)
 }
 
 func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
@@ -70,7 +70,7 @@
 		hoster.WriteProblem(w, statusOf(err), err)
 		return
 	}
-	e.sendStream(w, r, s, from, false)
+	e.sendStream(w, r, s, from)
 }
 
 func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/standin/internal/launcher/services_test.go
@@ -0,0 +1,131 @@
+package launcher
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// TestDesk guards against a run that the ledger misses, and against a lost answer that is reported as not sent.
+func TestDesk(t *testing.T) {
+	p := start(t)
+	client := connect(t, kernel.Services, "httpservice", p.desks[0].Address())
+	other := connect(t, kernel.Services, "httpservice", p.desks[1].Address())
+	call := kernel.ServiceRequest{RequestID: "r", Method: http.MethodPost, Path: "/v1/deposits", Body: []byte("{}")}
+	answer, err := client.Call(t.Context(), call)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, http.StatusOK)
+	assert.Equal(t, len(p.Stats().Desks.DuplicateRequestIDs), 0)
+
+	mustSet(t, p, "d-0", "cut_before_run", nil)
+	_, err = client.Call(t.Context(), call)
+	assert.Assert(t, isA[*kernel.LostError](err), "%v", err)
+	assert.Equal(t, p.Stats().Desks.Runs, 1)
+	mustSet(t, p, "d-1", "cut_before_answer", nil)
+	call.Path = "deposits"
+	_, err = other.Call(t.Context(), call)
+	assert.Assert(t, isA[*kernel.LostError](err), "%v", err)
+	assert.DeepEqual(t, p.Stats().Desks.DuplicateRequestIDs, []string{"r"})
+	assert.Equal(t, len(p.Stats().Desks.DuplicateBodies), 1)
+	mustSet(t, p, "desks", "crash", 200)
+	_, err = client.Call(t.Context(), call)
+	assert.Assert(t, isA[*kernel.NotSentError](err), "%v", err)
+}
+
+// TestLog guards against log faults without their effect: an outage that stores, a lost answer that doesn't, a
+// long poll that doesn't wait or wake, and a trimmed read that looks complete.
+func TestLog(t *testing.T) {
+	p := start(t)
+	client := connect(t, kernel.Logs, "httplog", p.log.Address())
+	appendOne := func(data string) error {
+		_, err := client.Append(t.Context(), "claims", []byte(data))
+		return err
+	}
+	clearFault := func(fault string) {
+		assert.NilError(t, p.directory.Clear("log", fault))
+	}
+	assert.NilError(t, appendOne("a"))
+	mustSet(t, p, "log", "outage", nil)
+	assert.Assert(t, isA[*kernel.LogUnavailableError](appendOne("refused")))
+	_, err := client.Read(t.Context(), "claims", 0, 10, 0)
+	assert.Assert(t, isA[*kernel.LogUnavailableError](err), "%v", err)
+	clearFault("outage")
+	mustSet(t, p, "log", "cut_before_append", nil)
+	assert.Assert(t, isA[*kernel.AppendUnknownError](appendOne("cut")))
+	clearFault("cut_before_append")
+	mustSet(t, p, "log", "lose_append_answer", nil)
+	assert.Assert(t, isA[*kernel.AppendUnknownError](appendOne("b")))
+	clearFault("lose_append_answer")
+	mustSet(t, p, "log", "late_append", 300)
+	assert.Assert(t, isA[*kernel.AppendUnknownError](appendOne("c")))
+	page, err := client.Read(t.Context(), "claims", 0, 10, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Records), 2)
+	assert.Equal(t, string(page.Records[1].Data), "b")
+	started := time.Now()
+	page, err = client.Read(t.Context(), "claims", page.Next, 10, 5*time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(started) < 4*time.Second, "the append did not wake the read")
+	assert.Equal(t, string(page.Records[0].Data), "c")
+
+	mustSet(t, p, "log", "trim", 1)
+	_, err = client.Read(t.Context(), "claims", 0, 10, 0)
+	var trimmed *kernel.TrimmedError
+	assert.Assert(t, errors.As(err, &trimmed), "%v", err)
+	assert.Equal(t, trimmed.First, int64(2))
+	mustSet(t, p, "log", "rate", 0)
+	clearFault("late_append")
+	limited := false
+	for range 1001 {
+		limited = limited || isA[*kernel.RateLimitedError](appendOne("x"))
+	}
+	assert.Assert(t, limited)
+}
+
+// TestListAndWeights guards against a VM list without its lag and a weight store without its rate.
+func TestListAndWeights(t *testing.T) {
+	p := start(t)
+	list := connect(t, kernel.VMLists, "httpvmlist", p.vms.Address())
+	state := func() kernel.VMState {
+		rows, err := list.VMs(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), 4)
+		for _, row := range rows {
+			if row.Address == p.engines[0].Address() {
+				return row.State
+			}
+		}
+		return ""
+	}
+	mustSet(t, p, "e-0", "leaving", nil)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, state(), kernel.VMLive)
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, state(), kernel.VMLeaving)
+
+	store := connect(t, kernel.WeightStores, "httpweights", p.weights.Address())
+	assert.NilError(t, store.Fetch(t.Context(), "m"))
+	assert.Assert(t, isA[*kernel.RateLimitedError](store.Fetch(t.Context(), "m")))
+}
+
+// TestControl guards against a misspelt fault or target that a test takes for one that was switched on.
+func TestControl(t *testing.T) {
+	p := start(t)
+	cases := []struct{ target, fault, want string }{
+		{target: "e-9", fault: "crash", want: `"code":"unknown_target"`},
+		{target: "e-9", fault: "crash", want: `"e-0","e-1","engines"`},
+		{target: "e-0", fault: "crush", want: `"code":"unknown_fault"`},
+		{target: "e-0", fault: "crush", want: `"crash"`},
+	}
+	for _, c := range cases {
+		status, text := setFault(t, p, c.target, c.fault, nil)
+		assert.Equal(t, status, http.StatusNotFound)
+		assert.Assert(t, strings.Contains(text, c.want), text)
+	}
+}
