Test membership, messenger and ticketer; fix what the tests found

Cause: detector, messenger and ticketer had no tests of their own.

Change: suspect members are probed again before they are held for dead, unknown dead rows are ignored, convictions get at most half of a probe, a repeated grant is ignored. A later catalogue offset is gossiped if it is the latest known.

Each new test was seen failing with a fault put into the code, among them: states compared by inequality, no refutation, no indirect probes, no second probe of suspects, dead members not probed after a partition, dead rows of unknown members accepted, convictions without a limit, no row for a sender that is held for dead (detector); attempt or stream not compared, age or deadline not updated, no cancel at the old scheduler, no wait until a link is stable, releases dropped or not named in the hello (ticketer); no heartbeat, no silence limit, no limit of the outbox, a cancel that leaves its ticket, no deadlines when a server ends a stream (messenger).

--- a/internal/detector/delta.go
+++ b/internal/detector/delta.go
@@ -52,11 +52,14 @@
 	for _, name := range first {
 		add(name)
 	}
+	// Neither kind of delta may take the other's place, however many of them are new.
+	half := budget / 2
 	for _, fingerprint := range leastSent(t.deltas.convictions) {
 		size := fieldSize(t.convictions[fingerprint])
-		if size > budget/2 {
+		if size > half {
 			break
 		}
+		half -= size
 		budget -= size
 		*convictions = append(*convictions, t.convictions[fingerprint])
 		if t.deltas.convictions[fingerprint]++; t.deltas.convictions[fingerprint] >= limit {
--- /dev/null
+++ b/internal/detector/detector_test.go
@@ -0,0 +1,208 @@
+package detector
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+)
+
+type counts = map[protocol.MemberState]int
+
+// TestCrash guards against a crashed member that keeps its roles, and against a suspect one that loses them early.
+func TestCrash(t *testing.T) {
+	simulate(t, 8, func(t *testing.T, n *network) {
+		n.freeze("m3", true)
+		for range 120 {
+			time.Sleep(100 * time.Millisecond)
+			for _, d := range n.members {
+				m, _ := d.View().Member("m3")
+				ranked := slices.Contains(d.View().Ranked(), "m3")
+				assert.Equal(t, ranked, m.State == alive || m.State == suspect)
+			}
+		}
+		assert.DeepEqual(t, n.states("m3"), counts{dead: 7})
+		assert.Equal(t, n.alive("m0"), 7)
+	})
+}
+
+// TestFrozenMemberReturns guards against a member that stays dead for the others after a pause.
+func TestFrozenMemberReturns(t *testing.T) {
+	simulate(t, 8, func(t *testing.T, n *network) {
+		n.freeze("m3", true)
+		time.Sleep(10 * time.Second)
+		assert.DeepEqual(t, n.states("m3"), counts{dead: 7})
+		n.freeze("m3", false)
+		time.Sleep(5 * time.Second)
+		for name := range n.members {
+			assert.Equal(t, n.alive(name), 8, "as seen by %s", name)
+		}
+	})
+}
+
+// TestRestart guards against a new process under the name of a dead one being taken for dead.
+func TestRestart(t *testing.T) {
+	simulate(t, 6, func(t *testing.T, n *network) {
+		n.cancels["m3"]()
+		n.freeze("m3", true)
+		time.Sleep(10 * time.Second)
+		assert.DeepEqual(t, n.states("m3"), counts{dead: 5})
+		n.freeze("m3", false)
+		n.start("m3", Settings{Seeds: []string{"m0"}})
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, n.states("m3"), counts{alive: 5})
+	})
+}
+
+// TestOneWayCut guards against a member that is declared dead because one other can't reach it.
+func TestOneWayCut(t *testing.T) {
+	simulate(t, 6, func(t *testing.T, n *network) {
+		n.cut([]string{"m1"}, []string{"m2"}, false, true)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			assert.DeepEqual(t, n.states("m2"), counts{alive: 5})
+		}
+	})
+}
+
+// TestLostMessages guards against false deaths on a network that loses some messages.
+func TestLostMessages(t *testing.T) {
+	simulate(t, 12, func(t *testing.T, n *network) {
+		n.mu.Lock()
+		n.loss = 0.05
+		n.mu.Unlock()
+		for range 120 {
+			time.Sleep(time.Second)
+			for name := range n.members {
+				assert.Equal(t, n.states(name)[dead], 0, "%s is held for dead", name)
+			}
+		}
+	})
+}
+
+// TestLeave guards against a leaving member that gets new work, and against a departed one that counts as failed.
+func TestLeave(t *testing.T) {
+	simulate(t, 8, func(t *testing.T, n *network) {
+		n.members["m2"].Leave(context.Background())
+		assert.Assert(t, !slices.Contains(n.members["m2"].View().Ranked(), "m2"))
+		time.Sleep(1500 * time.Millisecond)
+		assert.DeepEqual(t, n.states("m2"), counts{leaving: 7})
+		assert.Assert(t, !slices.Contains(n.members["m0"].View().Ranked(), "m2"))
+		time.Sleep(30 * time.Second)
+		assert.DeepEqual(t, n.states("m2"), counts{leaving: 7})
+		n.members["m2"].Depart(context.Background())
+		n.freeze("m2", true)
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, n.states("m2"), counts{dead: 7})
+		m, _ := n.members["m0"].View().Member("m2")
+		assert.Assert(t, m.Left)
+	})
+}
+
+// TestLeavingMemberCrashes guards against a member that crashes during its planned stop and stays leaving for ever.
+func TestLeavingMemberCrashes(t *testing.T) {
+	simulate(t, 6, func(t *testing.T, n *network) {
+		n.members["m2"].Leave(context.Background())
+		time.Sleep(2 * time.Second)
+		n.freeze("m2", true)
+		time.Sleep(15 * time.Second)
+		assert.DeepEqual(t, n.states("m2"), counts{dead: 5})
+	})
+}
+
+// TestPartition guards against two sides that never find each other again, and against the smaller side using the
+// whole capacity of the engines.
+func TestPartition(t *testing.T) {
+	simulate(t, 9, func(t *testing.T, n *network) {
+		// The only seed is down, so that the sides must find each other by what they remember.
+		n.freeze("m0", true)
+		small, large := []string{"m1", "m2"}, []string{"m3", "m4", "m5", "m6", "m7", "m8"}
+		n.cut(small, large, true, true)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, n.alive("m1"), 2)
+		assert.Equal(t, n.alive("m3"), 6)
+		assert.Equal(t, n.members["m1"].View().Share(), 2.0/9)
+		assert.Equal(t, n.members["m3"].View().Share(), 1.0)
+		n.cut(small, large, true, false)
+		time.Sleep(20 * time.Second)
+		for _, name := range slices.Concat(small, large) {
+			assert.Equal(t, n.alive(name), 8, "as seen by %s", name)
+		}
+	})
+}
+
+// TestForget guards against a table that grows with every replaced VM.
+func TestForget(t *testing.T) {
+	simulate(t, 4, func(t *testing.T, n *network) {
+		n.freeze("m3", true)
+		time.Sleep(14 * time.Minute)
+		assert.Equal(t, len(n.members["m0"].View().Members), 4)
+		time.Sleep(2 * time.Minute)
+		for _, name := range []string{"m0", "m1", "m2"} {
+			assert.Equal(t, len(n.members[name].View().Members), 3, "as seen by %s", name)
+		}
+	})
+}
+
+// TestVMList guards against routers that never find each other without seeds, and against the VM list's word on leaving
+// VMs being ignored or final.
+func TestVMList(t *testing.T) {
+	simulate(t, 0, func(t *testing.T, n *network) {
+		row := func(address, role string, state kernel.VMState) kernel.VM {
+			return kernel.VM{Address: address, Role: role, State: state}
+		}
+		live := []kernel.VM{
+			row("m0", "router", kernel.VMLive), row("m1", "router", kernel.VMLive), row("m2", "router", kernel.VMLive),
+			row("gone", "router", kernel.VMLive), row("10.0.0.9", "engine", kernel.VMLive),
+		}
+		n.vms = live
+		for _, name := range []string{"m0", "m1", "m2"} {
+			n.start(name, Settings{VMList: port{n, name}})
+		}
+		time.Sleep(20 * time.Second)
+		for name := range n.members {
+			assert.Equal(t, n.alive(name), 3)
+		}
+		n.mu.Lock()
+		n.vms = append(slices.Clone(live[:1]), row("m1", "router", kernel.VMLeaving), live[2], row("10.0.0.9", "engine", kernel.VMLeaving))
+		n.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for _, d := range n.members {
+			assert.DeepEqual(t, d.View().Ranked(), []string{"m0", "m2"})
+			assert.Assert(t, d.View().VMLeaving("10.0.0.9:8000"))
+		}
+		n.mu.Lock()
+		n.vms = live
+		n.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, n.members["m1"].View().Ranked(), []string{"m0", "m1", "m2"})
+	})
+}
+
+// TestGossipContent guards against convictions and catalogue revisions that don't reach the others, and convictions
+// that outlive their expiry.
+func TestGossipContent(t *testing.T) {
+	simulate(t, 10, func(t *testing.T, n *network) {
+		n.members["m4"].SetCatalogue(7, 70)
+		expires := time.Now().Add(time.Minute).UnixMilli()
+		n.members["m4"].AddConvictions([]*protocol.Conviction{{Fingerprint: 1, Crashes: 2, ExpiresUnixMs: expires, Convicted: true}})
+		n.members["m5"].AddConvictions([]*protocol.Conviction{{Fingerprint: 1, Crashes: 1, ExpiresUnixMs: expires}})
+		time.Sleep(6 * time.Second)
+		for name, d := range n.members {
+			m, _ := d.View().Member("m4")
+			assert.Equal(t, m.CatalogueOffset, int64(70), "as seen by %s", name)
+			assert.Equal(t, len(d.View().Convictions), 1, "as seen by %s", name)
+			assert.Assert(t, d.View().Convictions[0].GetConvicted())
+			assert.Equal(t, d.View().Convictions[0].GetCrashes(), uint32(2))
+		}
+		time.Sleep(time.Minute)
+		for _, d := range n.members {
+			assert.Equal(t, len(d.View().Convictions), 0)
+		}
+	})
+}
--- a/internal/detector/probe.go
+++ b/internal/detector/probe.go
@@ -37,7 +37,11 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		d.update(func(now time.Time, t *table) { t.tick(now) })
+		var suspected []string
+		d.update(func(now time.Time, t *table) {
+			t.tick(now)
+			suspected = t.suspected(now)
+		})
 		if d.departed.Load() {
 			continue
 		}
@@ -45,8 +49,10 @@
 		if full {
 			nextSync = time.Now().Add(d.settings.SyncInterval)
 		}
-		target, ok := d.nextTarget()
-		if ok {
+		for _, name := range suspected {
+			group.Go(func() error { d.probe(ctx, name, false); return nil })
+		}
+		if target, ok := d.nextTarget(); ok {
 			group.Go(func() error { d.probe(ctx, target, full); return nil })
 		}
 		group.Go(func() error { d.contactCandidate(ctx); return nil })
--- a/internal/detector/table.go
+++ b/internal/detector/table.go
@@ -26,8 +26,10 @@
 	// deadline is when an unanswered suspicion makes the member dead; zero without suspicion. A leaving member
 	// is suspected by this field alone, since its state must stay leaving.
 	deadline time.Time
-	died     time.Time
-	left     bool
+	// own says that this router itself got no answer from the member.
+	own  bool
+	died time.Time
+	left bool
 }
 
 // table is the membership state machine. It takes the time from its caller and is not safe for concurrent use.
@@ -38,8 +40,10 @@
 	convictions map[uint64]*protocol.Conviction
 	deltas      deltas
 	vms         vmHints
-	started     time.Time
-	lastTick    time.Time
+	// newestOffset is the latest catalogue offset of another member.
+	newestOffset int64
+	started      time.Time
+	lastTick     time.Time
 	// changed is set by every change that a view shows.
 	changed bool
 }
@@ -86,7 +90,8 @@
 	}
 	known, ok := t.records[row.GetName()]
 	if !ok {
-		if row.GetState() == dead && row.GetIncarnation() == 0 {
+		if row.GetState() == dead {
+			// Otherwise the routers would remind each other of dead members for ever.
 			return
 		}
 		known = &record{known: now}
@@ -118,8 +123,8 @@
 	return row.GetState() > known.GetState()
 }
 
-// mergeCatalogue takes over a later catalogue offset of an otherwise known row. It isn't spread further: each
-// router tells its own offset on every probe.
+// mergeCatalogue takes over a later catalogue offset of an otherwise known row. It is spread further only if it is the
+// latest known, so that a change costs one row instead of one for each member.
 func (t *table) mergeCatalogue(known *record, row *protocol.Member) {
 	if row.GetCatalogueOffset() <= known.member.GetCatalogueOffset() {
 		return
@@ -127,6 +132,10 @@
 	member := proto.CloneOf(known.member)
 	member.CatalogueRevision, member.CatalogueOffset = row.GetCatalogueRevision(), row.GetCatalogueOffset()
 	known.member = member
+	if member.GetCatalogueOffset() > t.newestOffset {
+		t.newestOffset = member.GetCatalogueOffset()
+		t.deltas.addMember(member.GetName())
+	}
 	t.changed = true
 }
 
@@ -138,7 +147,8 @@
 		member.CatalogueRevision, member.CatalogueOffset = known.member.GetCatalogueRevision(), known.member.GetCatalogueOffset()
 	}
 	known.member = member
-	known.deadline, known.died = time.Time{}, time.Time{}
+	t.newestOffset = max(t.newestOffset, member.GetCatalogueOffset())
+	known.deadline, known.died, known.own = time.Time{}, time.Time{}, false
 	switch row.GetState() {
 	case suspect:
 		known.deadline = now.Add(t.settings.SuspectTime)
@@ -161,9 +171,25 @@
 		row := proto.CloneOf(known.member)
 		row.State = suspect
 		t.set(now, known, row)
+		known.own = true
 	case leaving:
 		known.deadline = now.Add(t.settings.SuspectTime)
+		known.own = true
+	}
+}
+
+// suspected returns the suspect members to probe now: those that this router itself got no answer from, and those
+// that would be dead by the next tick. On a lossy network the first failed probe often is no more than bad luck, and
+// a refutation can be slower than the suspicion, so nobody is held for dead without a probe by the holder
+// of that view.
+func (t *table) suspected(now time.Time) []string {
+	var names []string
+	for name, known := range t.records {
+		if !known.deadline.IsZero() && (known.own || known.deadline.Sub(now) <= t.settings.ProbeInterval) {
+			names = append(names, name)
+		}
 	}
+	return names
 }
 
 // answered records direct evidence that a member runs. A suspect member's state changes only by its own
--- a/internal/detector/vmlist.go
+++ b/internal/detector/vmlist.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		address := vm.Address
-		if _, _, err := net.SplitHostPort(address); err != nil {
+		if _, _, err := net.SplitHostPort(address); err != nil && ownPort != "" {
 			address = net.JoinHostPort(address, ownPort)
 		}
 		hints.routers = append(hints.routers, address)
--- /dev/null
+++ b/internal/messenger/loopback_test.go
@@ -0,0 +1,109 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// echo is a session that answers each ticket with a grant.
+type echo struct {
+	outbox *Outbox[protocol.SchedulerMessage]
+	broken chan error
+}
+
+func (e *echo) Receive(message *protocol.HolderMessage) {
+	for _, ticket := range message.GetTickets() {
+		if ticket.GetRequestId() == "close" {
+			e.outbox.Close()
+		}
+		_ = e.outbox.Put(&protocol.SchedulerMessage{Grants: []*protocol.Grant{{RequestId: ticket.GetRequestId()}}})
+	}
+}
+
+func (e *echo) Broken(err error) { e.broken <- err }
+
+// TestRealStream guards against a stream that works on in-memory connections only, with and without TLS, and that
+// leaves goroutines behind on either end.
+func TestRealStream(t *testing.T) {
+	certificate := httptest.NewUnstartedServer(nil)
+	certificate.StartTLS()
+	certificate.Close()
+	for _, encrypted := range []bool{false, true} {
+		var serverTLS, clientTLS *tls.Config
+		if encrypted {
+			serverTLS = &tls.Config{Certificates: certificate.TLS.Certificates}
+			clientTLS = &tls.Config{InsecureSkipVerify: true}
+		}
+		t.Run(map[bool]string{false: "plain", true: "tls"}[encrypted], func(t *testing.T) {
+			defer goleak.VerifyNone(t)
+			realStream(t, serverTLS, clientTLS)
+		})
+	}
+}
+
+func realStream(t *testing.T, serverTLS, clientTLS *tls.Config) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	broken := make(chan error, 1)
+	_, handler := Mount(Handlers{
+		Accept: func(_ *protocol.Hello, outbox *Outbox[protocol.SchedulerMessage]) Session {
+			return &echo{outbox: outbox, broken: broken}
+		},
+		Snapshot: func(context.Context, *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
+			return &protocol.SnapshotResponse{Revision: 9}, nil
+		},
+	})
+	var group errgroup.Group
+	group.Go(func() error { return Serve(ctx, listener, handler, serverTLS) })
+	pool, cleanup := NewPool(clientTLS)
+	defer cleanup()
+
+	snapshot, err := pool.Snapshot(ctx, listener.Addr().String(), &protocol.SnapshotRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.GetRevision(), uint64(9))
+	_, err = pool.Claim(ctx, listener.Addr().String(), &protocol.ClaimRequest{})
+	assert.Equal(t, connect.CodeOf(err), connect.CodeUnimplemented)
+
+	closing := NewHolderOutbox()
+	assert.NilError(t, closing.Put(&protocol.HolderMessage{
+		Hello: &protocol.Hello{Router: "h"}, Tickets: []*protocol.Ticket{{RequestId: "close"}},
+	}))
+	start := time.Now()
+	assert.Assert(t, pool.Schedule(ctx, listener.Addr().String(), closing, func(*protocol.SchedulerMessage) {}) != nil)
+	assert.Assert(t, <-broken != nil)
+	assert.Assert(t, time.Since(start) < SilenceLimit, "a stream that the server ends took %s", time.Since(start))
+
+	outbox := NewHolderOutbox()
+	assert.NilError(t, outbox.Put(&protocol.HolderMessage{
+		Hello: &protocol.Hello{Router: "h"}, Tickets: []*protocol.Ticket{{RequestId: "r"}},
+	}))
+	granted := make(chan string, 1)
+	group.Go(func() error {
+		return pool.Schedule(context.Background(), listener.Addr().String(), outbox, func(message *protocol.SchedulerMessage) {
+			for _, grant := range message.GetGrants() {
+				granted <- grant.GetRequestId()
+			}
+		})
+	})
+	assert.Equal(t, <-granted, "r")
+	time.Sleep(2 * SilenceLimit)
+	assert.Equal(t, len(broken), 0, "heartbeats keep an idle stream open")
+	cancel()
+	assert.Assert(t, <-broken != nil)
+	var call *CallError
+	assert.Assert(t, errors.As(group.Wait(), &call))
+}
--- a/internal/messenger/pump.go
+++ b/internal/messenger/pump.go
@@ -80,23 +80,21 @@
 	timer := time.NewTimer(HeartbeatInterval)
 	defer timer.Stop()
 	for {
-		if err := send(message); err != nil {
-			return Error.Wrap(err)
+		if message != nil {
+			if err := send(message); err != nil {
+				return Error.Wrap(err)
+			}
+			timer.Reset(HeartbeatInterval)
 		}
-		timer.Reset(HeartbeatInterval)
-		message = heartbeat
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-outbox.Ready():
-			taken, err := outbox.Take()
-			if err != nil {
+			if message, err = outbox.Take(); err != nil {
 				return err
 			}
-			if taken != nil {
-				message = taken
-			}
 		case <-timer.C:
+			message = heartbeat
 		}
 	}
 }
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -24,7 +24,7 @@
 	Broken(err error)
 }
 
-// Handlers answer the calls of other routers.
+// Handlers answer the calls of other routers. A nil function answers that the call is not implemented.
 type Handlers struct {
 	// Accept opens a session for a holder; replies go to outbox. Closing the outbox ends the stream.
 	Accept   func(hello *protocol.Hello, outbox *Outbox[protocol.SchedulerMessage]) Session
@@ -82,6 +82,7 @@
 type controllerKey struct{}
 
 type service struct {
+	protocolconnect.UnimplementedRouterServiceHandler
 	handlers Handlers
 }
 
@@ -115,14 +116,23 @@
 }
 
 func (s *service) Gossip(ctx context.Context, request *protocol.GossipRequest) (*protocol.GossipResponse, error) {
+	if s.handlers.Gossip == nil {
+		return s.UnimplementedRouterServiceHandler.Gossip(ctx, request)
+	}
 	return s.handlers.Gossip(ctx, request)
 }
 
 func (s *service) Snapshot(ctx context.Context, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
+	if s.handlers.Snapshot == nil {
+		return s.UnimplementedRouterServiceHandler.Snapshot(ctx, request)
+	}
 	return s.handlers.Snapshot(ctx, request)
 }
 
 func (s *service) Claim(ctx context.Context, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error) {
+	if s.handlers.Claim == nil {
+		return s.UnimplementedRouterServiceHandler.Claim(ctx, request)
+	}
 	return s.handlers.Claim(ctx, request)
 }
 
--- a/internal/ticketer/ticketer.go
+++ b/internal/ticketer/ticketer.go
@@ -175,11 +175,13 @@
 	}
 	var decisions []decision
 	for _, grant := range message.GetGrants() {
-		if tk := t.tickets[grant.GetRequestId()]; t.current(tk, l, grant.GetAttempt()) {
+		tk := t.tickets[grant.GetRequestId()]
+		switch {
+		case t.current(tk, l, grant.GetAttempt()):
 			tk.granted, tk.engine = true, grant.GetEngine()
 			l.held[grant.GetRequestId()] = true
 			decisions = append(decisions, decision{decider: tk.decider, grant: grant})
-		} else {
+		case tk == nil || !tk.granted || tk.target != l.name || tk.attempt != grant.GetAttempt():
 			l.send(&protocol.HolderMessage{Releases: []*protocol.Release{unused(grant)}})
 		}
 	}
--- /dev/null
+++ b/internal/ticketer/ticketer_test.go
@@ -0,0 +1,169 @@
+package ticketer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/protocol"
+)
+
+const (
+	aliveState = protocol.MemberState_MEMBER_STATE_ALIVE
+	dead       = protocol.MemberState_MEMBER_STATE_DEAD
+	leaving    = protocol.MemberState_MEMBER_STATE_LEAVING
+)
+
+// TestGrantOfOldAttempt guards against a second grant of one request, and against grants that nobody returns.
+func TestGrantOfOldAttempt(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		first := s.schedulers[s.ranked[0]]
+		s.submit(0)
+		assert.DeepEqual(t, first.sent(), []string{"hello[]", "ticket r#1 age 0 left 0"})
+		first.grant(7)
+		assert.DeepEqual(t, first.sent(), []string{"release r#7 RELEASE_KIND_UNUSED"})
+		first.grant(1)
+		first.grant(1)
+		assert.DeepEqual(t, first.sent(), []string{}) // a repeated grant is in use and must not be returned
+		first.answer(&protocol.SchedulerMessage{Refusals: []*protocol.Refusal{{RequestId: "r", Code: "late", Attempt: 1}}})
+		assert.DeepEqual(t, s.decider.seen(), []string{"granted#1"})
+	})
+}
+
+// TestMove guards against tickets that stay with a scheduler that is no longer first, and that lose their age or
+// deadline when they move: a router joins that outranks the busy one, or the busy one leaves.
+func TestMove(t *testing.T) {
+	cases := []struct {
+		name     string
+		change   func(t *testing.T, s *setup)
+		from, to int
+	}{
+		{name: "outranked", from: 1, to: 0, change: func(t *testing.T, s *setup) { s.tell(t, s.ranked[0], 2, aliveState) }},
+		{name: "leaving", from: 1, to: 2, change: func(t *testing.T, s *setup) { s.tell(t, s.ranked[1], 1, leaving) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(t *testing.T, s *setup) {
+				s.tell(t, s.ranked[0], 1, dead)
+				from, to := s.schedulers[s.ranked[c.from]], s.schedulers[s.ranked[c.to]]
+				s.submit(time.Minute)
+				assert.DeepEqual(t, from.sent(), []string{"hello[]", "ticket r#1 age 0 left 60000"})
+				time.Sleep(50 * time.Millisecond)
+				c.change(t, s)
+				assert.DeepEqual(t, to.sent(), []string{"hello[]", "ticket r#2 age 50 left 59950"})
+				assert.DeepEqual(t, from.sent(), []string{"cancel r"})
+				from.grant(1)
+				assert.DeepEqual(t, from.sent(), []string{"release r#1 RELEASE_KIND_UNUSED"})
+				to.grant(2)
+				assert.DeepEqual(t, s.decider.seen(), []string{"granted#2"})
+			})
+		})
+	}
+}
+
+// TestBrokenStream guards against tickets that wait for the member table when a stream breaks, against grants of the old
+// stream, and against tickets that move to and fro with a scheduler that comes and goes.
+func TestBrokenStream(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		first, second := s.schedulers[s.ranked[0]], s.schedulers[s.ranked[1]]
+		s.submit(0)
+		first.sent()
+		late := first.receive
+		first.breakStream(false)
+		assert.DeepEqual(t, second.sent(), []string{"hello[]", "ticket r#2 age 0 left 0"})
+		late(&protocol.SchedulerMessage{Grants: []*protocol.Grant{{RequestId: "r", Attempt: 1}, {RequestId: "r", Attempt: 2}}})
+		assert.DeepEqual(t, s.decider.seen(), []string{})
+		time.Sleep(retryInterval + stableTime - 100*time.Millisecond)
+		assert.DeepEqual(t, first.sent(), []string{"hello[]"}) // open again, but not stable yet
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, len(first.sent()), 1, "the ticket moves back")
+		assert.DeepEqual(t, second.sent(), []string{"cancel r"})
+	})
+}
+
+// TestReleaseOverNewStream guards against grants that stay in use at a scheduler because the release fell into a
+// gap between two streams.
+func TestReleaseOverNewStream(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		first := s.schedulers[s.ranked[0]]
+		s.submit(0)
+		first.sent()
+		first.grant(1)
+		first.breakStream(true)
+		time.Sleep(700 * time.Millisecond)
+		s.ticketer.Release(&protocol.Release{RequestId: "r", Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED})
+		first.mu.Lock()
+		first.down = false
+		first.mu.Unlock()
+		time.Sleep(700 * time.Millisecond)
+		assert.DeepEqual(t, first.sent(), []string{"hello[r]", "release r#1 RELEASE_KIND_ANSWERED"})
+	})
+}
+
+// TestHeldGrantSurvivesBreak guards against a running request whose grant is freed or repeated by a reconnection.
+func TestHeldGrantSurvivesBreak(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		first := s.schedulers[s.ranked[0]]
+		s.submit(0)
+		first.sent()
+		first.grant(1)
+		first.breakStream(false)
+		time.Sleep(700 * time.Millisecond)
+		assert.DeepEqual(t, first.sent(), []string{"hello[r]"})
+		assert.DeepEqual(t, s.schedulers[s.ranked[1]].sent(), []string{})
+	})
+}
+
+// TestReturnedGrant guards against a returned request that is lost, and a cancelled one that keeps its grant.
+func TestReturnedGrant(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		first := s.schedulers[s.ranked[0]]
+		s.submit(0)
+		first.sent()
+		first.grant(1)
+		time.Sleep(20 * time.Millisecond)
+		s.ticketer.Release(&protocol.Release{RequestId: "r", Kind: protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE})
+		assert.DeepEqual(t, first.sent(), []string{"release r#1 RELEASE_KIND_UNREACHABLE", "ticket r#2 age 20 left 0"})
+		first.grant(2)
+		assert.DeepEqual(t, s.decider.seen(), []string{"granted#1", "granted#2"})
+		s.ticketer.Cancel("r")
+		assert.DeepEqual(t, first.sent(), []string{"release r#2 RELEASE_KIND_UNUSED"})
+		s.ticketer.Release(&protocol.Release{RequestId: "r", Kind: protocol.ReleaseKind_RELEASE_KIND_UNUSED})
+		assert.DeepEqual(t, first.sent(), []string{}) // a release after Cancel is ignored
+	})
+}
+
+// TestNotScheduler guards against tickets that bounce off a router that doesn't schedule their cell.
+func TestNotScheduler(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		first, second := s.schedulers[s.ranked[0]], s.schedulers[s.ranked[1]]
+		s.submit(0)
+		first.sent()
+		first.answer(&protocol.SchedulerMessage{NotScheduler: []string{"chat/0"}})
+		assert.DeepEqual(t, second.sent(), []string{"hello[]", "ticket r#2 age 0 left 0"})
+		assert.DeepEqual(t, first.sent(), []string{}) // nothing to withdraw
+	})
+}
+
+// TestAlone guards against requests that wait for ever when no scheduler is in reach, and that outlive their deadline.
+func TestAlone(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		for _, other := range s.schedulers {
+			other.down = true
+		}
+		s.submit(time.Second)
+		assert.DeepEqual(t, s.local.sent(), []string{"hello[]", "ticket r#4 age 0 left 1000"})
+		time.Sleep(1500 * time.Millisecond)
+		s.local.breakStream(false)
+		assert.DeepEqual(t, s.decider.seen(), []string{"refused deadline_expired"})
+	})
+}
+
+// TestUnknownPool guards against a ticket that waits for a pool that doesn't exist.
+func TestUnknownPool(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		s.ticketer.Submit(&protocol.Ticket{RequestId: "r", Pool: "none"}, s.decider)
+		assert.DeepEqual(t, s.decider.seen(), []string{"refused no_upstream"})
+	})
+}
