loadgen: check the token texts of the stand-in

Cause: an answer to another prompt under the right request id would count as whole. Change: tokens that name the digest of their prompt and their index, as the stand-in's do, must be those of the own prompt. The prompt is sent as one message, so that routers pass it on unchanged. Test: go test -race ./... passes in loadgen; seen failing with the check switched off and with the digest taken from the token itself.

--- a/loadgen/internal/sender/answer.go
+++ b/loadgen/internal/sender/answer.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -118,12 +120,17 @@
 
 func (c chunk) finish() bool { return len(c.Choices) > 0 && c.Choices[0].FinishReason != nil }
 
+// markedToken matches the tokens of the stand-in, which name the digest of the prompt and the token index. Tokens
+// of other engines are checked by their index only.
+var markedToken = regexp.MustCompile(`^[0-9a-f]{8}\.[0-9]+ $`)
+
 // readStream reads a stream to its end. It is whole only if each token index came once and in order, all events
-// carry the id of this request, and the end mark was seen.
+// carry the id of this request, no token answers another prompt, and the end mark was seen.
 func readStream(request planner.Request, response *http.Response, arrival time.Time) Result {
 	const endMark = "[DONE]"
 	id := response.Header.Get(requestIDHeader)
 	result := Result{Outcome: ConnectionLost, Detail: "the stream has no end mark"}
+	digest := fmt.Sprintf("%08x.", uint32(xxhash.Sum64String(request.Prefix+request.Prompt)))
 	last := time.Time{}
 	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
@@ -152,6 +159,9 @@
 		if got.Index == nil || *got.Index != result.Tokens {
 			return corrupt(result, fmt.Sprintf("token %d expected in %s", result.Tokens, event.Data))
 		}
+		if text := got.Choices[0].Delta.Content; markedToken.MatchString(text) && text != digest+strconv.Itoa(result.Tokens)+" " {
+			return corrupt(result, fmt.Sprintf("token %d of prompt %s expected, got %q", result.Tokens, digest, text))
+		}
 		now := time.Now()
 		if result.Tokens == 0 {
 			result.FirstToken = now.Sub(arrival)
--- a/loadgen/internal/sender/sender.go
+++ b/loadgen/internal/sender/sender.go
@@ -124,12 +124,11 @@
 	method, path, body := request.Work.Method, request.Work.Path, []byte(nil)
 	if request.Work.Kind == planner.KindStream {
 		method, path = http.MethodPost, "/v1/chat/completions"
-		chat := chatRequest{Model: request.Work.Model, Stream: true, MaxTokens: request.OutputTokens}
-		if request.Prefix != "" {
-			chat.Messages = append(chat.Messages, message{Role: "system", Content: request.Prefix})
-		}
-		chat.Messages = append(chat.Messages, message{Role: "user", Content: request.Prompt})
-		encoded, err := json.Marshal(chat)
+		// One message, so that the router passes the text on as it is and the token texts can be checked.
+		encoded, err := json.Marshal(chatRequest{
+			Model: request.Work.Model, Stream: true, MaxTokens: request.OutputTokens,
+			Messages: []message{{Role: "user", Content: request.Prefix + request.Prompt}},
+		})
 		if err != nil {
 			return nil, err
 		}
--- a/loadgen/internal/sender/sender_test.go
+++ b/loadgen/internal/sender/sender_test.go
@@ -21,6 +21,12 @@
 	return fmt.Sprintf("data: {\"id\":%q,\"index\":%d,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t%d\"}}]}\n\n", id, index, index)
 }
 
+// marked is token number index as the stand-in writes it, sent with another index if they differ.
+func marked(prompt string, sent, index int) string {
+	return strings.Replace(token("r", sent), fmt.Sprintf("t%d", sent),
+		fmt.Sprintf("%08x.%d ", uint32(xxhash.Sum64String(prompt)), index), 1)
+}
+
 const (
 	done    = "data: [DONE]\n\n"
 	failure = "event: error\ndata: {\"error\":{\"outcome\":%q,\"code\":%q}}\n\n"
@@ -46,6 +52,9 @@
 		{"token twice", token("r", 0) + token("r", 0) + token("r", 1) + done, Corrupt, ""},
 		{"out of order", token("r", 1) + token("r", 0) + token("r", 2) + done, Corrupt, ""},
 		{"foreign token", token("r", 0) + token("q", 1) + token("r", 2) + done, Corrupt, ""},
+		{"own marked tokens", marked("pre fix ", 0, 0) + marked("pre fix ", 1, 1) + marked("pre fix ", 2, 2) + done, Good, ""},
+		{"token of another prompt", marked("pre fix ", 0, 0) + marked("another ", 1, 1) + marked("pre fix ", 2, 2) + done, Corrupt, ""},
+		{"relabelled token", marked("pre fix ", 0, 0) + marked("pre fix ", 1, 2) + marked("pre fix ", 2, 1) + done, Corrupt, ""},
 		{"no JSON", "data: hello\n\n" + done, Corrupt, ""},
 		{"truncated", token("r", 0) + fmt.Sprintf(failure, "unknown", "stream_truncated"), Truncated, "stream_truncated"},
 		{"lost upstream", token("r", 0) + fmt.Sprintf(failure, "unknown", "upstream_lost"), Unknown, "upstream_lost"},
