Test the control port's routes of the stand-in

Cause: clearing faults, counting runs and changing the VM list were only reached from inside the process. Change: one test that uses each route over HTTP. Seen failing: clear without a fault name does nothing, runs not counted, a VM that is gone stays listed, prefill not counted.

--- a/standin/internal/launcher/services_test.go
+++ b/standin/internal/launcher/services_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -129,3 +131,49 @@
 		assert.Assert(t, strings.Contains(text, c.want), text)
 	}
 }
+
+// controlCall sends a request to the control port and returns the body of a 2xx answer.
+func controlCall(t *testing.T, p *Platform, method, path, body string) string {
+	t.Helper()
+	url := "http://" + p.control.Address() + path
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	answer, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode/100, 2, string(text))
+	return string(text)
+}
+
+// TestControlRoutes guards against a fault that can't be cleared, a run that can't be counted and a VM that can't
+// be added over the control port.
+func TestControlRoutes(t *testing.T) {
+	p := start(t)
+	mustSet(t, p, "e-0", "slow", 1)
+	assert.Assert(t, strings.Contains(controlCall(t, p, http.MethodGet, "/control/faults", ""),
+		`"active":[{"target":"e-0","fault":"slow","value":1,"left_ms":0}]`))
+	controlCall(t, p, http.MethodDelete, "/control/faults?target=engines", "")
+	assert.Assert(t, strings.Contains(controlCall(t, p, http.MethodGet, "/control/faults", ""), `"active":[]`))
+
+	_, _, err := generate(t, engineClient(t, p, 0), "s")
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, controlCall(t, p, http.MethodGet, "/control/runs/s", ""), `{"runs":1}`+"\n")
+	assert.Equal(t, controlCall(t, p, http.MethodGet, "/control/runs/t", ""), `{"runs":0}`+"\n")
+	assert.Assert(t, strings.Contains(controlCall(t, p, http.MethodGet, "/control/stats", ""), `"prefill_computed":10`))
+
+	list := connect(t, kernel.VMLists, "httpvmlist", p.vms.Address())
+	for _, state := range []string{"live", "leaving", "gone"} {
+		controlCall(t, p, http.MethodPost, "/control/vms",
+			`{"address":"127.0.0.1:9","data_centre":"a","role":"router","state":"`+state+`"}`)
+		time.Sleep(400 * time.Millisecond)
+		rows, err := list.VMs(t.Context())
+		assert.NilError(t, err)
+		i := slices.IndexFunc(rows, func(vm kernel.VM) bool { return vm.Role == "router" })
+		assert.Equal(t, i < 0, state == "gone")
+		if i >= 0 {
+			assert.Equal(t, string(rows[i].State), state)
+		}
+	}
+}
