--- a/router/internal/assembler/plugins.go
+++ b/router/internal/assembler/plugins.go
@@ -1,7 +1,7 @@
 package assembler
 
-// Each protocol adapter registers itself; a new one needs one import here.
 import (
+	// Each protocol adapter registers itself in the kernel; a new one needs one import here.
 	_ "coltsfootplank/internal/plugins/httpengine"
 	_ "coltsfootplank/internal/plugins/httplog"
 	_ "coltsfootplank/internal/plugins/httpservice"
