Make limit wait and retry budget settings of the router

Cause: the test that compares the router's defaults with those of the scheduler failed after the scheduler got a limit on waiting and a retry budget. Change: six settings under scheduling, passed to the scheduler. Tested: TestPolicies failed before and passes now.

--- a/internal/loader/policies_test.go
+++ b/internal/loader/policies_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/limiter"
 	"coltsfootplank/internal/loader"
 	"coltsfootplank/internal/scheduler"
 )
@@ -22,7 +23,11 @@
 		MaxQueue: settings.MaxQueue, LongTokens: settings.LongTokens, LongShare: settings.LongShare,
 		UrgentReserve: settings.UrgentReserve, UrgentTier: settings.UrgentTier, TokenRoom: settings.TokenRoom,
 		DefaultPrefillPerSec: settings.DefaultPrefillPerSecond, DefaultTokensPerSec: settings.DefaultTokensPerSecond,
-		DefaultOutputTokens: settings.DefaultOutputTokens,
-		RetryAfterMin:       settings.RetryAfterMin, RetryAfterMax: settings.RetryAfterMax,
+		DefaultOutputTokens: settings.DefaultOutputTokens, LimitWait: settings.LimitWait,
+		Retries: limiter.RetrySettings{
+			Ratio: settings.RetryBudget, PerSecond: settings.RetryPerSecond, Burst: settings.RetryBurst,
+			Memory: settings.RetryMemory, Entries: settings.RetryEntries,
+		},
+		RetryAfterMin: settings.RetryAfterMin, RetryAfterMax: settings.RetryAfterMax,
 	}, want)
 }
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -56,6 +56,16 @@
 	PoisonRetention time.Duration `yaml:"poison_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a poison request stays refused"`
 	// RetryBudget is the share of a workspace's requests that may be retries.
 	RetryBudget float64 `yaml:"retry_budget" unit:"share of 1" min:"0" max:"1" help:"share of a workspace's requests that may be retries"`
+	// RetryPerSecond is the retries that a workspace earns by time, so that one with little traffic can retry too.
+	RetryPerSecond float64 `yaml:"retry_per_second" unit:"retries per second" min:"0" max:"1000" help:"retries that a workspace earns by time"`
+	// RetryBurst bounds the retries that a workspace can save up.
+	RetryBurst float64 `yaml:"retry_burst" unit:"retries" min:"0" max:"100000" help:"retries that a workspace can save up"`
+	// RetryMemory is how long the next submission of a failed request counts as a retry.
+	RetryMemory time.Duration `yaml:"retry_memory" unit:"duration" min:"1s" max:"1h" help:"time for which a repeat of a failed request counts as a retry"`
+	// RetryEntries bounds the failed requests that one scheduler remembers.
+	RetryEntries int `yaml:"retry_entries" unit:"requests" min:"16" max:"1000000" help:"failed requests that one scheduler remembers"`
+	// LimitWait is how long a ticket may wait for a limit of its entry and workspace.
+	LimitWait time.Duration `yaml:"limit_wait" unit:"duration" min:"0s" max:"10m" help:"longest wait for a limit of the entry before a ticket is refused"`
 	// QueuePolicy is the plug-in that orders queued tickets.
 	QueuePolicy string `yaml:"queue_policy" format:"name" required:"true" help:"plug-in that orders queued tickets: tier_fair or fifo"`
 	// EnginePolicy is the plug-in that chooses the engine of a grant.
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/limiter"
 	"coltsfootplank/internal/loader"
 	"coltsfootplank/internal/runner"
 	"coltsfootplank/internal/scheduler"
@@ -32,6 +33,11 @@
 	result.DefaultPrefillPerSec = float64(settings.DefaultPrefillPerSecond)
 	result.DefaultTokensPerSec = float64(settings.DefaultTokensPerSecond)
 	result.DefaultOutputTokens = settings.DefaultOutputTokens
+	result.LimitWait = settings.LimitWait
+	result.Retries = limiter.RetrySettings{
+		Ratio: settings.RetryBudget, PerSecond: settings.RetryPerSecond, Burst: settings.RetryBurst,
+		Memory: settings.RetryMemory, Entries: settings.RetryEntries,
+	}
 	result.RetryAfterMin = settings.RetryAfterMin
 	result.RetryAfterMax = settings.RetryAfterMax
 	return result
