--- a/routerctl/internal/commander/demo_test.go
+++ b/routerctl/internal/commander/demo_test.go
@@ -31,3 +31,13 @@
 	_, known := catalogue.WorkspaceByKey("demo-key-caruaru")
 	assert.Assert(t, known)
 }
+
+// TestOperatorsPage guards against a settings table in docs/operators.md that differs from the code.
+func TestOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "operators.md"))
+	assert.NilError(t, err)
+	got := runAt(t, "127.0.0.1:1", "settings", "reference", "--markdown")
+	assert.Assert(t, strings.Contains(got.out, "| `drain.delay` | duration | `3s` | 0s to 5m |"), got.out)
+	assert.Assert(t, strings.Contains(string(page), got.out),
+		"run scripts/settings-table.sh")
+}
--- a/routerctl/internal/commander/settings.go
+++ b/routerctl/internal/commander/settings.go
@@ -1,6 +1,13 @@
 package commander
 
-import "coltsfootplank/internal/loader"
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"coltsfootplank/internal/loader"
+	"coltsfootplank/routerctl/internal/printer"
+)
 
 type settingsCommands struct {
 	Check     settingsCheck     `cmd:"" help:"Check a settings file and the certificate files that it names."`
@@ -23,7 +30,38 @@
 	return s.print(settings)
 }
 
-type settingsReference struct{}
+type settingsReference struct {
+	Markdown bool `help:"Print a Markdown table, as in docs/operators.md."`
+}
 
 // Run prints the reference that is generated from the settings structs.
-func (c *settingsReference) Run(s session) error { return s.print(loader.Reference()) }
+func (c *settingsReference) Run(s session) error {
+	if !c.Markdown {
+		return s.print(loader.Reference())
+	}
+	_, err := io.WriteString(s.streams.Out, markdown(loader.Reference()))
+	return printer.Error.Wrap(err)
+}
+
+func markdown(entries []loader.Entry) string {
+	text := strings.Builder{}
+	text.WriteString("| setting | unit | default | range | meaning |\n|---|---|---|---|---|\n")
+	for _, entry := range entries {
+		unit, initial, allowed := entry.Unit, "`"+entry.Default+"`", entry.Range
+		if unit == "" {
+			unit = entry.Type
+		}
+		switch {
+		case entry.Required && entry.Default == "":
+			initial = "required"
+		case entry.Default == "":
+			initial = "none"
+		}
+		if allowed == "" {
+			allowed = "any"
+		}
+		// Writing to memory can't fail.
+		_, _ = fmt.Fprintf(&text, "| `%s` | %s | %s | %s | %s |\n", entry.Field, unit, initial, allowed, entry.Help)
+	}
+	return text.String()
+}
