demo: exit with 1 when the script is interrupted

Cause: SIGTERM to scripts/demo.sh stopped all processes but the script exited with 0. Change: the signal handler sets the failure status. Test: interrupted in the middle of the load, the script exits with 1 and leaves no process. An uninterrupted run passes. With an engine crashed by the control port during the load it exits with 1 and lists the lost answers.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -117,7 +117,7 @@
   fi
   rm -rf "$work"
 }
-trap 'exit 1' INT TERM
+trap 'status=1; exit 1' INT TERM
 trap 'finish; exit "$status"' EXIT
 
 run() {
