scheduler: observe engines, isolate poison requests, follow cached prefixes

Cause: engines are unlike, slow down, crash and report late; one request may crash every engine that runs it. Change: speeds come from releases. An engine far below its own baseline, and below the other engines' ratio, is excluded within straggler_cap, as is one whose requests are overdue; it returns with one request and doubles. A load report is compared with the own grants of its time. A lost connection with a restart or failed load report within crash_window makes suspects, which run alone on a reserved engine; a crash while alone convicts, an answer acquits. Prefixes are followed from own dispatches and cache events, bounded for each engine. A pool without usable engines refuses no_upstream after a while. The three share the engine view and land together. Seen failing first: no comparison with peers, no cap, return at full load, no exclusion (TestStraggler); overdue ignored (TestOverdue); own requests counted as foreign, foreign ignored, age ignored, draining ignored, reported slots ignored (TestStaleReport); engine not down, unreachable renewed, no refusal (TestEngineDown); loss alone counts, grant time ignored, window ignored on either side, evidence after the loss ignored, wrong release kind (TestCrashEvidence); conviction in company, company on the engine, no isolation, no refusal, no acquittal, queued tickets kept (TestPoison); prefix holders not considered, cached part ignored, eviction believed at once, gap ignored, cache kept over a restart, prefill ahead ignored (TestPrefixAffinity); no bound (TestPrefixEntries).

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -57,7 +57,7 @@
 		return blockSlots
 	case e.reservedFor != nil && e.reservedFor != r && r.tier >= e.reservedFor.tier:
 		return blockReserved
-	case r.class == classAlone && len(e.granted) > 0:
+	case r.class == classAlone && len(e.granted)+e.foreign > 0:
 		return blockIsolation
 	case r.tier > e.settings.UrgentTier && free <= e.reserved():
 		return blockUrgent
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -51,6 +51,7 @@
 			consider(e)
 		}
 	}
+	engines.prefixes.candidates(r, consider)
 	return best
 }
 
--- /dev/null
+++ b/internal/scheduler/crash_test.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/zeebo/errs"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/isolator"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+)
+
+const lost = protocol.ReleaseKind_RELEASE_KIND_LOST
+
+var errPoll = errs.New("connection refused")
+
+func (c *cell) report(engine, instance string) {
+	c.ObserveLoad(c.now, engine, kernel.LoadReport{Instance: instance}, nil)
+}
+
+// TestCrashEvidence guards against a plain broken connection counting as a crash, and against a crash without
+// suspects, whichever of the loss and the evidence comes first.
+func TestCrashEvidence(t *testing.T) {
+	fail := func(c *cell) { c.ObserveLoad(c.now, "e0", kernel.LoadReport{}, errPoll) }
+	restart := func(c *cell) { c.report("e0", "two") }
+	same := func(c *cell) { c.report("e0", "one") }
+	lose := func(c *cell) { c.finish(&protocol.Grant{RequestId: "r1", Engine: "e0"}, lost, 1) }
+	foreign := func(c *cell) { c.finish(&protocol.Grant{RequestId: "x", Engine: "e0"}, lost, 1) }
+	answer := func(c *cell) { c.answer(&protocol.Grant{RequestId: "r1", Engine: "e0"}, 100, 100) }
+	late := func(c *cell) { c.now = c.now.Add(time.Minute) }
+	cases := []struct {
+		name  string
+		steps []func(*cell)
+		want  isolator.State
+	}{
+		{"lost only", []func(*cell){lose, same}, isolator.Clear},
+		{"lost, then failed report", []func(*cell){lose, fail}, isolator.Suspect},
+		{"failed report, then lost", []func(*cell){fail, lose}, isolator.Suspect},
+		{"lost, then restart", []func(*cell){lose, restart}, isolator.Suspect},
+		{"restart, then lost late", []func(*cell){restart, late, lose}, isolator.Suspect},
+		{"another scheduler's grant", []func(*cell){foreign, restart}, isolator.Suspect},
+		{"restart long after", []func(*cell){lose, late, restart}, isolator.Clear},
+		{"lost long after a failed report", []func(*cell){fail, late, lose}, isolator.Clear},
+		{"failed report, answered", []func(*cell){fail, answer}, isolator.Clear},
+	}
+	for _, k := range cases {
+		c := newCell(1, 4, nil)
+		c.report("e0", "one")
+		c.submit(1, 0, "a")
+		c.step()
+		for _, step := range k.steps {
+			step(c)
+		}
+		assert.Equal(t, c.isolator.State(c.now, 1), k.want, k.name)
+	}
+}
+
+// TestPoison guards against a poison request that keeps crashing engines, against convicting a request for a crash
+// in company, and against suspects that share an engine.
+func TestPoison(t *testing.T) {
+	c := newCell(2, 4, nil)
+	for _, e := range []string{"e0", "e1"} {
+		c.report(e, "one")
+	}
+	send := func(fingerprint uint64) *protocol.Ticket {
+		ticket := c.ticket(1, "a")
+		ticket.Fingerprint = fingerprint
+		c.Submit(c.now, "h", ticket)
+		return ticket
+	}
+	crash := func(g *protocol.Grant, instance string) {
+		c.finish(g, lost, 0)
+		c.report(g.Engine, instance)
+	}
+	const poison, healthy = 100, 200
+	send(poison)
+	send(healthy)
+	c.SetLeaving(c.now, "e1", true)
+	grants, _ := c.step()
+	assert.Equal(t, len(grants), 2)
+	c.finish(grants[1], lost, 0)
+	crash(grants[0], "two")
+	c.SetLeaving(c.now, "e1", false)
+	suspects := []*protocol.Ticket{send(healthy), send(poison)}
+	c.submit(12, 1, "a")
+	grants, _ = c.step()
+	company := make(map[string][]string)
+	for _, g := range grants {
+		company[g.Engine] = append(company[g.Engine], g.RequestId)
+	}
+	for _, suspect := range suspects {
+		r := c.requests[suspect.RequestId]
+		assert.Assert(t, r.engine == nil || len(company[r.engine.info.Name]) == 1)
+	}
+	var queued int
+	for range 40 {
+		for _, g := range grants {
+			if r := c.requests[g.RequestId]; r.ticket.Fingerprint == poison {
+				assert.Assert(t, r.alone)
+				queued++
+				c.finish(g, lost, 0)
+				c.report("e0", "three")
+				c.report("e1", "three")
+				continue
+			}
+			c.answer(g, 100, 100)
+		}
+		grants, _ = c.step()
+	}
+	assert.Equal(t, queued, 1)
+	assert.Equal(t, c.isolator.State(c.now, healthy), isolator.Clear, "acquitted by an answer while alone")
+	refused := send(poison)
+	_, refusals := c.step()
+	assert.DeepEqual(t, ids(refusals), []string{refused.RequestId})
+	assert.Equal(t, refusals[0].Code, CodePoison)
+
+	other := newCell(0, 0, nil)
+	ticket := other.ticket(1, "a")
+	ticket.Fingerprint = poison
+	other.Submit(other.now, "h", ticket)
+	other.AddConvictions(other.now, c.Convictions(c.now))
+	_, refusals = other.step()
+	assert.Equal(t, refusals[0].Code, CodePoison, "a queued ticket is refused when the conviction arrives")
+	c.now = c.now.Add(c.settings.Isolation.PoisonFor)
+	send(poison)
+	_, refusals = c.step()
+	assert.Equal(t, len(refusals), 0, "the conviction has expired")
+}
--- a/internal/scheduler/deadlines.go
+++ b/internal/scheduler/deadlines.go
@@ -69,7 +69,9 @@
 	if s.speeds.bestPrefill <= 0 {
 		return 0
 	}
-	return r.prompt/s.speeds.bestPrefill + r.output/s.speeds.bestTokens
+	prompt := r.prompt
+	s.prefixes.candidates(r, func(e *engine) { prompt = min(prompt, r.prompt-e.cached(r)) })
+	return prompt/s.speeds.bestPrefill + r.output/s.speeds.bestTokens
 }
 
 // meanSeconds is the time in a slot on an average engine, in seconds.
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -7,6 +7,8 @@
 	Since    time.Time      `json:"since"`
 	Grants   int            `json:"grants"`
 	Refusals map[string]int `json:"refusals"`
+	// CrashedRuns counts requests that were in flight when an engine crashed.
+	CrashedRuns int `json:"crashed_runs"`
 }
 
 // Dump is the state of a scheduler for operators.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"coltsfootplank/internal/estimator"
 )
 
 // EngineInfo describes one engine of the cell. Speeds are in tokens per second: PrefillPerSec of the engine,
@@ -35,6 +37,35 @@
 	ahead float64
 	// leaving is set by the host or by the engine's own report.
 	leaving bool
+	// draining, down and excluded are observations; reason is the last one that took the engine out.
+	draining bool
+	down     bool
+	excluded bool
+	reason   string
+	reasonAt time.Time
+	// allowance bounds the requests in flight while the engine returns gradually; 0 means no bound.
+	allowance int
+	// counted says whether the pool's slots include the engine's.
+	counted  bool
+	backoff  time.Duration
+	probeAt  time.Time
+	probedAt time.Time
+
+	prefill estimator.Speed
+	decode  estimator.Speed
+	cache   engineCache
+	// failures counts failed polls in a row. instance, batchSlots and reportedRoom are from the last report.
+	failures     int
+	instance     string
+	batchSlots   int
+	reportedRoom int
+	// foreign is the number of requests of other schedulers.
+	foreign   int
+	ended     []time.Time
+	endedNext int
+	// lost holds recent broken connections without evidence of a crash.
+	lost       []lostRun
+	evidenceAt time.Time
 	// gone is set when the engine left the cell while requests were in flight on it.
 	gone bool
 
@@ -49,7 +80,15 @@
 }
 
 func newEngine(info EngineInfo, settings *Settings) *engine {
-	return &engine{info: info, settings: settings, granted: make(map[string]*request), openPos: [openCount]int{-1, -1, -1, -1}}
+	e := &engine{info: info, settings: settings, granted: make(map[string]*request), openPos: [openCount]int{-1, -1, -1, -1}}
+	e.prefill, e.decode = estimator.NewSpeed(settings.DefaultPrefillPerSec), estimator.NewSpeed(settings.DefaultTokensPerSec)
+	if info.PrefillPerSec > 0 {
+		e.prefill = estimator.NewSpeed(info.PrefillPerSec)
+	}
+	if info.TokensPerSec > 0 {
+		e.decode = estimator.NewSpeed(info.TokensPerSec)
+	}
+	return e
 }
 
 // free is the number of open slots.
@@ -57,11 +96,13 @@
 	if !e.usable() || e.alone != nil {
 		return 0
 	}
-	return max(0, e.slots-len(e.granted))
+	return max(0, min(e.slots-len(e.granted), e.info.Slots-len(e.granted)-e.foreign))
 }
 
 // usable says whether the engine may receive new work.
-func (e *engine) usable() bool { return !e.leaving && !e.gone }
+func (e *engine) usable() bool {
+	return !e.leaving && !e.draining && !e.down && !e.excluded && !e.gone
+}
 
 // reserved is the number of slots that lower tiers leave free for urgent work.
 func (e *engine) reserved() int {
@@ -70,28 +111,24 @@
 
 // room is the number of tokens that may be in flight.
 func (e *engine) room() float64 {
-	if e.info.KVTokens <= 0 {
+	tokens := e.info.KVTokens
+	if tokens <= 0 {
+		tokens = e.reportedRoom
+	}
+	if tokens <= 0 {
 		return math.Inf(1)
 	}
-	return float64(e.info.KVTokens) * e.settings.TokenRoom
+	return float64(tokens) * e.settings.TokenRoom
 }
 
-func (e *engine) prefillSpeed() float64 {
-	if e.info.PrefillPerSec > 0 {
-		return e.info.PrefillPerSec
-	}
-	return e.settings.DefaultPrefillPerSec
-}
+func (e *engine) prefillSpeed() float64 { return e.prefill.Value() }
 
-func (e *engine) tokenSpeed() float64 {
-	if e.info.TokensPerSec > 0 {
-		return e.info.TokensPerSec
-	}
-	return e.settings.DefaultTokensPerSec
-}
+func (e *engine) tokenSpeed() float64 { return e.decode.Value() }
 
-// prefillTime is the time in seconds until the first token on an idle engine.
-func (e *engine) prefillTime(r *request) float64 { return (r.prompt + 1) / e.prefillSpeed() }
+// prefillTime is the time in seconds until the first token on an idle engine, for the uncached part of the prompt.
+func (e *engine) prefillTime(r *request) float64 {
+	return (r.prompt - e.cached(r) + 1) / e.prefillSpeed()
+}
 
 // decodeTime is the request's part of the engine's decoding time, in seconds: all slots decode in parallel. The
 // added token makes requests without output, such as calls of services, count too.
@@ -104,6 +141,9 @@
 	r.engine, r.grantedAt = e, now
 	e.granted[r.ticket.GetRequestId()] = r
 	e.tokens += r.tokens()
+	r.prefillAhead = max(0, e.prefillUntil.Sub(now).Seconds())
+	r.expectedRun = e.runSeconds(r, now)
+	r.alone = r.class == classAlone && e.foreign == 0
 	r.prefillWork, r.decodeWork = e.prefillTime(r), e.decodeTime(r)
 	if e.prefillUntil.Before(now) {
 		e.prefillUntil = now
@@ -122,6 +162,7 @@
 // end frees what start took.
 func (e *engine) end(r *request, now time.Time) {
 	delete(e.granted, r.ticket.GetRequestId())
+	e.rememberEnd(now)
 	e.tokens -= r.tokens()
 	e.decodeAhead = max(0, e.decodeAhead-r.decodeWork)
 	switch r.class {
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +25,11 @@
 	// reserved is the engine kept for one ticket, or nil.
 	reserved *engine
 	speeds   speedSurvey
+	prefixes *prefixIndex
+	// out holds the excluded engines that wait for a probe.
+	out []*engine
+	// noneSince is when the last usable engine was lost.
+	noneSince time.Time
 	// now is the time of the current call.
 	now time.Time
 }
@@ -35,7 +41,7 @@
 
 func newEngineSet(settings *Settings, random *rand.Rand) *engineSet {
 	return &engineSet{
-		settings: settings, random: random, share: 1,
+		settings: settings, random: random, share: 1, prefixes: newPrefixIndex(settings),
 		byName: make(map[string]*engine), classes: make(map[string]*engineClass),
 	}
 }
@@ -99,6 +105,7 @@
 		return
 	}
 	s.close(e)
+	s.prefixes.clear(e)
 	delete(s.byName, e.info.Name)
 	if i := slices.Index(s.list, e); i >= 0 {
 		s.list = slices.Delete(s.list, i, i+1)
@@ -107,31 +114,56 @@
 
 // refresh recomputes slots and indexes of all engines.
 func (s *engineSet) refresh() {
+	before := s.slots
 	s.slots = 0
 	if s.reserved != nil && !s.reserved.usable() {
 		s.unreserve(s.reserved.reservedFor)
 	}
 	for _, e := range s.list {
 		e.slots = s.slotsOf(e)
-		if e.usable() {
+		if e.counted = e.usable(); e.counted {
 			s.slots += max(0, e.info.Slots)
 		}
 		s.reindex(e)
 	}
+	if before > 0 && s.slots == 0 {
+		s.noneSince = s.now
+	}
 	s.survey()
 }
 
+// refreshOne recomputes one engine after an observation. A change of its usability changes the pool's slots.
+func (s *engineSet) refreshOne(e *engine) {
+	if e.usable() != e.counted {
+		s.refresh()
+		return
+	}
+	e.slots = s.slotsOf(e)
+	s.reindex(e)
+}
+
 // slotsOf is the part of an engine's slots that this scheduler may fill.
 func (s *engineSet) slotsOf(e *engine) int {
 	if e.info.Slots <= 0 {
 		return 0
 	}
-	return max(1, int(s.share*float64(e.info.Slots)+0.999))
+	slots := e.info.Slots
+	if e.batchSlots > 0 {
+		slots = min(slots, e.batchSlots)
+	}
+	slots = max(1, int(s.share*float64(slots)+0.999))
+	if e.allowance > 0 {
+		slots = min(slots, e.allowance)
+	}
+	return slots
 }
 
 // spare is the number of requests that the pool can take in addition. A share below one bounds the whole pool
 // too, because each engine's share is rounded up to a whole slot.
 func (s *engineSet) spare() int {
+	if s.share >= 1 {
+		return math.MaxInt
+	}
 	return max(1, int(s.share*float64(s.slots))) - s.granted
 }
 
@@ -174,6 +206,7 @@
 func (s *engineSet) start(e *engine, r *request, now time.Time) {
 	s.unreserve(r)
 	e.start(r, now)
+	s.prefixes.dispatched(e, r, now)
 	s.granted++
 	s.reindex(e)
 }
--- /dev/null
+++ b/internal/scheduler/prefixes_test.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+)
+
+func (c *cell) prefixed(hashes ...uint64) *protocol.Grant {
+	ticket := c.ticket(1, "a")
+	ticket.PromptTokens, ticket.PrefixHashes = 4000, hashes
+	c.Submit(c.now, "h", ticket)
+	grants, _ := c.step()
+	c.answer(grants[0], 4000, 100)
+	return grants[0]
+}
+
+// TestPrefixAffinity guards against computing a prefix again on another engine, against following a prefix to a
+// loaded engine, and against trusting what an engine has evicted.
+func TestPrefixAffinity(t *testing.T) {
+	c := newCell(300, 20, nil)
+	home := c.prefixed(1, 2, 3)
+	// A little work makes the engine the last of its generation.
+	busy := c.engines.byName[home.Engine]
+	busy.decodeAhead = 0.01
+	busy.touch(c.now)
+	c.engines.refreshOne(busy)
+	assert.Equal(t, c.prefixed(1, 2, 4).Engine, home.Engine, "shares two thirds of the prompt")
+	e := c.engines.byName[home.Engine]
+	event := func(seq uint64, kind kernel.CacheEventKind, hash uint64) {
+		c.ObserveCache(c.now, home.Engine, kernel.CacheEvents{Events: []kernel.CacheEvent{{Seq: seq, Kind: kind, Hash: hash}}})
+	}
+	event(1, kernel.CacheEvicted, 3)
+	assert.Equal(t, len(c.engines.prefixes.engines[3]), 1, "the eviction is older than the dispatch")
+	event(2, kernel.CacheStored, 9)
+	assert.Equal(t, len(c.engines.prefixes.engines[9]), 1)
+	c.now = c.now.Add(time.Minute)
+	event(3, kernel.CacheEvicted, 3)
+	assert.Equal(t, len(c.engines.prefixes.engines[3]), 0)
+	event(9, kernel.CacheStored, 10)
+	assert.Equal(t, len(e.cache.seen), 1, "events were lost, so evictions may have been")
+	c.report(home.Engine, "one")
+	c.report(home.Engine, "two")
+	assert.Equal(t, len(c.engines.prefixes.engines[10]), 0)
+
+	c = newCell(8, 20, nil)
+	home = c.prefixed(1, 2, 3)
+	e = c.engines.byName[home.Engine]
+	e.prefillUntil = c.now.Add(3 * time.Second)
+	assert.Assert(t, c.prefixed(1, 2, 3).Engine != home.Engine, "three seconds of work ahead, one of prefill")
+}
+
+// TestPrefixEntries guards against an index that grows without bound.
+func TestPrefixEntries(t *testing.T) {
+	c := newCell(1, 20, func(s *Settings) { s.PrefixEntries = 10 })
+	for i := range uint64(100) {
+		c.prefixed(i, i+1000)
+	}
+	assert.Equal(t, len(c.engines.prefixes.engines), 10)
+	assert.Equal(t, len(c.engines.list[0].cache.seen), 10)
+}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -54,6 +54,12 @@
 	// prefillWork and decodeWork are what the request added to its engine's work, in seconds.
 	prefillWork float64
 	decodeWork  float64
+	// prefillAhead and expectedRun are what the grant expected, in seconds.
+	prefillAhead float64
+	expectedRun  float64
+	// alone is set if nothing else can run on the engine; crashed if the engine restarted during the run.
+	alone   bool
+	crashed bool
 }
 
 // lengthKey names the requests whose lengths are alike.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/estimator"
+	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/limiter"
 	"coltsfootplank/internal/protocol"
 )
@@ -32,6 +33,7 @@
 	lengths   *estimator.Lengths
 	limiter   *limiter.Limiter
 	retries   *limiter.Retries
+	isolator  *isolator.Isolator
 	// parked orders the lanes that wait for a limit by their next look.
 	parked     *indexedHeap[*lane]
 	limitShare float64
@@ -61,8 +63,11 @@
 		counters: Counters{Since: now, Refusals: make(map[string]int)},
 	}
 	s.engines = newEngineSet(&s.settings, s.random)
+	s.engines.refresh()
 	s.lengths = estimator.NewLengths()
+	s.engines.noneSince = now
 	s.limiter = limiter.New()
+	s.isolator = isolator.New(settings.Isolation)
 	s.retries = limiter.NewRetries(settings.Retries)
 	s.parked = newIndexedHeap(func(a, b *lane) bool { return a.wakeAt.Before(b.wakeAt) },
 		func(l *lane) *int { return &l.parkPos })
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/limiter"
 )
 
@@ -36,11 +37,41 @@
 	LimitWait time.Duration
 	// Retries bounds the callers' retries of each workspace.
 	Retries limiter.RetrySettings
+	// StragglerRatio of an engine's own baseline speed is the speed below which it is excluded.
+	StragglerRatio float64
+	// StragglerCap bounds the share of the pool's engines that are excluded or returning.
+	StragglerCap float64
+	// ProbeAfter is the time until an excluded engine is probed; it doubles with each failed probe up to
+	// ProbeAfterMax.
+	ProbeAfter    time.Duration
+	ProbeAfterMax time.Duration
+	// MaxReportAge is the age from which a load report says nothing about the present.
+	MaxReportAge time.Duration
+	// CacheEventLag is how much later than the change a cache event may come.
+	CacheEventLag time.Duration
+	// PrefixEntries bounds the prefixes remembered for each engine.
+	PrefixEntries int
+	// CrashWindow is the time between a lost connection and the evidence of a crash within which they belong
+	// together.
+	CrashWindow time.Duration
+	// Isolation bounds suspicions and convictions.
+	Isolation isolator.Settings
+	// NoUpstreamAfter is how long tickets wait for a pool without usable engines.
+	NoUpstreamAfter time.Duration
 	// RetryAfterMin and RetryAfterMax bound the Retry-After of refusals.
 	RetryAfterMin time.Duration
 	RetryAfterMax time.Duration
 }
 
+// Check returns a *kernel.UnknownPluginError if a policy isn't registered.
+func (s Settings) Check() error {
+	if _, err := Orders.Lookup(s.OrderPolicy); err != nil {
+		return err
+	}
+	_, err := EngineChoices.Lookup(s.EngineChoice)
+	return err
+}
+
 // DefaultSettings returns the settings of the product.
 func DefaultSettings() Settings {
 	return Settings{
@@ -60,6 +91,18 @@
 		Retries: limiter.RetrySettings{
 			Ratio: 0.2, PerSecond: 0.5, Burst: 20, Memory: time.Minute, Entries: 4096,
 		},
+		StragglerRatio:  0.5,
+		StragglerCap:    0.34,
+		ProbeAfter:      5 * time.Second,
+		ProbeAfterMax:   time.Minute,
+		MaxReportAge:    2 * time.Second,
+		CacheEventLag:   2 * time.Second,
+		PrefixEntries:   2048,
+		CrashWindow:     5 * time.Second,
+		NoUpstreamAfter: 5 * time.Second,
+		Isolation: isolator.Settings{
+			SuspectFor: 10 * time.Minute, PoisonFor: time.Hour, Entries: 4096,
+		},
 		RetryAfterMin: 200 * time.Millisecond,
 		RetryAfterMax: 60 * time.Second,
 	}
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"coltsfootplank/internal/protocol"
 )
 
 // Step returns the decisions that are due at now.
@@ -12,8 +10,10 @@
 	if now.Sub(s.engines.speeds.at) >= surveyInterval {
 		s.engines.survey()
 	}
+	s.engines.probeDue(now)
 	s.expire(now)
 	s.unparkDue(now)
+	s.refuseWithoutUpstream(now)
 
 	s.fill(now)
 	s.shed()
@@ -40,9 +40,27 @@
 	if l, ok := s.parked.top(); ok {
 		sooner(l.wakeAt)
 	}
+	if at := s.engines.nextProbe(); !at.IsZero() {
+		sooner(at)
+	}
+	if s.engines.slots == 0 && s.queued() > 0 {
+		sooner(s.engines.noneSince.Add(s.settings.NoUpstreamAfter))
+	}
 	return wake
 }
 
+// refuseWithoutUpstream empties the queue after the pool has had no usable engine for a while.
+func (s *Scheduler) refuseWithoutUpstream(now time.Time) {
+	if s.engines.slots > 0 || now.Sub(s.engines.noneSince) < s.settings.NoUpstreamAfter {
+		return
+	}
+	for _, r := range s.requests {
+		if r.lane != nil {
+			s.refuse(r, CodeNoUpstream, "the pool has no usable engine", s.jitter(s.settings.NoUpstreamAfter))
+		}
+	}
+}
+
 // fill grants queued tickets, bucket by bucket, as long as engines have room.
 func (s *Scheduler) fill(now time.Time) {
 	for _, b := range s.buckets {
@@ -122,7 +140,7 @@
 // shed refuses tickets while the queue is over its limit: from the lowest tier present, within it from the
 // workspace furthest over its share, and within that the newest.
 func (s *Scheduler) shed() {
-	limit := int(float64(s.settings.MaxQueue) * s.limitShare)
+	limit := max(1, int(float64(s.settings.MaxQueue)*s.limitShare))
 	for s.settings.MaxQueue > 0 && s.queued() > limit {
 		for i := len(s.buckets) - 1; i >= 0; i-- {
 			if a, ok := s.buckets[i].surplus.top(); ok {
@@ -133,9 +151,3 @@
 		}
 	}
 }
-
-// AddConvictions merges suspicions and convictions that another router has gossiped.
-func (s *Scheduler) AddConvictions(_ time.Time, _ []*protocol.Conviction) { s.dirty = true }
-
-// Convictions returns the suspicions and convictions to gossip.
-func (s *Scheduler) Convictions(_ time.Time) []*protocol.Conviction { return nil }
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -33,6 +34,9 @@
 			s.jitter(max(s.retries.Wait(workspace), s.retryAfter(r.bucket))))
 		return
 	}
+	if s.poisonous(r, now) {
+		return
+	}
 	if s.infeasible(r, now) {
 		s.refuse(r, CodeDeadlineInfeasible, "the queue ahead leaves no time for the run", s.retryAfter(r.bucket))
 		return
@@ -73,11 +77,19 @@
 		r.declared = min(r.declared, limit)
 	}
 	r.output = s.lengths.Estimate(r.lengthKey(), r.declared)
+	r.seconds = s.engines.meanSeconds(r)
+	s.classify(r, s.engines.now)
+}
+
+// classify sets the queue of a request.
+func (s *Scheduler) classify(r *request, now time.Time) {
 	r.class = classShort
 	if r.output > float64(s.settings.LongTokens) {
 		r.class = classLong
 	}
-	r.seconds = s.engines.meanSeconds(r)
+	if s.isolator.State(now, r.ticket.GetFingerprint()) == isolator.Suspect {
+		r.class = classAlone
+	}
 }
 
 // Cancel drops a ticket whose caller has gone. A grant that was not used is given back to the workspace's share.
@@ -111,7 +123,11 @@
 func (s *Scheduler) Release(now time.Time, holder string, release *protocol.Release) {
 	s.at(now)
 	r := s.requests[release.GetRequestId()]
-	if r == nil || r.engine == nil || r.holder != holder || r.engine.info.Name != release.GetEngine() {
+	if r != nil && (r.engine == nil || r.holder != holder || r.engine.info.Name != release.GetEngine()) {
+		r = nil
+	}
+	s.observeRelease(now, r, release)
+	if r == nil {
 		return
 	}
 	switch release.GetKind() {
@@ -129,6 +145,27 @@
 	}
 }
 
+// observeRelease feeds what a release says about its engine. r is nil if another scheduler made the grant.
+func (s *Scheduler) observeRelease(now time.Time, r *request, release *protocol.Release) {
+	e := s.engines.byName[release.GetEngine()]
+	if e == nil {
+		return
+	}
+	switch release.GetKind() {
+	case protocol.ReleaseKind_RELEASE_KIND_ANSWERED:
+		s.observeRun(now, e, r, release)
+		if r != nil && r.alone {
+			s.isolator.Acquit(r.ticket.GetFingerprint())
+		}
+	case protocol.ReleaseKind_RELEASE_KIND_LOST:
+		s.observeLoss(now, e, r, release.GetFingerprint())
+	case protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+		if !e.excluded {
+			s.engines.exclude(e, now, "a holder could not connect")
+		}
+	}
+}
+
 // settle corrects the charge of a grant to the work that was done: uncached prompt and output tokens.
 func (s *Scheduler) settle(r *request, release *protocol.Release) {
 	prompt := float64(release.GetPromptTokens()) - float64(release.GetCachedTokens())
