--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -13,6 +13,9 @@
 	blockNoEngine  block = "no_usable_engine"
 	blockIsolation block = "waits_to_run_alone"
 	blockTurn      block = "behind_other_tickets"
+
+	blockConcurrency block = "concurrency_limit"
+	blockTokens      block = "tokens_per_minute_limit"
 )
 
 // Indexes of engines by what they can take; see engine.opens.
--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,52 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// BenchmarkDecision measures one submission, one decision and one release at saturation, for each number of
+// engines and of queued tickets.
+func BenchmarkDecision(b *testing.B) {
+	for _, engines := range []int{12, 100, 900} {
+		for _, queued := range []int{100, 5000} {
+			b.Run(fmt.Sprintf("engines=%d/queued=%d", engines, queued), func(b *testing.B) {
+				benchmarkDecision(b, engines, queued)
+			})
+		}
+	}
+}
+
+func benchmarkDecision(b *testing.B, engines, queued int) {
+	c := newCell(engines, 8, func(s *Settings) { s.MaxQueue, s.LongShare, s.UrgentReserve = 0, 0.5, 0.125 })
+	submit := func(i int) {
+		ticket := c.ticket(uint32(i%4), fmt.Sprintf("w%d", i%200))
+		ticket.DeadlineMs = 100_000_000
+		ticket.PrefixHashes = []uint64{uint64(i % 50), uint64(i%500) + 1000, uint64(i) + 10_000}
+		if i%5 == 0 {
+			ticket.OutputTokens = 2000
+		}
+		c.Submit(c.now, "h", ticket)
+	}
+	var running []*protocol.Grant
+	for i := range engines*8 + queued {
+		submit(i)
+	}
+	running, _ = c.step()
+	b.ReportAllocs()
+	b.ResetTimer()
+	next := engines*8 + queued
+	for i := range b.N {
+		c.now = c.now.Add(time.Millisecond)
+		c.answer(running[i%len(running)], 100, 100)
+		submit(next)
+		next++
+		grants, _ := c.step()
+		if len(grants) > 0 {
+			running[i%len(running)] = grants[0]
+		}
+	}
+}
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -1,6 +1,14 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"coltsfootplank/internal/limiter"
+)
 
 // Counters counts decisions since the scheduler was made.
 type Counters struct {
@@ -47,22 +55,96 @@
 	GrantedAt time.Time `json:"granted_at"`
 }
 
-// DumpEngine is the view of one engine.
+// DumpEngine is the view of one engine. Reason is the last one that took it out of use, also after its return.
 type DumpEngine struct {
-	Name         string  `json:"name"`
-	Slots        int     `json:"slots"`
-	InFlight     int     `json:"in_flight"`
-	Tokens       float64 `json:"tokens_in_flight"`
-	AheadSeconds float64 `json:"work_ahead_seconds"`
-	Leaving      bool    `json:"leaving"`
+	Name         string    `json:"name"`
+	Generation   string    `json:"generation"`
+	Usable       bool      `json:"usable"`
+	Slots        int       `json:"slots"`
+	Allowance    int       `json:"allowance,omitempty"`
+	InFlight     int       `json:"in_flight"`
+	Foreign      int       `json:"foreign_in_flight"`
+	Tokens       float64   `json:"tokens_in_flight"`
+	AheadSeconds float64   `json:"work_ahead_seconds"`
+	Prefill      float64   `json:"prefill_tokens_per_second"`
+	Decode       float64   `json:"output_tokens_per_second"`
+	Baseline     float64   `json:"baseline_output_tokens_per_second"`
+	Prefixes     int       `json:"prefixes"`
+	Leaving      bool      `json:"leaving"`
+	Reason       string    `json:"last_exclusion,omitempty"`
+	ReasonAt     time.Time `json:"last_exclusion_at,omitzero"`
 }
 
-// Dump returns the state for operators.
+// Dump returns the state for operators. It shares nothing with the scheduler.
 func (s *Scheduler) Dump() Dump {
 	dump := Dump{Pool: s.pool, Counters: s.counters}
+	dump.Counters.Refusals = maps.Clone(s.counters.Refusals)
+	queues := make(map[dumpKey]*DumpQueue)
+	for _, r := range sorted(s.requests) {
+		if r.engine != nil {
+			dump.Grants = append(dump.Grants, DumpGrant{RequestID: r.ticket.GetRequestId(), Holder: r.holder,
+				Engine: r.engine.info.Name, Tier: r.tier, Workspace: r.account.workspace, GrantedAt: r.grantedAt})
+			continue
+		}
+		key := dumpKey{r.tier, r.account.workspace}
+		q := queues[key]
+		if q == nil {
+			q = &DumpQueue{Tier: r.tier, Workspace: r.account.workspace, Counter: r.account.counter}
+			queues[key] = q
+		}
+		q.Tickets = append(q.Tickets, DumpTicket{RequestID: r.ticket.GetRequestId(), Holder: r.holder,
+			Work: r.ticket.GetWork(), Tokens: int(r.tokens()), Reason: string(s.waitReason(r))})
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(queues), compareKeys) {
+		dump.Queue = append(dump.Queue, *queues[key])
+	}
 	for _, e := range s.engines.list {
-		dump.Engines = append(dump.Engines, DumpEngine{Name: e.info.Name, Slots: e.slots, InFlight: len(e.granted),
-			Tokens: e.tokens, AheadSeconds: e.ahead, Leaving: e.leaving})
+		dump.Engines = append(dump.Engines, e.dump())
 	}
 	return dump
 }
+
+type dumpKey struct {
+	tier      int
+	workspace string
+}
+
+func compareKeys(a, b dumpKey) int {
+	return cmp.Or(cmp.Compare(a.tier, b.tier), strings.Compare(a.workspace, b.workspace))
+}
+
+// sorted returns requests in order of arrival.
+func sorted(requests map[string]*request) []*request {
+	return slices.SortedFunc(maps.Values(requests), func(a, b *request) int {
+		switch {
+		case older(a, b):
+			return -1
+		case older(b, a):
+			return 1
+		}
+		return 0
+	})
+}
+
+// waitReason says why a queued ticket isn't granted.
+func (s *Scheduler) waitReason(r *request) block {
+	switch {
+	case r.lane.parkPos >= 0 && r.lane.verdict == limiter.TokensReached:
+		return blockTokens
+	case r.lane.parkPos >= 0:
+		return blockConcurrency
+	case r.lane.flow.first != r:
+		return blockTurn
+	}
+	if found := s.engines.blockOf(r); found != blockNone {
+		return found
+	}
+	return blockTurn
+}
+
+func (e *engine) dump() DumpEngine {
+	return DumpEngine{Name: e.info.Name, Generation: e.info.Generation, Usable: e.usable(), Slots: e.slots,
+		Allowance: e.allowance, InFlight: len(e.granted), Foreign: e.foreign, Tokens: e.tokens, AheadSeconds: e.ahead,
+		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(),
+		Prefixes: len(e.cache.seen), Leaving: e.leaving || e.draining, Reason: e.reason, ReasonAt: e.reasonAt}
+}
