scheduler: test the reservation with a second engine

Cause: with one engine, the test didn't notice a large ticket that never gets its reserved engine while another engine has some room. Change: TestTokenRoom runs with one and with two engines. Tested: with -race, vet, golangci-lint. Seen failing first: reserved engine left out of the room check, no reservation (TestTokenRoom).

--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -53,21 +53,30 @@
 // TestTokenRoom guards against more tokens in flight than the engine's KV cache holds, and against a large ticket
 // starving behind small ones that take the room as it becomes free.
 func TestTokenRoom(t *testing.T) {
+	for _, engines := range []int{1, 2} {
+		checkTokenRoom(t, engines)
+	}
+}
+
+func checkTokenRoom(t *testing.T, engines int) {
 	c := newCell(0, 0, func(s *Settings) { s.TokenRoom = 1 })
-	c.SetEngines(c.now, []EngineInfo{{Name: "e0", Slots: 10, KVTokens: 1000}})
-	c.submit(4, 1, "a")
+	infos := []EngineInfo{{Name: "e0", Slots: 10, KVTokens: 1000}, {Name: "e1", Slots: 10, KVTokens: 1000}}
+	c.SetEngines(c.now, infos[:engines])
+	c.submit(4*engines, 1, "a")
 	running, _ := c.step()
-	assert.Equal(t, len(running), 4)
+	assert.Equal(t, len(running), 4*engines)
 	large := c.ticket(1, "a")
 	large.PromptTokens = 800
 	c.Submit(c.now, "h", large)
 	var granted bool
-	for i := range 20 {
+	for i := range 40 {
 		c.submit(1, 1, "b")
 		grants, _ := c.step()
 		running = append(running, grants...)
 		granted = granted || fmt.Sprint(ids(grants)) == fmt.Sprint([]string{large.RequestId})
-		assert.Assert(t, c.engines.list[0].tokens <= 1000)
+		for _, e := range c.engines.list {
+			assert.Assert(t, e.tokens <= 1000)
+		}
 		if granted {
 			break
 		}
