Claim keyed model work in memory while the log is down

The follower also stayed unhealthy for up to one long poll after an outage of an idle stream.

A claim needs both home routers, asked one after the other. A claim that is given up is released by an entry without a request id. The first read after a failure does not wait.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -47,9 +47,11 @@
 	Result  *Result
 }
 
+// outcome is the answer to a waiting claim; down tells that the log refused it.
 type outcome struct {
 	verdict Verdict
 	err     error
+	down    bool
 }
 
 // waiter is a call of Claim that waits for its record to be read back.
@@ -68,13 +70,21 @@
 	follower *follower.Follower
 	window   atomic.Int64
 	kick     chan struct{}
+	memory   *Memory
 
 	mu      sync.Mutex
 	fold    *fold
 	gap     gap
 	waiters map[string]*waiter
-	queue   []*queued
-	counts  counts
+	claims  []*queued
+	stores  []*queued
+	// storesAfter is the time before which stores are not appended again after a failure.
+	storesAfter time.Time
+	// inMemory holds the ids of own claims that won in memory and were not read back yet.
+	inMemory map[string]struct{}
+	// lastDown is the last time at which the log was seen to be down.
+	lastDown time.Time
+	counts   counts
 }
 
 // New returns a claimer; it decides nothing until Run follows the log.
@@ -88,6 +98,8 @@
 		kick:     make(chan struct{}, 1),
 		fold:     newFold(options.Retention.Milliseconds()),
 		waiters:  make(map[string]*waiter),
+		memory:   NewMemory(nil),
+		inMemory: make(map[string]struct{}),
 	}
 	c.window.Store(int64(options.Window))
 	c.follower = follower.New(log, Stream, 0, c.apply, c.trimmed, logger)
@@ -99,7 +111,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.follower.Run(ctx) })
 	group.Go(func() error { return c.flush(ctx) })
-	group.Go(func() error { return c.prune(ctx) })
+	group.Go(func() error { return c.watch(ctx) })
 	return group.Wait()
 }
 
@@ -128,12 +140,22 @@
 		c.mu.Unlock()
 		return Verdict{}, &UnavailableError{Reason: "records that may hold the claim of this key were lost to retention"}
 	}
+	c.mu.Unlock()
+	claimID := uuid.NewString()
 	if !c.follower.Healthy() {
-		c.mu.Unlock()
+		if scope.Memory {
+			return c.claimInMemory(ctx, scope, hash, claimID, requestID)
+		}
 		return Verdict{}, &UnavailableError{Reason: "the log can't be read"}
 	}
-	claimID := uuid.NewString()
+	asked := scope.Memory && c.recentlyDown()
+	if asked {
+		if verdict, proceed, err := c.checkHomes(ctx, hash, claimID, requestID); !proceed {
+			return verdict, err
+		}
+	}
 	w := &waiter{scope: scope, keyMade: keyMade, done: make(chan outcome, 1)}
+	c.mu.Lock()
 	c.waiters[claimID] = w
 	c.enqueue(&queued{entry: entry{
 		Kind:        entryClaim,
@@ -143,13 +165,21 @@
 		Fingerprint: scope.Fingerprint,
 	}})
 	c.mu.Unlock()
-	return c.await(ctx, claimID, w)
+	o := c.await(ctx, claimID, w)
+	if o.down && scope.Memory {
+		// The same id, because an append of this claim may have taken effect before.
+		return c.claimInMemory(ctx, scope, hash, claimID, requestID)
+	}
+	if asked && o.verdict.State != Won {
+		c.release(ctx, hash, claimID)
+	}
+	return o.verdict, o.err
 }
 
-func (c *Claimer) await(ctx context.Context, claimID string, w *waiter) (Verdict, error) {
+func (c *Claimer) await(ctx context.Context, claimID string, w *waiter) outcome {
 	select {
 	case o := <-w.done:
-		return o.verdict, o.err
+		return o
 	case <-ctx.Done():
 	}
 	c.mu.Lock()
@@ -158,15 +188,18 @@
 	select {
 	case o := <-w.done:
 		// Decided at the same moment; a claim that won belongs to the caller.
-		return o.verdict, o.err
+		return o
 	default:
-		return Verdict{}, &UnavailableError{Reason: "the claim was not read back in time", Cause: ctx.Err()}
+		return outcome{err: &UnavailableError{Reason: "the claim was not read back in time", Cause: ctx.Err()}}
 	}
 }
 
 // Void frees a scope whose winner was not dispatched. It returns once the record is on the log; if ctx ends
 // before, it returns an *UnavailableError and the record is still appended later.
 func (c *Claimer) Void(ctx context.Context, scope Scope, claimID string) error {
+	if scope.Memory && c.recentlyDown() {
+		c.release(ctx, scope.Hash(), claimID)
+	}
 	return c.store(ctx, entry{Kind: entryVoid, ScopeHash: scope.Hash(), ClaimID: claimID})
 }
 
@@ -183,7 +216,7 @@
 func (c *Claimer) store(ctx context.Context, e entry) error {
 	q := &queued{entry: e, done: make(chan struct{})}
 	c.mu.Lock()
-	if e.Kind == entryResult && len(c.queue) >= queueLimit {
+	if e.Kind == entryResult && len(c.stores) >= queueLimit {
 		c.mu.Unlock()
 		return &QueueFullError{Limit: queueLimit}
 	}
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -219,3 +219,24 @@
 		assert.Equal(t, verdict.State, Won)
 	})
 }
+
+// TestVoidInOutage guards against a scope that stays closed because its void could not be appended at once.
+func TestVoidInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		a, stop := start(t, log, "a", 1)
+		defer stop()
+		verdict, err := claimWithin(t, a, time.Second, deposit)
+		assert.NilError(t, err)
+		log.SetOutage(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		err = a.Void(ctx, deposit, verdict.ClaimID)
+		assert.Assert(t, isUnavailable(err), "%v", err)
+		log.SetOutage(false)
+		time.Sleep(10 * time.Second)
+		verdict, err = claimWithin(t, a, time.Second, deposit)
+		assert.NilError(t, err)
+		assert.Equal(t, verdict.State, Won)
+	})
+}
--- a/internal/claimer/dump.go
+++ b/internal/claimer/dump.go
@@ -3,6 +3,8 @@
 // counts are totals since the start.
 type counts struct {
 	Won           uint64 `json:"won"`
+	WonInMemory   uint64 `json:"won_in_memory"`
+	LostInMemory  uint64 `json:"lost_in_memory"`
 	VoidedLate    uint64 `json:"voided_late"`
 	Appends       uint64 `json:"appends"`
 	FailedAppends uint64 `json:"failed_appends"`
@@ -16,7 +18,8 @@
 	LagMS       int64  `json:"lag_ms"`
 	Scopes      int    `json:"scopes"`
 	Waiting     int    `json:"waiting"`
-	Queued      int    `json:"queued"`
+	Claims      int    `json:"claims_queued"`
+	Stores      int    `json:"stores_queued"`
 	WindowMS    int64  `json:"window_ms"`
 	GapExists   bool   `json:"gap_exists"`
 	GapBeforeMS int64  `json:"gap_before_unix_ms,omitempty"`
@@ -34,7 +37,8 @@
 		LagMS:     c.follower.Lag().Milliseconds(),
 		Scopes:    len(c.fold.scopes),
 		Waiting:   len(c.waiters),
-		Queued:    len(c.queue),
+		Claims:    len(c.claims),
+		Stores:    len(c.stores),
 		WindowMS:  c.windowDuration().Milliseconds(),
 		GapExists: c.gap.exists,
 		Counts:    c.counts,
--- a/internal/claimer/flush.go
+++ b/internal/claimer/flush.go
@@ -34,9 +34,17 @@
 	notBefore time.Time
 }
 
+// waits tells whether a call of Claim waits for the entry to be read back. All other entries are stores: they
+// are appended until it succeeds.
+func (q *queued) waits() bool { return q.entry.Kind == entryClaim && !q.entry.Memory }
+
 // enqueue adds an entry and wakes the flusher. The caller holds the lock.
 func (c *Claimer) enqueue(q *queued) {
-	c.queue = append(c.queue, q)
+	if q.waits() {
+		c.claims = append(c.claims, q)
+	} else {
+		c.stores = append(c.stores, q)
+	}
 	select {
 	case c.kick <- struct{}{}:
 	default:
@@ -75,36 +83,40 @@
 	return ctx.Err()
 }
 
-// take removes the entries of the next batch from the queue, without the claims that nobody waits for. If
+// take removes the entries of the next batch from the queues, without the claims that nobody waits for. If
 // there is none, it returns the time until there may be one.
 func (c *Claimer) take() ([]*queued, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	wait := time.Minute
-	size := 0
 	var entries, rest []*queued
-	for _, q := range c.queue {
-		if q.entry.Kind == entryClaim && c.waiters[q.entry.ClaimID] == nil {
-			continue
-		}
-		if early := q.notBefore.Sub(now); early > 0 {
+	for _, q := range c.claims {
+		switch early := q.notBefore.Sub(now); {
+		case c.waiters[q.entry.ClaimID] == nil:
+		case early > 0:
 			wait = min(wait, early)
 			rest = append(rest, q)
-			continue
-		}
-		length := entryBytes
-		if q.entry.Result != nil {
-			length += len(q.entry.Result.Body) * 4 / 3
-		}
-		if len(entries) == batchEntries || (len(entries) > 0 && size+length > batchBytes) {
+		case len(entries) == batchEntries:
 			rest = append(rest, q)
-			continue
+		default:
+			entries = append(entries, q)
 		}
-		size += length
+	}
+	c.claims = rest
+	if early := c.storesAfter.Sub(now); early > 0 && len(c.stores) > 0 {
+		return entries, min(wait, early)
+	}
+	size := len(entries) * entryBytes
+	for len(c.stores) > 0 && len(entries) < batchEntries && size < batchBytes {
+		q := c.stores[0]
+		c.stores = c.stores[1:]
 		entries = append(entries, q)
+		size += entryBytes
+		if q.entry.Result != nil {
+			size += len(q.entry.Result.Body) * 4 / 3
+		}
 	}
-	c.queue = rest
 	return entries, wait
 }
 
@@ -140,17 +152,26 @@
 func (c *Claimer) appendFailed(entries []*queued, err error) {
 	var unavailable *kernel.LogUnavailableError
 	down := errors.As(err, &unavailable)
+	if down {
+		c.lastDown = time.Now()
+	}
+	var stores []*queued
 	for _, q := range entries {
 		w, waiting := c.waiters[q.entry.ClaimID]
-		if q.entry.Kind == entryClaim && down {
-			if waiting {
-				delete(c.waiters, q.entry.ClaimID)
-				w.done <- outcome{err: &UnavailableError{Reason: "the log is down", Cause: err}}
-			}
-			continue
+		switch {
+		case !q.waits():
+			stores = append(stores, q)
+		case !down:
+			q.notBefore = time.Now().Add(retryInterval)
+			c.enqueue(q)
+		case waiting:
+			delete(c.waiters, q.entry.ClaimID)
+			w.done <- outcome{err: &UnavailableError{Reason: "the log is down", Cause: err}, down: true}
 		}
-		q.notBefore = time.Now().Add(retryInterval)
-		c.enqueue(q)
+	}
+	if len(stores) > 0 {
+		c.stores = append(stores, c.stores...)
+		c.storesAfter = time.Now().Add(retryInterval)
 	}
 }
 
--- a/internal/claimer/fold.go
+++ b/internal/claimer/fold.go
@@ -25,10 +25,12 @@
 type fold struct {
 	retentionMS int64
 	scopes      map[ScopeHash]*scopeState
+	// short finds a scope by the part of its hash that claims in memory use.
+	short map[uint64]ScopeHash
 }
 
 func newFold(retentionMS int64) *fold {
-	return &fold{retentionMS: retentionMS, scopes: make(map[ScopeHash]*scopeState)}
+	return &fold{retentionMS: retentionMS, scopes: make(map[ScopeHash]*scopeState), short: make(map[uint64]ScopeHash)}
 }
 
 // claimOutcome is what a claim record changed.
@@ -93,6 +95,7 @@
 	if !ok {
 		state = &scopeState{}
 		f.scopes[hash] = state
+		f.short[hash.Short()] = hash
 	}
 	return state
 }
@@ -103,11 +106,25 @@
 	return state, ok && state.claimID != ""
 }
 
+// holderByShort returns the claim id of a scope that is held.
+func (f *fold) holderByShort(short uint64) (string, bool) {
+	hash, ok := f.short[short]
+	if !ok {
+		return "", false
+	}
+	state, held := f.holder(hash)
+	if !held {
+		return "", false
+	}
+	return state.claimID, true
+}
+
 // prune drops scopes that no later claim can lose to. The caller adds the clock skew to the age.
 func (f *fold) prune(beforeUnixMS int64) {
 	for hash, state := range f.scopes {
 		if state.lastUnixMS < beforeUnixMS {
 			delete(f.scopes, hash)
+			delete(f.short, hash.Short())
 		}
 	}
 }
--- a/internal/claimer/options.go
+++ b/internal/claimer/options.go
@@ -25,6 +25,9 @@
 	ClockSkew time.Duration
 	// Window is the shortest time between two appends.
 	Window time.Duration
+	// Ask and Ranks reach the home routers of a scope for claims in memory; without them there are none.
+	Ask   Ask
+	Ranks Ranks
 	// Now returns the wall clock time; the default is time.Now.
 	Now func() time.Time
 }
--- a/internal/claimer/read.go
+++ b/internal/claimer/read.go
@@ -9,7 +9,10 @@
 	"coltsfootplank/internal/kernel"
 )
 
-const pruneInterval = time.Minute
+const (
+	pruneInterval = time.Minute
+	watchInterval = time.Second
+)
 
 // apply folds one record and answers the calls of Claim that wait for it.
 func (c *Claimer) apply(record kernel.LogRecord) {
@@ -38,6 +41,13 @@
 	result := c.fold.claim(e, b)
 	w, waiting := c.waiters[e.ClaimID]
 	delete(c.waiters, e.ClaimID)
+	if _, held := c.inMemory[e.ClaimID]; held && e.Memory {
+		defer delete(c.inMemory, e.ClaimID)
+		if result == claimLost {
+			c.counts.LostInMemory++
+			c.logger.Warn("a claim won in memory lost on the log", zap.String("claim_id", e.ClaimID))
+		}
+	}
 	switch result {
 	case claimWon:
 		c.applyWinner(e, b, w, waiting)
@@ -60,6 +70,9 @@
 	if b.Router != c.identity.Router || b.Incarnation != c.identity.Incarnation {
 		return
 	}
+	if _, held := c.inMemory[e.ClaimID]; held || e.Memory {
+		return
+	}
 	if !waiting {
 		// The call of Claim was given up, so nobody will dispatch this request.
 		c.counts.VoidedLate++
@@ -81,17 +94,25 @@
 	c.gap.trimmed(c.options.Now())
 }
 
-func (c *Claimer) prune(ctx context.Context) error {
-	ticker := time.NewTicker(pruneInterval)
+// watch notes outages of the log and drops old scopes.
+func (c *Claimer) watch(ctx context.Context) error {
+	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
+	pruned := time.Now()
 	for {
 		select {
 		case <-ticker.C:
-			c.mu.Lock()
-			c.fold.prune(c.options.Now().Add(-c.options.Retention - 2*c.options.ClockSkew).UnixMilli())
-			c.mu.Unlock()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		c.mu.Lock()
+		if c.follower.CaughtUp() && !c.follower.Healthy() {
+			c.lastDown = time.Now()
+		}
+		if time.Since(pruned) >= pruneInterval {
+			pruned = time.Now()
+			c.fold.prune(c.options.Now().Add(-c.options.Retention - 2*c.options.ClockSkew).UnixMilli())
+		}
+		c.mu.Unlock()
 	}
 }
--- a/internal/claimer/record.go
+++ b/internal/claimer/record.go
@@ -27,13 +27,15 @@
 	entryResult entryKind = "result"
 )
 
-// entry is one claim, void or result. Fingerprint and RequestID belong to claims, Result to results.
+// entry is one claim, void or result. Fingerprint and RequestID belong to claims, Result to results. Memory marks
+// a claim that was won in memory while the log was down: its holder doesn't wait for the record.
 type entry struct {
 	Kind        entryKind `json:"kind"`
 	ScopeHash   ScopeHash `json:"scope_hash"`
 	ClaimID     string    `json:"claim_id"`
 	RequestID   string    `json:"request_id,omitempty"`
 	Fingerprint uint64    `json:"fingerprint,omitempty"`
+	Memory      bool      `json:"memory,omitempty"`
 	Result      *Result   `json:"result,omitempty"`
 }
 
--- a/internal/claimer/scope.go
+++ b/internal/claimer/scope.go
@@ -16,13 +16,15 @@
 
 // Scope is what may run once. Fingerprint is a hash of the request's content, so that a key that is used again
 // with another content is noticed; 0 is not compared. Format is the key format that the work demands; empty
-// means any. Neither belongs to the identity of the scope.
+// means any. Memory allows a claim in memory while the log is down (model work). These three do not belong to
+// the identity of the scope.
 type Scope struct {
 	Workspace   string
 	Work        string
 	Key         string
 	Fingerprint uint64
 	Format      cataloguer.KeyFormat
+	Memory      bool
 }
 
 // ScopeHash identifies a scope in the log: the first 16 bytes of a SHA-256 digest. A shorter or weaker hash
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -88,9 +88,10 @@
 }
 
 func (f *Follower) readPage(ctx context.Context) error {
-	// The first reads don't wait: a short page shows that the end was reached.
+	// The first reads don't wait: a short page shows that the end was reached. Nor does the first one after an
+	// outage, so that an idle stream counts as healthy at once.
 	wait := time.Duration(0)
-	if f.caughtUp.Load() {
+	if f.caughtUp.Load() && f.healthy.Load() {
 		wait = pollWait
 	}
 	next := f.Next()
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -112,6 +112,13 @@
 		synctest.Wait()
 		assert.Assert(t, f.Healthy())
 		assert.DeepEqual(t, r.offsets, []int64{0, 1, 2})
+
+		log.SetReadOutage(true)
+		time.Sleep(time.Minute)
+		log.SetReadOutage(false)
+		time.Sleep(backoffMax)
+		synctest.Wait()
+		assert.Assert(t, f.Healthy(), "still unhealthy although the idle log is back")
 	})
 }
 
