Run claims in memory and orders to engines in the router

Cause: the parts for keyed model work during a log outage and for engine orders were not run by the router. Change: routers register claims at each other's memory; the router ranked first for the weight store orders engines, so that one limiter keeps the whole system within the store's rate; straggler settings reach the scheduler. Tested: make lint, the tests of the router and the receiver. The wiring itself has no test yet.

--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -54,7 +53,7 @@
 func (f *fakeServer) Draining() bool { return false }
 
 // exchange sends one request through the API.
-func exchange(t *testing.T, server *fakeServer, method, path, body string, headers map[string]string) (*http.Response, string) {
+func exchange(t *testing.T, server *fakeServer, method, path, body string, headers map[string]string) (*httptest.ResponseRecorder, string) {
 	t.Helper()
 	catalogue, err := cataloguer.Parse([]byte(catalogueText))
 	assert.NilError(t, err)
@@ -67,10 +66,7 @@
 	}
 	recorded := httptest.NewRecorder()
 	api.Handler().ServeHTTP(recorded, request)
-	response := recorded.Result()
-	text, err := io.ReadAll(response.Body)
-	assert.NilError(t, err)
-	return response, string(text)
+	return recorded, recorded.Body.String()
 }
 
 const chatBody = `{"model":"drafter","stream":true,"messages":[{"role":"user","content":"a vane"}]}`
@@ -110,7 +106,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			server := &fakeServer{answer: func(*holder.Request) *holder.Refusal { return nil }}
 			response, text := exchange(t, server, c.method, c.path, c.body, c.headers)
-			assert.Equal(t, response.StatusCode, c.status, "%s", text)
+			assert.Equal(t, response.Code, c.status, "%s", text)
 			var body refusalBody
 			assert.NilError(t, json.Unmarshal([]byte(text), &body))
 			assert.Equal(t, body.Error.Code, c.code)
@@ -132,7 +128,7 @@
 	assert.Equal(t, request.Workspace, "forge")
 	assert.Equal(t, request.MaxTokens, 7)
 	assert.Equal(t, request.Deadline.Sub(request.Arrived), 1500*time.Millisecond)
-	assert.Equal(t, response.Header.Get(headerRequestID), request.ID)
+	assert.Equal(t, response.Header().Get(headerRequestID), request.ID)
 	assert.Assert(t, strings.HasSuffix(text, "data: [DONE]\n\n"), "%s", text)
 	_, _ = exchange(t, server, "POST", "/v1/chat/completions", chatBody, nil)
 	assert.Equal(t, server.request.Deadline.Sub(server.request.Arrived), 30*time.Second)
@@ -156,8 +152,8 @@
 		return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeOverloaded, RetryAfter: 1200 * time.Millisecond}
 	}}
 	response, text := exchange(t, server, "POST", "/v1/chat/completions", chatBody, nil)
-	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-	assert.Equal(t, response.Header.Get(headerRetryAfter), "2")
+	assert.Equal(t, response.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, response.Header().Get(headerRetryAfter), "2")
 	assert.Assert(t, strings.Contains(text, `"retry_after_ms":1200`), "%s", text)
 }
 
--- a/router/internal/assembler/control.go
+++ b/router/internal/assembler/control.go
@@ -63,6 +63,9 @@
 			}
 			return &protocol.SnapshotResponse{Revision: revision, Offset: offset, Catalogue: data}, nil
 		},
+		Claim: func(_ context.Context, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error) {
+			return &protocol.ClaimResponse{Verdicts: r.claimer.Register(request.GetClaims())}, nil
+		},
 	}
 }
 
--- a/router/internal/assembler/errors.go
+++ b/router/internal/assembler/errors.go
@@ -22,3 +22,12 @@
 
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Cause }
+
+// MemberUnknownError reports a router that isn't in the member table.
+type MemberUnknownError struct {
+	Name string
+}
+
+func (e *MemberUnknownError) Error() string {
+	return fmt.Sprintf("find router %s: not a member", e.Name)
+}
--- /dev/null
+++ b/router/internal/assembler/orders.go
@@ -0,0 +1,44 @@
+package assembler
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/dispatcher"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/leaser"
+	"coltsfootplank/internal/ranker"
+)
+
+// weightsRole is the role of the router that orders engines. One router orders all of them, so that its limiter
+// keeps the whole system within the rate of the weight store.
+const weightsRole = "weights"
+
+// newOrderer returns the part that drives engines to the state that the catalogue wants.
+func (r *Router) newOrderer(clients *dispatcher.Clients) *leaser.Orderer {
+	perMinute := r.settings.Platform.WeightStore.LoadsPerMinute
+	return leaser.NewOrderer(r.leaser, leaser.OrdererOptions{
+		Catalogue: r.cataloguer.Current,
+		Assigned: func(string) bool {
+			return ranker.First(weightsRole, r.detector.View().Ranked()) == r.settings.Name
+		},
+		Engine: func(upstream *cataloguer.Upstream) (kernel.EngineProtocol, error) {
+			return clients.Engine(r.protocolOf(upstream.Name), upstream.Address)
+		},
+		Loads: rate.NewLimiter(rate.Every(time.Minute/time.Duration(perMinute)), 1),
+	}, r.logger)
+}
+
+// protocolOf returns the protocol of the pool that an upstream belongs to.
+func (r *Router) protocolOf(upstream string) string {
+	for _, pool := range r.cataloguer.Current().Pools {
+		for i := range pool.Upstreams {
+			if pool.Upstreams[i].Name == upstream {
+				return pool.Protocol
+			}
+		}
+	}
+	return ""
+}
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -17,6 +17,7 @@
 	"coltsfootplank/internal/dispatcher"
 	"coltsfootplank/internal/dumper"
 	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/leaser"
 	"coltsfootplank/internal/loader"
 	"coltsfootplank/internal/messenger"
 	"coltsfootplank/internal/receiver"
@@ -39,6 +40,8 @@
 	detector   *detector.Detector
 	cataloguer *cataloguer.Cataloguer
 	claimer    *claimer.Claimer
+	leaser     *leaser.Leaser
+	orderer    *leaser.Orderer
 	runner     *runner.Runner
 	ticketer   *ticketer.Ticketer
 	holder     *holder.Holder
@@ -101,7 +104,11 @@
 	}, r.logger)
 	incarnation := r.incarnation()
 	r.claimer = claimer.New(r.platform.Log, claimer.Identity{Router: s.Name, Incarnation: incarnation},
-		claimer.Options{Retention: s.Claims.Retention, Window: s.Claims.Window}, r.logger)
+		claimer.Options{
+			Retention: s.Claims.Retention, Window: s.Claims.Window, Ask: r.askClaims, Ranks: r.claimRanks,
+		}, r.logger)
+	r.leaser = leaser.New(r.platform.Log, leaser.Identity{Router: s.Name, Incarnation: incarnation}, leaser.Options{}, r.logger)
+	r.orderer = r.newOrderer(clients)
 	r.runner = runner.New(runner.Options{
 		Self: s.Name, Members: r.detector, Catalogue: r.cataloguer, Factory: schedulerFactory(s.Scheduling),
 		CellEngines: s.Scheduling.CellEngines, Logger: r.logger,
@@ -192,7 +199,8 @@
 		administrator.New(r.cataloguer, r.dumper, r), r.dumper, r.metrics)
 	_, peerHandler := messenger.Mount(r.peerHandlers())
 	for _, run := range []func(context.Context) error{
-		r.cataloguer.Run, r.claimer.Run, r.detector.Run, r.runner.Run, r.ticketer.Run, r.control,
+		r.cataloguer.Run, r.claimer.Run, r.leaser.Run, r.orderer.Run, r.detector.Run, r.runner.Run,
+		r.ticketer.Run, r.control,
 		func(ctx context.Context) error {
 			return messenger.Serve(ctx, r.listeners.Peers, peerHandler, peerTLS)
 		},
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -33,6 +33,8 @@
 	result.DefaultPrefillPerSec = float64(settings.DefaultPrefillPerSecond)
 	result.DefaultTokensPerSec = float64(settings.DefaultTokensPerSecond)
 	result.DefaultOutputTokens = settings.DefaultOutputTokens
+	result.StragglerRatio = settings.StragglerRatio
+	result.StragglerCap = settings.StragglerCap
 	result.LimitWait = settings.LimitWait
 	result.Retries = limiter.RetrySettings{
 		Ratio: settings.RetryBudget, PerSecond: settings.RetryPerSecond, Burst: settings.RetryBurst,
