--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -13,6 +13,9 @@
 	blockNoEngine  block = "no_usable_engine"
 	blockIsolation block = "waits_to_run_alone"
 	blockTurn      block = "behind_other_tickets"
+
+	blockConcurrency block = "concurrency_limit"
+	blockTokens      block = "tokens_per_minute_limit"
 )
 
 // Indexes of engines by what they can take; see engine.opens.
@@ -57,18 +60,27 @@
 		return blockSlots
 	case e.reservedFor != nil && e.reservedFor != r && r.tier >= e.reservedFor.tier:
 		return blockReserved
-	case r.class == classAlone && len(e.granted) > 0:
+	case r.class == classAlone && len(e.granted)+e.foreign > 0:
 		return blockIsolation
 	case r.tier > e.settings.UrgentTier && free <= e.reserved():
 		return blockUrgent
 	case r.class == classLong && e.long >= e.longSlots():
 		return blockLong
-	case len(e.granted) > 0 && e.tokens+r.tokens() > e.room():
+	case r.tokens() > e.roomLeft():
 		return blockRoom
 	}
 	return blockNone
 }
 
+// fitsNowhere says that no engine with a free slot has room for a ticket, without a look at each of them.
+func (s *engineSet) fitsNowhere(r *request) bool {
+	if s.reserved != nil && s.reserved.admits(r) == blockNone {
+		return false
+	}
+	e, ok := s.roomiest.top()
+	return ok && r.tokens() > e.roomLeft()
+}
+
 // blockOf says why no engine takes the ticket: the reason of the engine that comes closest.
 func (s *engineSet) blockOf(r *request) block {
 	if s.slots == 0 {
@@ -113,12 +125,15 @@
 	}
 	if best != nil {
 		best.reservedFor, s.reserved = r, best
+		s.reindex(best)
 	}
 }
 
 // unreserve drops the reservation of a ticket, if it has one.
 func (s *engineSet) unreserve(r *request) {
 	if s.reserved != nil && s.reserved.reservedFor == r {
-		s.reserved.reservedFor, s.reserved = nil, nil
+		e := s.reserved
+		e.reservedFor, s.reserved = nil, nil
+		s.reindex(e)
 	}
 }
