Mark the time on a quiet claims stream

Cause: a router that starts after retention dropped records judges their age by the first record kept. On a quiet stream that record may be much younger, and the router would refuse every key for most of the retention.

Change: a router that has read nothing for 1 to 2 hundredths of the retention appends an empty marker. The wait differs between routers, so that one of them usually does it for all.

TestClaimMarkers was seen failing without the markers, and with one wait for all routers.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +86,10 @@
 	// lastDown is the last time at which the log was seen to be down.
 	lastDown time.Time
 	counts   counts
+	// lastRecord is when a record was last read, and markerAfter the silence after which this router appends a
+	// marker. It differs between routers, so that one of them usually does it for all.
+	lastRecord  time.Time
+	markerAfter time.Duration
 }
 
 // New returns a claimer; it decides nothing until Run follows the log.
@@ -100,6 +105,9 @@
 		waiters:  make(map[string]*waiter),
 		memory:   NewMemory(nil),
 		inMemory: make(map[string]struct{}),
+
+		lastRecord:  time.Now(),
+		markerAfter: options.Retention/markersPerRetention + rand.N(options.Retention/markersPerRetention),
 	}
 	c.window.Store(int64(options.Window))
 	c.follower = follower.New(log, Stream, 0, c.apply, c.trimmed, logger)
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -21,7 +21,12 @@
 // start runs a claimer and waits until it has read the log. The returned function stops it.
 func start(t *testing.T, log kernel.LogProtocol, router string, incarnation uint64) (*Claimer, func()) {
 	t.Helper()
-	c := New(log, Identity{Router: router, Incarnation: incarnation}, Options{}, zap.NewNop())
+	return startWith(t, log, Identity{Router: router, Incarnation: incarnation}, Options{})
+}
+
+func startWith(t *testing.T, log kernel.LogProtocol, identity Identity, options Options) (*Claimer, func()) {
+	t.Helper()
+	c := New(log, identity, options, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return c.Run(ctx) })
@@ -240,3 +245,34 @@
 		assert.Equal(t, verdict.State, Won)
 	})
 }
+
+// TestClaimMarkers guards against a router that starts on a quiet stream and refuses every key for most of the
+// retention, because it can't tell how old the dropped records are; and against markers from every router.
+func TestClaimMarkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := fakes.NewLog()
+		options := Options{Retention: time.Hour}
+		for i := range 3 {
+			c, stop := startWith(t, log, Identity{Router: fmt.Sprint(i)}, options)
+			defer stop()
+			if i == 0 {
+				_, err := claimWithin(t, c, time.Second, deposit)
+				assert.NilError(t, err)
+			}
+		}
+		time.Sleep(65 * time.Minute)
+		records := log.Records(Stream)
+		assert.Assert(t, len(records) > 50 && len(records) < 150, "%d records", len(records))
+		for _, record := range records {
+			if b, err := decodeBatch(record); err == nil && time.Since(time.UnixMilli(b.UnixMS)) > time.Hour {
+				log.Trim(Stream, record.Offset+1)
+			}
+		}
+		fresh, stop := startWith(t, log, Identity{Router: "fresh"}, options)
+		defer stop()
+		time.Sleep(4 * time.Minute)
+		verdict, err := claimWithin(t, fresh, time.Second, Scope{Key: "new"})
+		assert.NilError(t, err)
+		assert.Equal(t, verdict.State, Won)
+	})
+}
--- a/internal/claimer/read.go
+++ b/internal/claimer/read.go
@@ -12,6 +12,9 @@
 const (
 	pruneInterval = time.Minute
 	watchInterval = time.Second
+	// markersPerRetention bounds how long a router that starts on a quiet stream with dropped records calls no
+	// key fresh: until the first record it reads is older than the retention, at most 2% of the retention.
+	markersPerRetention = 100
 )
 
 // apply folds one record and answers the calls of Claim that wait for it.
@@ -23,6 +26,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lastRecord = time.Now()
 	c.gap.firstKept(time.UnixMilli(b.UnixMS), c.options.ClockSkew)
 	for i := range b.Entries {
 		e := &b.Entries[i]
@@ -94,7 +98,7 @@
 	c.gap.trimmed(c.options.Now())
 }
 
-// watch notes outages of the log and drops old scopes.
+// watch notes outages of the log, appends markers to a quiet stream, and drops old scopes.
 func (c *Claimer) watch(ctx context.Context) error {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
@@ -109,6 +113,10 @@
 		if c.follower.CaughtUp() && !c.follower.Healthy() {
 			c.lastDown = time.Now()
 		}
+		if c.follower.CaughtUp() && time.Since(c.lastRecord) >= c.markerAfter {
+			c.lastRecord = time.Now()
+			c.enqueue(&queued{entry: entry{Kind: entryMarker}})
+		}
 		if time.Since(pruned) >= pruneInterval {
 			pruned = time.Now()
 			c.fold.prune(c.options.Now().Add(-c.options.Retention - 2*c.options.ClockSkew).UnixMilli())
--- a/internal/claimer/record.go
+++ b/internal/claimer/record.go
@@ -25,6 +25,8 @@
 	entryClaim  entryKind = "claim"
 	entryVoid   entryKind = "void"
 	entryResult entryKind = "result"
+	// entryMarker changes nothing. Its record's time shows how old the records before it are.
+	entryMarker entryKind = "marker"
 )
 
 // entry is one claim, void or result. Fingerprint and RequestID belong to claims, Result to results. Memory marks
