Bound the stored results in memory

Cause: each router kept every result of up to 16 KiB for the whole retention, which breaks the limit of 128 MB per node within minutes under load.

Change: the fold keeps 24 MiB of results and drops the oldest. A scope whose result was dropped stays closed; its repeats are duplicates without a known answer.

TestResultMemory was seen failing without the bound, with a void accepted after the result was dropped, and with pruned scopes still counted or listed.

--- a/internal/claimer/fold.go
+++ b/internal/claimer/fold.go
@@ -4,6 +4,10 @@
 	"slices"
 )
 
+// resultMemory bounds the results in memory. Repeats of a request whose result was dropped are told that it is a
+// duplicate without a known answer.
+const resultMemory = 24 << 20
+
 // scopeState is what the fold knows of one scope. claimID is empty while no claim holds it.
 type scopeState struct {
 	claimID     string
@@ -11,7 +15,9 @@
 	router      string
 	incarnation uint64
 	fingerprint uint64
-	result      *Result
+	// answered stays true when the result itself was dropped to save memory.
+	answered bool
+	result   *Result
 	// lastUnixMS is the time of the newest claim, won or lost. The holder expires by it rather than by its
 	// own time, so that a claim that lost here but won at a reader that had already lost the holder's record
 	// to retention keeps the scope closed for its own retention time.
@@ -27,6 +33,9 @@
 	scopes      map[ScopeHash]*scopeState
 	// short finds a scope by the part of its hash that claims in memory use.
 	short map[uint64]ScopeHash
+	// results lists the scopes with a result in the order of the log, and resultBytes their size.
+	results     []ScopeHash
+	resultBytes int
 }
 
 func newFold(retentionMS int64) *fold {
@@ -62,7 +71,8 @@
 	}
 	state.claimID, state.requestID = e.ClaimID, e.RequestID
 	state.router, state.incarnation = b.Router, b.Incarnation
-	state.fingerprint, state.result = e.Fingerprint, nil
+	state.fingerprint, state.answered = e.Fingerprint, false
+	f.dropResult(state)
 	return claimWon
 }
 
@@ -72,7 +82,7 @@
 	state := f.scope(e.ScopeHash)
 	state.lastUnixMS = max(state.lastUnixMS, b.UnixMS)
 	if state.claimID == e.ClaimID {
-		if state.result != nil {
+		if state.answered {
 			return
 		}
 		state.claimID = ""
@@ -85,8 +95,24 @@
 // result stores the answer of the claim that holds the scope; the first one stays.
 func (f *fold) result(e *entry) {
 	state, ok := f.scopes[e.ScopeHash]
-	if ok && state.claimID == e.ClaimID && state.result == nil {
-		state.result = e.Result
+	if !ok || state.claimID != e.ClaimID || state.answered || e.Result == nil {
+		return
+	}
+	state.answered, state.result = true, e.Result
+	f.results = append(f.results, e.ScopeHash)
+	f.resultBytes += e.Result.size()
+	for f.resultBytes > resultMemory {
+		if oldest, ok := f.scopes[f.results[0]]; ok {
+			f.dropResult(oldest)
+		}
+		f.results = f.results[1:]
+	}
+}
+
+func (f *fold) dropResult(state *scopeState) {
+	if state.result != nil {
+		f.resultBytes -= state.result.size()
+		state.result = nil
 	}
 }
 
@@ -123,8 +149,13 @@
 func (f *fold) prune(beforeUnixMS int64) {
 	for hash, state := range f.scopes {
 		if state.lastUnixMS < beforeUnixMS {
+			f.dropResult(state)
 			delete(f.scopes, hash)
 			delete(f.short, hash.Short())
 		}
 	}
+	f.results = slices.DeleteFunc(f.results, func(hash ScopeHash) bool {
+		state, ok := f.scopes[hash]
+		return !ok || state.result == nil
+	})
 }
--- a/internal/claimer/fold_test.go
+++ b/internal/claimer/fold_test.go
@@ -93,3 +93,30 @@
 		}
 	})
 }
+
+// TestResultMemory guards against results that fill the memory, and against a scope that reopens because its
+// result was dropped.
+func TestResultMemory(t *testing.T) {
+	f := newFold(1000)
+	body := make([]byte, MaxResultBytes)
+	b := &batch{}
+	hash := func(i int) ScopeHash { return ScopeHash{byte(i >> 8), byte(i)} }
+	const scopes = 2 * resultMemory / MaxResultBytes
+	for i := range scopes {
+		f.claim(&entry{ScopeHash: hash(i), ClaimID: "a"}, b)
+		f.result(&entry{ScopeHash: hash(i), ClaimID: "a", Result: &Result{Body: body}})
+	}
+	kept := 0
+	for i := range scopes {
+		f.void(&entry{ScopeHash: hash(i), ClaimID: "a"}, b)
+		state, held := f.holder(hash(i))
+		assert.Assert(t, held, "scope %d reopened", i)
+		if state.result != nil {
+			kept++
+		}
+	}
+	assert.Assert(t, kept > scopes/3 && kept <= scopes/2, "%d results kept", kept)
+	f.prune(1)
+	assert.Equal(t, f.resultBytes, 0)
+	assert.Equal(t, len(f.results), 0)
+}
--- a/internal/claimer/record.go
+++ b/internal/claimer/record.go
@@ -19,6 +19,9 @@
 	Body        []byte `json:"body,omitempty"`
 }
 
+// size returns about the memory that the result takes.
+func (r *Result) size() int { return len(r.Body) + len(r.ContentType) + entryBytes }
+
 type entryKind string
 
 const (
