Never send a request again after a resume that could not connect

Cause: the error of a truncated stream wraps the refused connection of its last resume, and the holder looked for that inner error first. Ruled out: the adapter, which told the resume's connection failure apart correctly, and the state word, which was moved back by the same misjudgement. Change: errors that mean "sent" decide before those that mean "not sent"; the same for rejected answers within a lost connection. Tested: TestFailure fails on the former code and passes; TestSchedulerDefaults fails with another straggler cap.

--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -110,14 +110,11 @@
 	if ctx.Err() != nil || errors.As(err, &gone) || errors.As(err, &unknown) {
 		return true
 	}
-	var notSent *kernel.NotSentError
-	var rejected *kernel.RejectedError
-	return r.observation.Resumes == 0 && (errors.As(err, &notSent) || errors.As(err, &rejected))
+	return r.observation.Resumes == 0 && (kernel.NotSent(err) || rejected(err))
 }
 
 func (r *streamReader) classify(ctx context.Context, err error) error {
-	var notSent *kernel.NotSentError
-	if r.observation.Resumes == 0 && errors.As(err, &notSent) {
+	if r.observation.Resumes == 0 && kernel.NotSent(err) {
 		return err
 	}
 	var gone *CallerGoneError
@@ -127,13 +124,20 @@
 	if ctx.Err() != nil {
 		return &CallerGoneError{StreamID: r.request.StreamID, Cause: context.Cause(ctx)}
 	}
-	var rejected *kernel.RejectedError
-	if r.observation.Resumes == 0 && errors.As(err, &rejected) {
+	if r.observation.Resumes == 0 && rejected(err) {
 		return err
 	}
 	return &TruncatedError{StreamID: r.request.StreamID, Tokens: r.next, Cause: err}
 }
 
+// rejected says whether the engine answered a prompt with an error. An error status within a lost connection is the
+// answer to something else.
+func rejected(err error) bool {
+	var lost *kernel.LostError
+	var answer *kernel.RejectedError
+	return !errors.As(err, &lost) && errors.As(err, &answer)
+}
+
 // attempt opens the stream and reads it to its end. A nil error means that the final frame arrived and every
 // token was passed on.
 func (r *streamReader) attempt(
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -180,31 +180,35 @@
 	}
 }
 
-// failure maps an error of a dispatch to its outcome.
+// failure maps an error of a dispatch to its outcome. The errors that mean "sent" are tried first, since they may wrap
+// one that would mean "not sent" by itself.
 func failure(err error) outcome {
-	var notSent *kernel.NotSentError
-	if errors.As(err, &notSent) {
-		return outcome{notSent: true}
-	}
-	var rejected *kernel.RejectedError
-	if errors.As(err, &rejected) {
-		return outcome{state: Failed, kind: protocol.ReleaseKind_RELEASE_KIND_FAILED, refusal: &Refusal{
-			Outcome: OutcomeFailed, Code: CodeUpstreamFailed, Message: err.Error(),
-		}}
-	}
 	var gone *dispatcher.CallerGoneError
 	if errors.As(err, &gone) {
-		return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_CANCELLED, refusal: &Refusal{
-			Outcome: OutcomeUnknown, Code: CodeCallerGone, Message: err.Error(),
-		}}
+		return lost(OutcomeUnknown, CodeCallerGone, protocol.ReleaseKind_RELEASE_KIND_CANCELLED, err)
 	}
 	var truncated *dispatcher.TruncatedError
-	if errors.As(err, &truncated) && truncated.Tokens > 0 {
-		return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_LOST, refusal: &Refusal{
-			Outcome: OutcomeUnknown, Code: CodeStreamTruncated, Message: err.Error(),
-		}}
-	}
-	return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_LOST, refusal: &Refusal{
-		Outcome: OutcomeUnknown, Code: CodeUpstreamLost, Message: err.Error(),
-	}}
+	if errors.As(err, &truncated) {
+		code := CodeUpstreamLost
+		if truncated.Tokens > 0 {
+			code = CodeStreamTruncated
+		}
+		return lost(OutcomeUnknown, code, protocol.ReleaseKind_RELEASE_KIND_LOST, err)
+	}
+	if kernel.NotSent(err) {
+		return outcome{notSent: true}
+	}
+	var disconnected *kernel.LostError
+	var rejected *kernel.RejectedError
+	if !errors.As(err, &disconnected) && errors.As(err, &rejected) {
+		result := lost(OutcomeFailed, CodeUpstreamFailed, protocol.ReleaseKind_RELEASE_KIND_FAILED, err)
+		result.state = Failed
+		return result
+	}
+	return lost(OutcomeUnknown, CodeUpstreamLost, protocol.ReleaseKind_RELEASE_KIND_LOST, err)
+}
+
+// lost is the outcome of a dispatch that brought no whole answer.
+func lost(said Outcome, code Code, kind protocol.ReleaseKind, err error) outcome {
+	return outcome{state: Unknown, kind: kind, refusal: &Refusal{Outcome: said, Code: code, Message: err.Error()}}
 }
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -347,3 +347,34 @@
 		})
 	}
 }
+
+// TestFailure guards against a request that is sent again, or called failed or not run, because an error of a later
+// step wraps one that means so by itself.
+func TestFailure(t *testing.T) {
+	notSent := &kernel.NotSentError{Cause: io.EOF}
+	rejected := &kernel.RejectedError{Status: 500}
+	cases := []struct {
+		name    string
+		err     error
+		notSent bool
+		outcome Outcome
+		code    Code
+	}{
+		{"not sent", notSent, true, "", ""},
+		{"resume could not connect", &dispatcher.TruncatedError{Tokens: 3, Cause: notSent}, false, OutcomeUnknown, CodeStreamTruncated},
+		{"no token, resume could not connect", &dispatcher.TruncatedError{Cause: notSent}, false, OutcomeUnknown, CodeUpstreamLost},
+		{"resume was rejected", &dispatcher.TruncatedError{Tokens: 3, Cause: &kernel.LostError{Cause: rejected}}, false, OutcomeUnknown, CodeStreamTruncated},
+		{"lost around not sent", &kernel.LostError{Cause: notSent}, false, OutcomeUnknown, CodeUpstreamLost},
+		{"lost around rejected", &kernel.LostError{Cause: rejected}, false, OutcomeUnknown, CodeUpstreamLost},
+		{"caller gone around not sent", &dispatcher.CallerGoneError{Cause: notSent}, false, OutcomeUnknown, CodeCallerGone},
+		{"rejected", rejected, false, OutcomeFailed, CodeUpstreamFailed},
+	}
+	for _, c := range cases {
+		result := failure(c.err)
+		assert.Equal(t, result.notSent, c.notSent, c.name)
+		if !c.notSent {
+			assert.Equal(t, result.refusal.Outcome, c.outcome, c.name)
+			assert.Equal(t, result.refusal.Code, c.code, c.name)
+		}
+	}
+}
--- a/internal/kernel/errors.go
+++ b/internal/kernel/errors.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 
@@ -45,6 +46,20 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// NotSent says whether an error proves that nothing was sent. An error that wraps a NotSentError as the cause of a
+// later failure, such as a resume that could not connect, proves nothing of the kind.
+func NotSent(err error) bool {
+	for ; err != nil; err = errors.Unwrap(err) {
+		switch err.(type) { //nolint:errorlint // The outermost error of the chain decides, not any in it.
+		case *NotSentError:
+			return true
+		case *LostError, *RejectedError:
+			return false
+		}
+	}
+	return false
+}
+
 // LostError reports that the connection to the upstream failed after the first byte was written, so the
 // request may or may not have run.
 type LostError struct {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -67,8 +67,8 @@
 	Log Service `yaml:"log" help:"log service (required)"`
 	// VMList is the list of live and leaving VMs; without it the seeds must suffice.
 	VMList Service `yaml:"vm_list" help:"VM list (optional)"`
-	// WeightStore holds model weights; without it no model loads are ordered.
-	WeightStore WeightStore `yaml:"weight_store" help:"weight store (optional)"`
+	// WeightStore holds model weights; the router only keeps within its rate.
+	WeightStore WeightStore `yaml:"weight_store" help:"rate limit of the weight store"`
 }
 
 // Service is one platform service. Protocol names a plug-in.
@@ -79,12 +79,8 @@
 	Address string `yaml:"address" unit:"IP:port" format:"address" help:"address of the service; empty means none"`
 }
 
-// WeightStore is the weight store and the rate that all routers share.
+// WeightStore is the rate of the weight store, which all routers share. The engines fetch the weights themselves.
 type WeightStore struct {
-	// Protocol is the name of the adapter plug-in.
-	Protocol string `yaml:"protocol" format:"name" help:"adapter plug-in"`
-	// Address is where the weight store listens; empty means that there is none.
-	Address string `yaml:"address" unit:"IP:port" format:"address" help:"address of the service; empty means none"`
 	// LoadsPerMinute is the rate limit of the store for the whole system, not for each router.
 	LoadsPerMinute int `yaml:"loads_per_minute" unit:"loads per minute" min:"1" max:"6000" help:"model loads that all routers together may order"`
 }
--- a/internal/loader/settings_test.go
+++ b/internal/loader/settings_test.go
@@ -43,9 +43,7 @@
 			"r.yaml:14: scheduling.engine_policy", new(*OutOfRangeError)},
 		{"duplicate key", "name: r2\n", "r.yaml:8", new(*SyntaxError)},
 		{"broken text", "log: {level\n", "r.yaml:8", new(*SyntaxError)},
-		{"timeout below two heartbeats", "scheduling:\n  stream_timeout: 300ms\n", "r.yaml:9: scheduling.stream_timeout: must be", new(*ConflictError)},
 		{"retry bounds", "scheduling: {retry_after_min: 2s, retry_after_max: 1s}\n", "r.yaml:8: scheduling.retry_after_max", new(*ConflictError)},
-		{"republish too late", "catalogue: {republish_after: 13h}\n", "r.yaml:8: catalogue.republish_after", new(*ConflictError)},
 		{"probe timeout too long", "membership: {probe_timeout: 1s}\n", "r.yaml:8: membership.probe_timeout", new(*ConflictError)},
 		{"key without certificate", "tls:\n  admin:\n    key_file: k.pem\n", "r.yaml:10: tls.admin.key_file", new(*ConflictError)},
 		{"two documents", "---\nname: r2\n", "more than one document", new(*SyntaxError)},
@@ -131,9 +129,9 @@
 		assert.Assert(t, entry.Type == "text" || entry.Unit != "", "%s has no unit", entry.Field)
 		fields[entry.Field] = entry
 	}
-	assert.DeepEqual(t, fields["scheduling.heartbeat_interval"], Entry{Field: "scheduling.heartbeat_interval",
-		Type: "duration", Unit: "duration", Default: "200ms", Range: "10ms to 10s",
-		Help: "time between heartbeats on ticket streams"})
+	assert.DeepEqual(t, fields["membership.probe_interval"], Entry{Field: "membership.probe_interval",
+		Type: "duration", Unit: "duration", Default: "1s", Range: "50ms to 1m",
+		Help: "time between two probes of random members"})
 	defaults := Defaults()
 	assert.Equal(t, len(entries), leaves(reflect.ValueOf(defaults)))
 }
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -10,16 +10,10 @@
 	ProbeTimeout time.Duration `yaml:"probe_timeout" unit:"duration" min:"10ms" max:"30s" help:"wait for a probe before others are asked; below probe_interval"`
 	// SuspectTimeout is how long a member that doesn't answer is suspect before it counts as dead.
 	SuspectTimeout time.Duration `yaml:"suspect_timeout" unit:"duration" min:"100ms" max:"5m" help:"time from suspect to dead"`
-	// VMListInterval is the time between two reads of the VM list.
-	VMListInterval time.Duration `yaml:"vm_list_interval" unit:"duration" min:"100ms" max:"10m" help:"time between two reads of the VM list"`
 }
 
 // Scheduling tunes the schedulers of the pools.
 type Scheduling struct {
-	// HeartbeatInterval is the time between heartbeats on ticket streams, in both directions.
-	HeartbeatInterval time.Duration `yaml:"heartbeat_interval" unit:"duration" min:"10ms" max:"10s" help:"time between heartbeats on ticket streams"`
-	// StreamTimeout is the silence after which a scheduler counts as frozen and its tickets move.
-	StreamTimeout time.Duration `yaml:"stream_timeout" unit:"duration" min:"20ms" max:"1m" help:"silence after which tickets move to the next scheduler; at least two heartbeats"`
 	// CellEngines is the number of engines above which a pool is split into cells.
 	CellEngines int `yaml:"cell_engines" unit:"engines" min:"1" max:"10000" help:"most engines that one scheduler serves"`
 	// MaxQueue bounds the queued tickets of a pool that sets no bound itself.
@@ -48,10 +42,6 @@
 	StragglerRatio float64 `yaml:"straggler_ratio" unit:"share of 1" min:"0.05" max:"0.95" help:"share of its usual speed below which an engine is excluded"`
 	// StragglerCap bounds the engines of a pool that are excluded as slow at once.
 	StragglerCap float64 `yaml:"straggler_cap" unit:"share of 1" min:"0" max:"1" help:"largest share of a pool excluded as slow at once"`
-	// LoadInterval is the time between two reads of an engine's load report.
-	LoadInterval time.Duration `yaml:"load_interval" unit:"duration" min:"20ms" max:"1m" help:"time between two reads of an engine's load report"`
-	// CacheInterval is the time between two reads of an engine's cache events.
-	CacheInterval time.Duration `yaml:"cache_interval" unit:"duration" min:"20ms" max:"1m" help:"time between two reads of an engine's cache events"`
 	// PoisonRetention is how long a request that crashed engines stays refused.
 	PoisonRetention time.Duration `yaml:"poison_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a poison request stays refused"`
 	// RetryBudget is the share of a workspace's requests that may be retries.
@@ -79,18 +69,10 @@
 	Window time.Duration `yaml:"window" unit:"duration" min:"0s" max:"10s" help:"shortest time between two appends of claims; 0s means members/200 s"`
 	// Retention is how long the log keeps claims; older UUIDv7 keys are refused.
 	Retention time.Duration `yaml:"retention" unit:"duration" min:"1m" max:"8760h" help:"how long the log keeps claims"`
-	// MemoryWindow is how long claims made in memory (with the log down) are remembered.
-	MemoryWindow time.Duration `yaml:"memory_window" unit:"duration" min:"1s" max:"24h" help:"how long claims made while the log is down are remembered"`
-	// MaxResultBytes bounds the answer that is kept for repeats.
-	MaxResultBytes int `yaml:"max_result_bytes" unit:"bytes" min:"0" max:"1048576" help:"longest answer kept for repeats"`
 }
 
 // Catalogue tunes the replication of the catalogue.
 type Catalogue struct {
-	// PollInterval is the wait of one read of the catalogue stream, and the pause after a failed one.
-	PollInterval time.Duration `yaml:"poll_interval" unit:"duration" min:"20ms" max:"10s" help:"longest wait of one read of the catalogue stream"`
 	// Retention is how long the log keeps the catalogue stream.
 	Retention time.Duration `yaml:"retention" unit:"duration" min:"1m" max:"8760h" help:"how long the log keeps the catalogue stream"`
-	// RepublishAfter is the age of the last snapshot after which another is appended.
-	RepublishAfter time.Duration `yaml:"republish_after" unit:"duration" min:"10s" max:"4380h" help:"age of the last snapshot after which another is appended; at most half of retention"`
 }
--- a/internal/loader/validate.go
+++ b/internal/loader/validate.go
@@ -16,14 +16,8 @@
 	}
 	conflict(s.Membership.ProbeTimeout >= s.Membership.ProbeInterval, "membership.probe_timeout",
 		"must be below membership.probe_interval")
-	conflict(s.Scheduling.StreamTimeout < 2*s.Scheduling.HeartbeatInterval, "scheduling.stream_timeout",
-		"must be at least twice scheduling.heartbeat_interval")
 	conflict(s.Scheduling.RetryAfterMax < s.Scheduling.RetryAfterMin, "scheduling.retry_after_max",
 		"must be at least scheduling.retry_after_min")
-	conflict(2*s.Catalogue.RepublishAfter > s.Catalogue.Retention, "catalogue.republish_after",
-		"must be at most half of catalogue.retention")
-	conflict(s.Claims.MemoryWindow > s.Claims.Retention, "claims.memory_window",
-		"must not exceed claims.retention")
 	conflict(s.Callers.Listen != "" && s.Callers.Listen == s.Admin.Listen, "admin.listen",
 		"is also callers.listen")
 	conflict(s.Callers.Listen != "" && s.Callers.Listen == s.Peers.Listen, "peers.listen",
--- a/router/internal/assembler/platform.go
+++ b/router/internal/assembler/platform.go
@@ -5,11 +5,10 @@
 	"coltsfootplank/internal/loader"
 )
 
-// platform holds the clients of the platform's services. VMList and Weights are nil if the settings name none.
+// platform holds the clients of the platform's services. VMList is nil if the settings name none.
 type platform struct {
-	Log     kernel.LogProtocol
-	VMList  kernel.VMListProtocol
-	Weights kernel.WeightStoreProtocol
+	Log    kernel.LogProtocol
+	VMList kernel.VMListProtocol
 }
 
 // cleanups collects clean-up functions and runs them in reverse order.
@@ -49,17 +48,5 @@
 		closers.add(closeList)
 		result.VMList = list
 	}
-	if settings.WeightStore.Address != "" {
-		factory, err := kernel.WeightStores.Lookup(settings.WeightStore.Protocol)
-		if err != nil {
-			return result, err
-		}
-		store, closeStore, err := factory(settings.WeightStore.Address)
-		if err != nil {
-			return result, err
-		}
-		closers.add(closeStore)
-		result.Weights = store
-	}
 	return result, nil
 }
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -35,6 +35,7 @@
 	result.DefaultOutputTokens = settings.DefaultOutputTokens
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
+	result.Isolation.PoisonFor = settings.PoisonRetention
 	result.LimitWait = settings.LimitWait
 	result.Retries = limiter.RetrySettings{
 		Ratio: settings.RetryBudget, PerSecond: settings.RetryPerSecond, Burst: settings.RetryBurst,
--- a/router/internal/assembler/schedulers_test.go
+++ b/router/internal/assembler/schedulers_test.go
@@ -17,6 +17,7 @@
 	"coltsfootplank/internal/messenger"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/runner"
+	"coltsfootplank/internal/scheduler"
 )
 
 // idleEngine reports no load.
@@ -41,6 +42,14 @@
 func (f fixedCatalogue) Current() *cataloguer.Catalogue                   { return f.catalogue }
 func (f fixedCatalogue) Subscribe(func(*cataloguer.Catalogue)) (u func()) { return func() {} }
 
+// TestSchedulerDefaults guards against defaults of the router that name no plug-in, or that differ from those with which
+// the scheduler was measured.
+func TestSchedulerDefaults(t *testing.T) {
+	settings := schedulerSettings(loader.Defaults().Scheduling, cataloguer.Pool{})
+	assert.NilError(t, settings.Check())
+	assert.DeepEqual(t, settings, scheduler.DefaultSettings())
+}
+
 // TestReturnedGrant guards against a grant that its holder returned and that the scheduler makes again and again:
 // the holder sends the ticket once more if it still waits.
 func TestReturnedGrant(t *testing.T) {
