Add the settings for suspects and poison requests, align the straggler cap

Cause: the scheduler has new settings, and TestPolicies failed because its defaults differ from the router's. The test names each scheduler setting that operators can't set, so it still fails for every new one.

--- a/internal/loader/policies_test.go
+++ b/internal/loader/policies_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/limiter"
 	"coltsfootplank/internal/loader"
 	"coltsfootplank/internal/scheduler"
@@ -28,6 +29,16 @@
 			Ratio: settings.RetryBudget, PerSecond: settings.RetryPerSecond, Burst: settings.RetryBurst,
 			Memory: settings.RetryMemory, Entries: settings.RetryEntries,
 		},
+		StragglerRatio: settings.StragglerRatio, StragglerCap: settings.StragglerCap,
+		Isolation: isolator.Settings{
+			SuspectFor: settings.SuspectRetention, PoisonFor: settings.PoisonRetention, Entries: settings.PoisonEntries,
+		},
+		// These are no settings of the router. They are listed, so that the test fails for every new setting of
+		// the scheduler until it is decided whether operators can set it.
+		ProbeAfter: want.ProbeAfter, ProbeAfterMax: want.ProbeAfterMax, MaxReportAge: want.MaxReportAge,
+		CacheEventLag: want.CacheEventLag, PrefixEntries: want.PrefixEntries, CrashWindow: want.CrashWindow,
+		NoUpstreamAfter: want.NoUpstreamAfter,
+
 		RetryAfterMin: settings.RetryAfterMin, RetryAfterMax: settings.RetryAfterMax,
 	}, want)
 }
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -52,8 +52,12 @@
 	LoadInterval time.Duration `yaml:"load_interval" unit:"duration" min:"20ms" max:"1m" help:"time between two reads of an engine's load report"`
 	// CacheInterval is the time between two reads of an engine's cache events.
 	CacheInterval time.Duration `yaml:"cache_interval" unit:"duration" min:"20ms" max:"1m" help:"time between two reads of an engine's cache events"`
-	// PoisonRetention is how long a request that crashed engines stays refused.
+	// SuspectRetention is how long a request that was in flight at a crash runs alone when it is sent again.
+	SuspectRetention time.Duration `yaml:"suspect_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a request that was in flight at a crash runs alone"`
+	// PoisonRetention is how long a request that crashed an engine while it ran alone stays refused.
 	PoisonRetention time.Duration `yaml:"poison_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a poison request stays refused"`
+	// PoisonEntries bounds the suspects and poison requests that one scheduler remembers.
+	PoisonEntries int `yaml:"poison_entries" unit:"requests" min:"16" max:"1000000" help:"suspect and poison requests that one scheduler remembers"`
 	// RetryBudget is the share of a workspace's requests that may be retries.
 	RetryBudget float64 `yaml:"retry_budget" unit:"share of 1" min:"0" max:"1" help:"share of a workspace's requests that may be retries"`
 	// RetryPerSecond is the retries that a workspace earns by time, so that one with little traffic can retry too.
