--- a/internal/claimer/record.go
+++ b/internal/claimer/record.go
@@ -19,12 +19,17 @@
 	Body        []byte `json:"body,omitempty"`
 }
 
+// size returns about the memory that the result takes.
+func (r *Result) size() int { return len(r.Body) + len(r.ContentType) + entryBytes }
+
 type entryKind string
 
 const (
 	entryClaim  entryKind = "claim"
 	entryVoid   entryKind = "void"
 	entryResult entryKind = "result"
+	// entryMarker changes nothing. Its record's time shows how old the records before it are.
+	entryMarker entryKind = "marker"
 )
 
 // entry is one claim, void or result. Fingerprint and RequestID belong to claims, Result to results. Memory marks
