--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -42,8 +42,12 @@
 	StragglerRatio float64 `yaml:"straggler_ratio" unit:"share of 1" min:"0.05" max:"0.95" help:"share of its usual speed below which an engine is excluded"`
 	// StragglerCap bounds the engines of a pool that are excluded as slow at once.
 	StragglerCap float64 `yaml:"straggler_cap" unit:"share of 1" min:"0" max:"1" help:"largest share of a pool excluded as slow at once"`
-	// PoisonRetention is how long a request that crashed engines stays refused.
+	// SuspectRetention is how long a request that was in flight at a crash runs alone when it is sent again.
+	SuspectRetention time.Duration `yaml:"suspect_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a request that was in flight at a crash runs alone"`
+	// PoisonRetention is how long a request that crashed an engine while it ran alone stays refused.
 	PoisonRetention time.Duration `yaml:"poison_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a poison request stays refused"`
+	// PoisonEntries bounds the suspects and poison requests that one scheduler remembers.
+	PoisonEntries int `yaml:"poison_entries" unit:"requests" min:"16" max:"1000000" help:"suspect and poison requests that one scheduler remembers"`
 	// RetryBudget is the share of a workspace's requests that may be retries.
 	RetryBudget float64 `yaml:"retry_budget" unit:"share of 1" min:"0" max:"1" help:"share of a workspace's requests that may be retries"`
 	// RetryPerSecond is the retries that a workspace earns by time, so that one with little traffic can retry too.
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/limiter"
 	"coltsfootplank/internal/loader"
 	"coltsfootplank/internal/runner"
@@ -35,7 +36,9 @@
 	result.DefaultOutputTokens = settings.DefaultOutputTokens
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
-	result.Isolation.PoisonFor = settings.PoisonRetention
+	result.Isolation = isolator.Settings{
+		SuspectFor: settings.SuspectRetention, PoisonFor: settings.PoisonRetention, Entries: settings.PoisonEntries,
+	}
 	result.LimitWait = settings.LimitWait
 	result.Retries = limiter.RetrySettings{
 		Ratio: settings.RetryBudget, PerSecond: settings.RetryPerSecond, Burst: settings.RetryBurst,
--- a/routerctl/internal/commander/commander_test.go
+++ b/routerctl/internal/commander/commander_test.go
@@ -97,7 +97,7 @@
 		{"state queue", "brief: 3"},
 		{"state -o json", `"brief": 3`},
 		{"drain", "draining: true"},
-		{"settings check " + good, "heartbeat_interval: 200ms"},
+		{"settings check " + good, "probe_interval: 1s"},
 		{"settings reference -o json", `"field": "claims.window"`},
 		{"--help", "outcome unknown"},
 	}
