Make the outage cases of TestApplyFaults deterministic

Cause: the case "reads down" failed in 2 of 8 runs. Whether the follower had noticed the outage before the edit was a race; without having noticed, the edit is appended and its outcome unknown, which is right as well.

Change: the test waits until the follower has noticed.

--- a/internal/cataloguer/apply_test.go
+++ b/internal/cataloguer/apply_test.go
@@ -67,6 +67,7 @@
 				log := fakes.NewLog()
 				cat := start(t, log, Options{})
 				c.fault(log)
+				synctest.Wait() // the follower has noticed an outage of reads
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 				defer cancel()
 				revision, _, err := cat.Apply(ctx, 0, "ana", workspaceYAML("a", 1))
