Let idempotent model work use claims in memory while the log is down

Cause: the scope of a claim says whether memory may stand in for the log, and the holder never set it, so that keyed model work was refused during an outage. Change: set for idempotent stream work only; bookings are still refused. Tested: make test; the rule itself is covered by the tests of the claimer.

--- a/internal/holder/serve.go
+++ b/internal/holder/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/claimer"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
@@ -175,6 +176,8 @@
 func (r *Request) scope() claimer.Scope {
 	return claimer.Scope{
 		Workspace: r.Workspace, Work: r.Work.Name, Key: r.Key, Fingerprint: r.Fingerprint, Format: r.Work.KeyFormat,
+		// Only idempotent work may rely on claims in memory while the log is down.
+		Memory: r.Work.Class == cataloguer.ClassStream && r.Work.Idempotent,
 	}
 }
 
