--- /dev/null
+++ b/internal/runner/cell_test.go
@@ -0,0 +1,98 @@
+package runner
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+)
+
+// TestFeed guards against a scheduler that doesn't hear of its engines' loads, of catalogue changes, of leaving
+// VMs or of convictions, and against convictions that stay with the router that found them.
+func TestFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		catalogue := catalogueOf(2, "chat")
+		f := newFabric(t, 3, catalogue)
+		first := f.ranking()[0]
+		var before fifo
+		first.inspect(func(f *fifo) { before = f.copy() })
+		time.Sleep(5 * time.Second)
+		var after fifo
+		first.inspect(func(f *fifo) { after = f.copy() })
+		assert.Equal(t, after.loads["chat-engine"]-before.loads["chat-engine"], 5)
+
+		next := *catalogue.Current()
+		next.Pools = []cataloguer.Pool{{Name: "chat", Protocol: "fake", Upstreams: []cataloguer.Upstream{
+			{Name: "second", Address: "127.0.0.1:2", Slots: 3},
+		}}}
+		catalogue.set(&next)
+		time.Sleep(100 * time.Millisecond)
+		expires := time.Now().Add(time.Hour).UnixMilli()
+		first.inspect(func(f *fifo) {
+			before = f.copy()
+			f.found = []*protocol.Conviction{{Fingerprint: 2, Convicted: true, ExpiresUnixMs: expires}}
+		})
+		assert.DeepEqual(t, before.engines, []EngineInfo{{Name: "second", Slots: 3}})
+		f.mu.Lock()
+		f.vms = []kernel.VM{{Address: "127.0.0.1:2", Role: "engine", State: kernel.VMLeaving}}
+		f.mu.Unlock()
+		first.detector.AddConvictions([]*protocol.Conviction{{Fingerprint: 1, ExpiresUnixMs: expires}})
+		time.Sleep(5 * time.Second)
+		first.inspect(func(f *fifo) { after = f.copy() })
+		assert.Assert(t, after.loads["second"] >= 5)
+		assert.Equal(t, after.loads["chat-engine"], before.loads["chat-engine"], "polled after its removal")
+		assert.Assert(t, after.leaving["second"])
+		assert.Equal(t, len(after.convictions), 2)
+		for _, n := range f.nodes {
+			assert.Equal(t, len(n.detector.View().Convictions), 2, "as seen by %s", n.name)
+		}
+	})
+}
+
+// inspect calls look in the goroutine of the router's only cell.
+func (n *node) inspect(look func(f *fifo)) {
+	done := make(chan struct{})
+	c := n.runner.find(role)
+	c.post(func(time.Time) {
+		defer close(done)
+		look(c.scheduler.(*fifo))
+	})
+	<-done
+}
+
+// copy returns what the scheduler was told so far.
+func (f *fifo) copy() fifo {
+	return fifo{engines: f.engines, loads: maps.Clone(f.loads), leaving: maps.Clone(f.leaving), convictions: f.convictions}
+}
+
+// TestCellPool guards against engines that belong to no cell or to two, and against cells that together exceed the
+// pool's limits by more than rounding.
+func TestCellPool(t *testing.T) {
+	pool := cataloguer.Pool{Name: "chat", MaxQueue: 100}
+	for i := range 130 {
+		pool.Upstreams = append(pool.Upstreams, cataloguer.Upstream{Name: fmt.Sprintf("engine-%d", i)})
+	}
+	catalogue := &cataloguer.Catalogue{Pools: []cataloguer.Pool{pool}}
+	seen := make(map[string]int)
+	for index := range 3 {
+		part, ok := cellPool(catalogue, "chat", index, 64)
+		assert.Assert(t, ok)
+		assert.Equal(t, part.MaxQueue, 34)
+		for _, u := range part.Upstreams {
+			seen[u.Name]++
+		}
+	}
+	assert.Equal(t, len(seen), 130)
+	for name, count := range seen {
+		assert.Equal(t, count, 1, name)
+	}
+	_, ok := cellPool(catalogue, "chat", 3, 64)
+	assert.Assert(t, !ok)
+}
--- a/internal/runner/cluster_test.go
+++ b/internal/runner/cluster_test.go
@@ -95,7 +95,8 @@
 		first.submit("chat", 100, 1)
 		time.Sleep(time.Second)
 		f.cut(first.name, holder.name, false)
-		time.Sleep(2 * time.Second)
+		// The holder is back before the scheduler would drop it, 3 s after the break.
+		time.Sleep(1200 * time.Millisecond)
 		for _, r := range requests {
 			assert.Equal(t, r.granted(), 1)
 		}
--- a/internal/runner/fabric_test.go
+++ b/internal/runner/fabric_test.go
@@ -12,6 +12,7 @@
 
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/detector"
+	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/messenger"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/ticketer"
@@ -25,20 +26,20 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	cuts  map[[2]string]bool
+	vms   []kernel.VM
 	group errgroup.Group
 }
 
 // node is one router: its detector, runner and ticketer.
 type node struct {
-	name      string
-	ctx       context.Context
-	cancel    context.CancelFunc
-	detector  *detector.Detector
-	runner    *Runner
-	ticketer  *ticketer.Ticketer
-	mu        sync.Mutex
-	paused    bool
-	scheduler []*fifo
+	name     string
+	ctx      context.Context
+	cancel   context.CancelFunc
+	detector *detector.Detector
+	runner   *Runner
+	ticketer *ticketer.Ticketer
+	mu       sync.Mutex
+	paused   bool
 }
 
 func (n *node) pause(paused bool) {
@@ -48,22 +49,19 @@
 }
 
 func (n *node) factory(_ cataloguer.Pool, _ time.Time) Scheduler {
-	f := &fifo{used: make(map[string]string)}
+	f := &fifo{used: make(map[string]string), loads: make(map[string]int), leaving: make(map[string]bool)}
 	f.paused = func() bool {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		return n.paused
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.scheduler = append(n.scheduler, f)
 	return f
 }
 
 // newFabric starts routers a, b, c and so on and waits until they know each other.
-func newFabric(t *testing.T, count int, catalogue *fixedCatalogue) *fabric {
+func newFabric(t *testing.T, count int, catalogue *fixedCatalogue, vms ...kernel.VM) *fabric {
 	t.Helper()
-	f := &fabric{nodes: make(map[string]*node), cuts: make(map[[2]string]bool)}
+	f := &fabric{nodes: make(map[string]*node), cuts: make(map[[2]string]bool), vms: vms}
 	for i := range count {
 		f.start(string(rune('a'+i)), catalogue)
 	}
@@ -85,7 +83,7 @@
 	for other := range f.nodes {
 		seeds = append(seeds, other)
 	}
-	n.detector = detector.New(detector.Settings{Name: name, Address: name, Seeds: seeds}, end{f, name})
+	n.detector = detector.New(detector.Settings{Name: name, Address: name, Seeds: seeds, VMList: end{f, name}}, end{f, name})
 	n.runner = New(Options{Self: name, Members: n.detector, Catalogue: catalogue, Factory: n.factory})
 	n.ticketer = ticketer.New(ticketer.Options{
 		Self: name, Incarnation: uint64(time.Now().UnixMilli()), Members: n.detector, Catalogue: catalogue,
@@ -151,6 +149,12 @@
 	}
 }
 
+func (e end) VMs(context.Context) ([]kernel.VM, error) {
+	e.fabric.mu.Lock()
+	defer e.fabric.mu.Unlock()
+	return e.fabric.vms, nil
+}
+
 type refusedError struct{ to string }
 
 func (e *refusedError) Error() string { return "connection refused by " + e.to }
--- a/internal/runner/fifo_test.go
+++ b/internal/runner/fifo_test.go
@@ -18,6 +18,13 @@
 	used    map[string]string // holder/request to engine
 	share   float64
 	paused  func() bool
+
+	// What the cell has told the scheduler.
+	loads       map[string]int
+	leaving     map[string]bool
+	convictions []*protocol.Conviction
+	// found is reported as convictions of this scheduler.
+	found []*protocol.Conviction
 }
 
 type waiting struct {
@@ -25,22 +32,30 @@
 	ticket *protocol.Ticket
 }
 
-func (f *fifo) SetEngines(_ time.Time, engines []EngineInfo)            { f.engines = engines }
-func (f *fifo) SetWorkspaces(map[string]float64)                        {}
-func (f *fifo) SetWorks(map[string]cataloguer.Work)                     {}
-func (f *fifo) SetCapacityShare(share float64)                          { f.share = share }
-func (f *fifo) ObserveLoad(time.Time, string, kernel.LoadReport, error) {}
-func (f *fifo) ObserveCache(time.Time, string, kernel.CacheEvents)      {}
-func (f *fifo) SetLeaving(time.Time, string, bool)                      {}
-func (f *fifo) AddConvictions(time.Time, []*protocol.Conviction)        {}
-func (f *fifo) Convictions(time.Time) []*protocol.Conviction            { return nil }
-func (f *fifo) NextWake(time.Time) time.Time                            { return time.Time{} }
-func (f *fifo) Backlog() [4]int                                         { return [4]int{len(f.queue)} }
-func (f *fifo) Dump() any                                               { return map[string]int{"queue": len(f.queue), "used": len(f.used)} }
+func (f *fifo) SetEngines(_ time.Time, engines []EngineInfo)       { f.engines = engines }
+func (f *fifo) SetWorkspaces(map[string]float64)                   {}
+func (f *fifo) SetWorks(map[string]cataloguer.Work)                {}
+func (f *fifo) SetCapacityShare(share float64)                     { f.share = share }
+func (f *fifo) ObserveCache(time.Time, string, kernel.CacheEvents) {}
+func (f *fifo) NextWake(time.Time) time.Time                       { return time.Time{} }
+func (f *fifo) Backlog() [4]int                                    { return [4]int{len(f.queue)} }
+func (f *fifo) Dump() any                                          { return map[string]int{"queue": len(f.queue), "used": len(f.used)} }
 func (f *fifo) Submit(_ time.Time, holder string, ticket *protocol.Ticket) {
 	f.queue = append(f.queue, waiting{holder: holder, ticket: ticket})
 }
 
+func (f *fifo) ObserveLoad(_ time.Time, engine string, _ kernel.LoadReport, _ error) {
+	f.loads[engine]++
+}
+
+func (f *fifo) SetLeaving(_ time.Time, engine string, leaving bool) { f.leaving[engine] = leaving }
+
+func (f *fifo) AddConvictions(_ time.Time, convictions []*protocol.Conviction) {
+	f.convictions = convictions
+}
+
+func (f *fifo) Convictions(time.Time) []*protocol.Conviction { return f.found }
+
 func (f *fifo) Cancel(_ time.Time, holder, id string) {
 	f.queue = slices.DeleteFunc(f.queue, func(w waiting) bool {
 		return w.holder == holder && w.ticket.GetRequestId() == id
@@ -151,3 +166,12 @@
 	}
 	return &fixedCatalogue{current: c}
 }
+
+func (f *fixedCatalogue) set(current *cataloguer.Catalogue) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current = current
+	for _, notify := range f.notify {
+		notify(current)
+	}
+}
