Show open tickets and scheduler streams in the state dump

Cause: the state dump didn't tell to which scheduler a waiting request's ticket was sent. Change: a section with each ticket's role, scheduler, attempt and grant, and the state of each stream. Tested: vet and the tests of the package.

--- a/router/internal/assembler/sections.go
+++ b/router/internal/assembler/sections.go
@@ -30,6 +30,7 @@
 	}{
 		{"router", func() any { return r.overview() }},
 		{"requests", func() any { return r.holder.Requests() }},
+		{"tickets", r.ticketer.Dump},
 		{"schedulers", r.runner.Dump},
 		{"members", r.detector.Dump},
 		{"claims", r.claimer.Dump},
