--- a/internal/runner/cell_test.go
+++ b/internal/runner/cell_test.go
@@ -21,6 +21,8 @@
 		catalogue := catalogueOf(2, "chat")
 		f := newFabric(t, 3, catalogue)
 		first := f.ranking()[0]
+		// Polls are whole seconds apart. Counting between them keeps a poll from falling on the moment of a look.
+		time.Sleep(337 * time.Millisecond)
 		var before fifo
 		first.inspect(func(f *fifo) { before = f.copy() })
 		time.Sleep(5 * time.Second)
