loadgen: measure tier order on virtual time

Cause: nothing compared the scheduler's policies with their baselines under equal arrivals. Change: loadgen measure drives the scheduler package with fake engines (continuous batching, limited prefix cache, late reports, stragglers, crashes) on virtual time. The first experiment is tier order; make measure runs it. Seen failing first: one request at a time in the batch, no cached tokens, no eviction, restart not counted, seed left out of the rows, unknown name accepted.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINTER := $(TOOLS)/golangci-lint
 LINTER_VERSION := v2.15.0
 
-.PHONY: all build test check-format lint unit demo clean
+.PHONY: all build test check-format lint unit demo measure clean
 
 all: build
 
@@ -34,5 +34,11 @@
 demo: build
 	@scripts/demo.sh
 
+# measure compares the scheduler's policies with their baselines on virtual time; it fails if a bound is missed.
+measure:
+	@mkdir -p bin
+	@go build -o bin/loadgen ./loadgen
+	@bin/loadgen measure $(MEASURE)
+
 clean:
 	rm -rf bin .tools
--- a/loadgen/internal/commander/commander.go
+++ b/loadgen/internal/commander/commander.go
@@ -25,6 +25,8 @@
 type commandLine struct {
 	Run    runCommand    `cmd:"" help:"Send a load and report goodput by tier, wasted prefill and latencies."`
 	Sample sampleCommand `cmd:"" help:"Send one request of each kind of work and print the answers."`
+
+	Measure measureCommand `cmd:"" help:"Measure the scheduler's policies against their baselines on virtual time."`
 }
 
 // session is what a command gets besides its own options.
@@ -35,7 +37,7 @@
 
 const description = `Open-loop load generator for coltsfootplank. Progress and errors go to stderr.
 
-Exit codes: 0 success; 1 failure; 2 wrong usage; 3 the result is below a demanded bound, or a sample is not whole;
+Exit codes: 0 success; 1 failure, or a bound of measure is missed; 2 wrong usage; 3 the result is below a demanded bound, or a sample is not whole;
 4 the settings are invalid.`
 
 // Run runs one command line and returns the exit code.
--- /dev/null
+++ b/loadgen/internal/experimenter/experiments.go
@@ -0,0 +1,75 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// experiment measures one policy.
+type experiment struct {
+	name string
+	run  func(seed uint64) []Row
+}
+
+var experiments = []experiment{
+	{"tiers", measureTiers},
+}
+
+// Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
+// order of the experiments. The cost of a decision is measured afterwards, on its own, because it uses real time.
+func Run(ctx context.Context, seed uint64, only string) ([]Row, error) {
+	chosen := experiments
+	if only != "" {
+		i := slices.IndexFunc(experiments, func(e experiment) bool { return e.name == only })
+		if i < 0 {
+			return nil, &UnknownError{Name: only}
+		}
+		chosen = experiments[i : i+1]
+	}
+	const cores = 4
+	results := make([][]Row, len(chosen))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(cores)
+	for i, e := range chosen {
+		if e.name == costName {
+			continue
+		}
+		group.Go(func() error {
+			if ctx.Err() == nil {
+				results[i] = e.run(seed)
+			}
+			return ctx.Err()
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for i, e := range chosen {
+		if e.name == costName {
+			results[i] = e.run(seed)
+		}
+	}
+	rows := slices.Concat(results...)
+	for i := range rows {
+		rows[i].Seed = seed
+	}
+	return rows, nil
+}
+
+// costName is the name of the experiment that measures real time.
+const costName = "cost"
+
+// UnknownError reports a name that no experiment has.
+type UnknownError struct{ Name string }
+
+func (e *UnknownError) Error() string {
+	names := make([]string, len(experiments))
+	for i, known := range experiments {
+		names[i] = known.name
+	}
+	return fmt.Sprintf("no experiment is named %q; there are %s", e.Name, strings.Join(names, ", "))
+}
