loadgen: measure fair shares on virtual time

Cause: no run showed the shares of workspaces at saturation. Change: experiment "shares": four workspaces of weights 1 to 4 with unlike lengths at four times the capacity, and the same with one workspace idle.

--- a/loadgen/internal/commander/commander_test.go
+++ b/loadgen/internal/commander/commander_test.go
@@ -100,7 +100,7 @@
 // TestMeasure guards against a measurement that doesn't run, or an unknown name that passes for success.
 func TestMeasure(t *testing.T) {
 	var out, diagnostics bytes.Buffer
-	code := Run(t.Context(), []string{"measure", "--only", "tiers", "--json"}, &out, &diagnostics)
+	code := Run(t.Context(), []string{"measure", "--only", "shares", "--json"}, &out, &diagnostics)
 	assert.Equal(t, code, exitSuccess, diagnostics.String())
 	assert.Assert(t, strings.Contains(out.String(), `"seed": 1`), out.String())
 	assert.Equal(t, Run(t.Context(), []string{"measure", "--only", "none"}, io.Discard, io.Discard), exitFailure)
--- a/loadgen/internal/experimenter/arrivals.go
+++ b/loadgen/internal/experimenter/arrivals.go
@@ -63,6 +63,9 @@
 	return sum
 }
 
+// steady is a constant rate.
+func steady(time.Duration) float64 { return 1 }
+
 // bursty is three times the mean rate for 3 s of every 20 s, and below the mean otherwise.
 func bursty(at time.Duration) float64 {
 	const period, burst, factor = 20 * time.Second, 3 * time.Second, 3.0
