scheduler: serve younger tickets while the oldest is too late for open engines

Cause: a ticket that only a busy engine finishes in time held up its workspace's whole flow for the step, and lower tiers took the free slots. Under overload each head of the queue was in that state in turn, so tier 0 got nothing for seconds while 80 of its tickets waited. The search for a fast enough engine looks at the engines with a free slot only. Seen failing first (TestLateTicketHoldsUpNobody): flow held up, tickets not restored, emptied lane not restored, flow not reordered.

--- a/internal/scheduler/deadlines.go
+++ b/internal/scheduler/deadlines.go
@@ -51,9 +51,12 @@
 	if r.deadline.IsZero() || !now.Add(seconds(chosen.runSeconds(r, now))).After(r.deadline) {
 		return chosen
 	}
-	for _, e := range s.engines.list {
-		if e.admits(r) == blockNone && !now.Add(seconds(e.runSeconds(r, now))).After(r.deadline) {
-			return e
+	index := s.engines.openIndex(r)
+	for _, class := range s.engines.classList {
+		for _, e := range class.open[index].store.items {
+			if e.admits(r) == blockNone && !now.Add(seconds(e.runSeconds(r, now))).After(r.deadline) {
+				return e
+			}
 		}
 	}
 	return nil
--- a/internal/scheduler/deadlines_test.go
+++ b/internal/scheduler/deadlines_test.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/protocol"
 )
 
 // TestDeadlines guards against prefill for a ticket that can't finish in time, and against refusing one that can.
@@ -95,3 +98,31 @@
 	assert.Equal(t, len(grants), 0)
 	assert.Equal(t, refusals[0].Code, CodeDeadlineInfeasible)
 }
+
+// TestLateTicketHoldsUpNobody guards against lower tiers that take the engines while the oldest ticket of a higher
+// tier is too late for the open ones, and against losing the ticket that was passed over.
+func TestLateTicketHoldsUpNobody(t *testing.T) {
+	c := newCell(0, 0, nil)
+	c.SetEngines(c.now, []EngineInfo{
+		{Name: "fast", Slots: 1, PrefillPerSec: 4000, TokensPerSec: 40},
+		{Name: "slow", Slots: 1, PrefillPerSec: 4000, TokensPerSec: 10},
+	})
+	c.submit(2, 0, "b")
+	running, _ := c.step()
+	var tickets [3]*protocol.Ticket
+	for i, deadline := range []int64{11_000, 60_000} {
+		tickets[i] = c.ticket(0, "a")
+		tickets[i].DeadlineMs = deadline
+		c.Submit(c.now, "h", tickets[i])
+	}
+	tickets[2] = c.submit(1, 1, "a")
+	c.now = c.now.Add(2 * time.Second)
+	for _, want := range []int{1, 0, 2} {
+		i := slices.IndexFunc(running, func(g *protocol.Grant) bool { return (g.Engine == "slow") == (want != 0) })
+		c.finish(running[i], protocol.ReleaseKind_RELEASE_KIND_FAILED, 0)
+		grants, refusals := c.step()
+		assert.DeepEqual(t, ids(grants), []string{tickets[want].RequestId})
+		assert.Equal(t, len(refusals), 0)
+		running[i] = grants[0]
+	}
+}
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -83,6 +83,7 @@
 func (s *Scheduler) fillBucket(b *bucket, now time.Time) {
 	var blocked [classCount]bool
 	var skipped []*flow
+	var late aside
 	for s.engines.spare() > 0 {
 		f := s.next(b, &blocked)
 		if f == nil {
@@ -106,8 +107,10 @@
 				continue
 			}
 			// Only busy engines are fast enough; the ticket waits for one until its latest start.
-			b.flows[f.class].remove(f)
-			skipped = append(skipped, f)
+			if !late.add(r) {
+				b.flows[f.class].remove(f)
+				skipped = append(skipped, f)
+			}
 			continue
 		}
 		switch s.engines.blockOf(r) {
@@ -119,6 +122,7 @@
 			blocked[f.class] = true
 		}
 	}
+	late.restore()
 	for _, f := range skipped {
 		f.reorder()
 	}
