holder: never dispatch a stream again whose resume was not sent

Cause: after an engine crash the resume is refused a connection, and the truncated stream's error wraps that NotSentError. The holder looked for NotSentError first, took the whole request as not sent and dispatched it again. Change: the holder looks for a truncated stream before the causes that it can wrap.

--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -180,18 +180,9 @@
 	}
 }
 
-// failure maps an error of a dispatch to its outcome.
+// failure maps an error of a dispatch to its outcome. A stream that ended after it began is looked at first: its
+// cause can be a resume that was not sent or was rejected, which says nothing about the run.
 func failure(err error) outcome {
-	var notSent *kernel.NotSentError
-	if errors.As(err, &notSent) {
-		return outcome{notSent: true}
-	}
-	var rejected *kernel.RejectedError
-	if errors.As(err, &rejected) {
-		return outcome{state: Failed, kind: protocol.ReleaseKind_RELEASE_KIND_FAILED, refusal: &Refusal{
-			Outcome: OutcomeFailed, Code: CodeUpstreamFailed, Message: err.Error(),
-		}}
-	}
 	var gone *dispatcher.CallerGoneError
 	if errors.As(err, &gone) {
 		return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_CANCELLED, refusal: &Refusal{
@@ -199,9 +190,23 @@
 		}}
 	}
 	var truncated *dispatcher.TruncatedError
-	if errors.As(err, &truncated) && truncated.Tokens > 0 {
+	if errors.As(err, &truncated) {
+		code := CodeStreamTruncated
+		if truncated.Tokens == 0 {
+			code = CodeUpstreamLost
+		}
 		return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_LOST, refusal: &Refusal{
-			Outcome: OutcomeUnknown, Code: CodeStreamTruncated, Message: err.Error(),
+			Outcome: OutcomeUnknown, Code: code, Message: err.Error(),
+		}}
+	}
+	var notSent *kernel.NotSentError
+	if errors.As(err, &notSent) {
+		return outcome{notSent: true}
+	}
+	var rejected *kernel.RejectedError
+	if errors.As(err, &rejected) {
+		return outcome{state: Failed, kind: protocol.ReleaseKind_RELEASE_KIND_FAILED, refusal: &Refusal{
+			Outcome: OutcomeFailed, Code: CodeUpstreamFailed, Message: err.Error(),
 		}}
 	}
 	return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_LOST, refusal: &Refusal{
