scenarios: add scripted scenarios against real processes

Cause: the invariants were only checked in parts of the product, not on running processes with faults. Change: a module of testscript scripts that starts the stand-in and routers on free loopback ports, records callers' answers, runs, events and catalogue revisions, and lets the checker judge them.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Programs and checks of coltsfootplank. Everything needs only Go (with cgo) and make.
 SHELL := /bin/bash
-MODULES := internal router routerctl standin loadgen
+MODULES := internal router routerctl standin loadgen scenarios
 PROGRAMS := router routerctl standin loadgen
 TOOLS := $(CURDIR)/.tools
 LINTER := $(TOOLS)/golangci-lint
 LINTER_VERSION := v2.15.0
 
-.PHONY: all build test check-format lint unit demo clean
+.PHONY: all build test check-format lint unit proofs demo clean
 
 all: build
 
@@ -31,6 +31,12 @@
 unit:
 	@scripts/test.sh $(MODULES)
 
+# proofs counts the cases of each invariant in the packages that report them.
+PROOFS := scenarios
+
+proofs:
+	@scripts/proofs.sh $(PROOFS)
+
 demo: build
 	@scripts/demo.sh
 
