Do not send a prompt again when its last resume is refused

Cause: when an engine crashes in the middle of a stream, the last resume fails with a refused connection. The truncated stream wraps that error, and the holder looked for a refused connection first, anywhere in the chain. It took the stream for one of which nothing was sent, returned the grant and sent the prompt again: the request ran twice, and its caller got the tokens of both runs. A rejected resume was called "failed" for the same reason.

Ruled out: the dispatcher's own classification, which returns the connection error only before the first resume, and the scheduler, which issued one grant for each attempt.

Change: the mapping looks for a gone caller and a truncated stream before the errors that prove that nothing ran.

--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -180,31 +180,29 @@
 	}
 }
 
-// failure maps an error of a dispatch to its outcome.
+// failure maps an error of a dispatch to its outcome. A truncated stream is looked for before the errors that prove
+// that nothing was sent or run, because its cause may be one of them: the refused connection of its last resume.
 func failure(err error) outcome {
+	var gone *dispatcher.CallerGoneError
+	var truncated *dispatcher.TruncatedError
 	var notSent *kernel.NotSentError
-	if errors.As(err, &notSent) {
-		return outcome{notSent: true}
-	}
 	var rejected *kernel.RejectedError
-	if errors.As(err, &rejected) {
-		return outcome{state: Failed, kind: protocol.ReleaseKind_RELEASE_KIND_FAILED, refusal: &Refusal{
-			Outcome: OutcomeFailed, Code: CodeUpstreamFailed, Message: err.Error(),
-		}}
-	}
-	var gone *dispatcher.CallerGoneError
-	if errors.As(err, &gone) {
-		return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_CANCELLED, refusal: &Refusal{
-			Outcome: OutcomeUnknown, Code: CodeCallerGone, Message: err.Error(),
-		}}
+	switch {
+	case errors.As(err, &gone):
+		return failed(Unknown, protocol.ReleaseKind_RELEASE_KIND_CANCELLED, OutcomeUnknown, CodeCallerGone, err)
+	case errors.As(err, &truncated) && truncated.Tokens > 0:
+		return failed(Unknown, protocol.ReleaseKind_RELEASE_KIND_LOST, OutcomeUnknown, CodeStreamTruncated, err)
+	case truncated != nil:
+		return failed(Unknown, protocol.ReleaseKind_RELEASE_KIND_LOST, OutcomeUnknown, CodeUpstreamLost, err)
+	case errors.As(err, &notSent):
+		return outcome{notSent: true}
+	case errors.As(err, &rejected):
+		return failed(Failed, protocol.ReleaseKind_RELEASE_KIND_FAILED, OutcomeFailed, CodeUpstreamFailed, err)
+	default:
+		return failed(Unknown, protocol.ReleaseKind_RELEASE_KIND_LOST, OutcomeUnknown, CodeUpstreamLost, err)
 	}
-	var truncated *dispatcher.TruncatedError
-	if errors.As(err, &truncated) && truncated.Tokens > 0 {
-		return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_LOST, refusal: &Refusal{
-			Outcome: OutcomeUnknown, Code: CodeStreamTruncated, Message: err.Error(),
-		}}
-	}
-	return outcome{state: Unknown, kind: protocol.ReleaseKind_RELEASE_KIND_LOST, refusal: &Refusal{
-		Outcome: OutcomeUnknown, Code: CodeUpstreamLost, Message: err.Error(),
-	}}
+}
+
+func failed(state State, kind protocol.ReleaseKind, result Outcome, code Code, err error) outcome {
+	return outcome{state: state, kind: kind, refusal: &Refusal{Outcome: result, Code: code, Message: err.Error()}}
 }
