Add the fault matrix: request steps against fifteen faults

Change: each cell runs three routers, assembled from the real packages, over a fake log, an in-memory network and fake upstreams in virtual time. A mixed load runs throughout; the fault starts in the moment in which the step is first seen and ends after some seconds. Then every request must have ended, every live router must serve all kinds of work again, and the checker judges the history. The fake network is in the package fakes; the recorder can pass each event on to a watcher. make proofs runs the matrix and counts the cells for each invariant.

Messages between routers are delayed by 45 ms in the cells with slow messages, so that a round trip stays within the 100 ms up to which the checker orders events. With 250 ms the checker reported a wrong order of shedding, which the delay alone explains.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINTER := $(TOOLS)/golangci-lint
 LINTER_VERSION := v2.15.0
 
-.PHONY: all build test check-format lint unit demo clean
+.PHONY: all build test check-format lint unit proofs demo clean
 
 all: build
 
@@ -31,6 +31,10 @@
 unit:
 	@scripts/test.sh $(MODULES)
 
+# proofs runs the fault matrix and the scripted scenarios and prints one line for each invariant.
+proofs: build
+	@scripts/proofs.sh internal/prover scenarios
+
 demo: build
 	@scripts/demo.sh
 
--- /dev/null
+++ b/internal/prover/cluster_test.go
@@ -0,0 +1,405 @@
+package prover_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/checker"
+	"coltsfootplank/internal/claimer"
+	"coltsfootplank/internal/detector"
+	"coltsfootplank/internal/dispatcher"
+	"coltsfootplank/internal/fakes"
+	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/leaser"
+	"coltsfootplank/internal/messenger"
+	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/ranker"
+	"coltsfootplank/internal/recorder"
+	"coltsfootplank/internal/runner"
+	"coltsfootplank/internal/scheduler"
+	"coltsfootplank/internal/ticketer"
+)
+
+const (
+	retention   = 40 * time.Second // of the log, for snapshots of the catalogue
+	sampleEvery = 500 * time.Millisecond
+)
+
+var cells atomic.Int64
+
+// cluster is three routers, two engines, two order desks and a log.
+type cluster struct {
+	network *fakes.Network
+	log     *fakes.Log
+	routers map[string]*router
+	engines []*upstream
+	desks   []*upstream
+	yaml    string
+	group   errgroup.Group
+
+	mu       sync.Mutex
+	numbers  int
+	vms      []kernel.VM
+	vmsLate  bool
+	history  checker.History
+	watch    func(step string, at target)
+	thawed   map[string]time.Time
+	revision uint64
+}
+
+// router is one router, built from the same parts as the daemon.
+type router struct {
+	name       string
+	ctx        context.Context
+	cancel     context.CancelFunc
+	detector   *detector.Detector
+	cataloguer *cataloguer.Cataloguer
+	claimer    *claimer.Claimer
+	leaser     *leaser.Leaser
+	holder     *holder.Holder
+	recorder   *recorder.Recorder
+	killed     time.Time
+}
+
+// hosted adapts a scheduler to the types of the runner, as the daemon does.
+type hosted struct{ *scheduler.Scheduler }
+
+func (h hosted) SetEngines(now time.Time, engines []runner.EngineInfo) {
+	infos := make([]scheduler.EngineInfo, 0, len(engines))
+	for _, engine := range engines {
+		infos = append(infos, scheduler.EngineInfo(engine))
+	}
+	h.Scheduler.SetEngines(now, infos)
+}
+
+func (h hosted) Step(now time.Time) []runner.Decision {
+	var result []runner.Decision
+	for _, decision := range h.Scheduler.Step(now) {
+		result = append(result, runner.Decision(decision))
+	}
+	return result
+}
+
+func (h hosted) Dump() any { return h.Scheduler.Dump() }
+
+const catalogueYAML = `
+workspaces: [{name: caruaru, weight: 2}, {name: lids, weight: 1}]
+pools:
+- {name: drafts, protocol: matrix, max_queue: 8, upstreams: [
+  {name: engine-0, address: "ENGINE_0", data_centre: a, slots: 4, desired_model: m1},
+  {name: engine-1, address: "ENGINE_1", data_centre: b, slots: 4}]}
+- {name: order-desk, protocol: matrix_desk, upstreams: [
+  {name: desk-0, address: "DESK_0", data_centre: a, slots: 8},
+  {name: desk-1, address: "DESK_1", data_centre: b, slots: 8}]}
+works:
+- {name: booking, owner: orders, class: unary, tier: 0, pool: order-desk, method: POST, path: /v1/bookings, idempotent: false}
+- {name: quick, owner: phones, class: stream, tier: 0, pool: drafts, model: quick, idempotent: true}
+- {name: status, owner: orders, class: unary, tier: 2, pool: order-desk, method: GET, path: /v1/status, idempotent: true}
+- {name: tag, owner: archive, class: stream, tier: 3, pool: drafts, model: tag, idempotent: true}
+`
+
+// newCluster starts everything inside a synctest bubble and waits until the catalogue is in force.
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{
+		network: fakes.NewNetwork(), log: fakes.NewLog(), routers: make(map[string]*router),
+		yaml: catalogueYAML, watch: func(string, target) {}, thawed: make(map[string]time.Time),
+	}
+	cell := cells.Add(1)
+	for i, name := range []string{"engine-0", "engine-1", "desk-0", "desk-1"} {
+		address := fmt.Sprintf("10.%d.%d.%d:80", cell/200, cell%200, i)
+		u := newUpstream(name, address, c.network)
+		u.seen = func(step, router string) { c.seen(step, target{router: router, upstream: name}) }
+		t.Cleanup(func() { upstreams.Delete(address) })
+		c.yaml = strings.Replace(c.yaml, strings.ToUpper(strings.Replace(name, "-", "_", 1)), address, 1)
+		if i < 2 {
+			c.engines = append(c.engines, u)
+		} else {
+			c.desks = append(c.desks, u)
+		}
+	}
+	for _, name := range []string{"r1", "r2", "r3"} {
+		c.start(name)
+	}
+	time.Sleep(12 * time.Second)
+	c.edit("r1")
+	time.Sleep(3 * time.Second)
+	for name, r := range c.routers {
+		if r.cataloguer.Current().Revision != 1 {
+			t.Errorf("router %s started without the catalogue", name)
+		}
+	}
+	return c
+}
+
+func (c *cluster) router(name string) *router {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.routers[name]
+}
+
+// live returns the names of the routers that were not killed, in order.
+func (c *cluster) live() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for _, name := range []string{"r1", "r2", "r3", "r4"} {
+		if r := c.routers[name]; r != nil && r.ctx.Err() == nil {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// start assembles and runs a router.
+func (c *cluster) start(name string) {
+	r := &router{name: name, recorder: recorder.New(name, 20_000)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	logger, end, log := zap.NewNop(), c.network.End(name), c.network.Log(name, watchedLog{c.log, c, name})
+	r.detector = detector.New(detector.Settings{Name: name, Address: name, Seeds: []string{"r1", "r2", "r3"}, VMList: c}, end)
+	r.cataloguer = cataloguer.New(log, cataloguer.Options{FetchSnapshot: r.fetchSnapshot(end), Retention: retention}, logger)
+	member, _ := r.detector.View().Member(name)
+	r.claimer = claimer.New(log, claimer.Identity{Router: name, Incarnation: member.Incarnation},
+		claimer.Options{Ask: r.askClaims(end), Ranks: r.claimRanks}, logger)
+	r.leaser = leaser.New(log, leaser.Identity{Router: name, Incarnation: member.Incarnation}, leaser.Options{}, logger)
+	clients, _ := dispatcher.NewClients()
+	orderer := leaser.NewOrderer(r.leaser, leaser.OrdererOptions{
+		Catalogue: r.cataloguer.Current,
+		Assigned:  func(string) bool { return ranker.First("weights", r.detector.View().Ranked()) == name },
+		Engine: func(u *cataloguer.Upstream) (kernel.EngineProtocol, error) {
+			return clients.Engine(protocolOf, u.Address)
+		},
+		Loads: rate.NewLimiter(rate.Inf, 1),
+	}, logger)
+	host := runner.New(runner.Options{Self: name, Members: r.detector, Catalogue: r.cataloguer,
+		Factory: func(pool cataloguer.Pool, now time.Time) runner.Scheduler {
+			settings := scheduler.DefaultSettings()
+			if pool.MaxQueue > 0 {
+				settings.MaxQueue = pool.MaxQueue
+			}
+			return hosted{scheduler.New(pool.Name, settings, now)}
+		}})
+	tickets := ticketer.New(ticketer.Options{Self: name, Incarnation: member.Incarnation, Members: r.detector,
+		Catalogue: r.cataloguer, Remote: end, Local: host})
+	r.recorder.Watch(func(event recorder.Event) {
+		c.seen(string(event.Kind), target{router: name, upstream: event.Upstream})
+	})
+	r.cataloguer.Subscribe(func(*cataloguer.Catalogue) { c.seen("apply", target{router: name}) })
+	r.holder = holder.New(holder.DefaultSettings(), r.cataloguer, tickets, r.claimer, clients, r.recorder, metrics.NewRegistry(), logger)
+	c.network.Join(r.ctx, name, messenger.Handlers{Accept: host.Accept, Gossip: r.detector.Handle, Snapshot: r.snapshot, Claim: r.claim})
+	c.mu.Lock()
+	c.routers[name] = r
+	c.mu.Unlock()
+	for _, run := range []func(context.Context) error{
+		r.cataloguer.Run, r.claimer.Run, r.leaser.Run, orderer.Run, r.detector.Run, host.Run, tickets.Run, r.control,
+		func(ctx context.Context) error { return c.sample(ctx, r) },
+	} {
+		c.group.Go(func() error { _ = run(r.ctx); return nil })
+	}
+	r.detector.Ready()
+}
+
+func (r *router) snapshot(_ context.Context, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
+	data, revision, offset := r.cataloguer.Snapshot()
+	if revision <= request.GetAboveRevision() {
+		data = nil
+	}
+	return &protocol.SnapshotResponse{Revision: revision, Offset: offset, Catalogue: data}, nil
+}
+
+func (r *router) claim(_ context.Context, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error) {
+	return &protocol.ClaimResponse{Verdicts: r.claimer.Register(request.GetClaims())}, nil
+}
+
+func (r *router) fetchSnapshot(end fakes.End) func(context.Context) ([]byte, uint64, int64, error) {
+	return func(ctx context.Context) ([]byte, uint64, int64, error) {
+		current, address := r.cataloguer.Current().Revision, ""
+		best := current
+		for _, member := range r.detector.View().Members {
+			if member.Name != r.name && member.CatalogueRevision > best && member.State != protocol.MemberState_MEMBER_STATE_DEAD {
+				best, address = member.CatalogueRevision, member.Address
+			}
+		}
+		if address == "" {
+			return nil, 0, 0, nil
+		}
+		response, err := end.Snapshot(ctx, address, &protocol.SnapshotRequest{AboveRevision: current})
+		return response.GetCatalogue(), response.GetRevision(), response.GetOffset(), err
+	}
+}
+
+func (r *router) askClaims(end fakes.End) claimer.Ask {
+	return func(ctx context.Context, router string, entries []*protocol.ClaimEntry) ([]*protocol.ClaimVerdict, error) {
+		if router == r.name {
+			return r.claimer.Register(entries), nil
+		}
+		response, err := end.Claim(ctx, router, &protocol.ClaimRequest{Router: r.name, Claims: entries})
+		return response.GetVerdicts(), err
+	}
+}
+
+func (r *router) claimRanks(scopeHash uint64) []string {
+	since := time.Now().Add(-claimer.MemoryWindow)
+	var names []string
+	for _, member := range r.detector.View().Members {
+		if member.Known.Before(since) {
+			names = append(names, member.Name)
+		}
+	}
+	return ranker.Rank(fmt.Sprintf("claims/%x", scopeHash), names)
+}
+
+// control tells the members this router's revision and republishes the catalogue, as the daemon does.
+func (r *router) control(ctx context.Context) error {
+	for ctx.Err() == nil {
+		current, view := r.cataloguer.Current(), r.detector.View()
+		r.detector.SetCatalogue(current.Revision, current.Offset)
+		r.claimer.SetWindow(time.Duration(max(len(view.Ranked()), 1)) * time.Second / 200)
+		if ranker.First("catalogue", view.Ranked()) == r.name {
+			_ = r.cataloguer.Republish(ctx) // fails in an outage; tried again
+		}
+		time.Sleep(time.Second)
+	}
+	return ctx.Err()
+}
+
+// sample notes the revision in force, except while a router stands still or has only just gone on.
+func (c *cluster) sample(ctx context.Context, r *router) error {
+	var last *cataloguer.Catalogue
+	var sum string
+	for ctx.Err() == nil {
+		current := r.cataloguer.Current()
+		if current != last {
+			last, sum = current, digest(current)
+		}
+		c.mu.Lock()
+		thawed, still := c.thawed[r.name]
+		if current.Revision > 0 && (!still || time.Now().After(thawed)) {
+			c.history.InForce = append(c.history.InForce, checker.InForce{
+				At: time.Now(), Router: r.name, Revision: current.Revision, Digest: sum})
+		}
+		c.mu.Unlock()
+		time.Sleep(sampleEvery)
+	}
+	return ctx.Err()
+}
+
+func digest(catalogue *cataloguer.Catalogue) string {
+	data, _ := yaml.Marshal(catalogue)
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:8])
+}
+
+// target is where a step was seen.
+type target struct{ router, upstream string }
+
+// seen passes a step on to the watcher.
+func (c *cluster) seen(step string, at target) {
+	c.mu.Lock()
+	watch := c.watch
+	c.mu.Unlock()
+	watch(step, at)
+}
+
+// watchedLog sees the control steps that go through the log.
+type watchedLog struct {
+	*fakes.Log
+	cluster *cluster
+	router  string
+}
+
+func (l watchedLog) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	step := stream + "_append"
+	if stream == cataloguer.Stream && strings.Contains(string(data), "kind: snapshot") {
+		step = "snapshot"
+	}
+	l.cluster.seen(step, target{router: l.router})
+	return l.Log.Append(ctx, stream, data)
+}
+
+func (l watchedLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (kernel.LogPage, error) {
+	page, err := l.Log.Read(ctx, stream, from, limit, wait)
+	if len(page.Records) > 0 {
+		l.cluster.seen(stream+"_read_back", target{router: l.router})
+	}
+	return page, err
+}
+
+// VMs implements kernel.VMListProtocol.
+func (c *cluster) VMs(context.Context) ([]kernel.VM, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.vmsLate {
+		return nil, errors.New("the VM list is late")
+	}
+	return c.vms, nil
+}
+
+// kill ends a router at once: nothing that it still does has an effect outside.
+func (c *cluster) kill(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.routers[name]
+	r.killed = time.Now()
+	r.cancel()
+}
+
+// edit changes the catalogue at a router; an edit that is refused or undecided is left to the next one.
+func (c *cluster) edit(name string) {
+	r := c.router(name)
+	c.mu.Lock()
+	c.revision++
+	text := strings.Replace(c.yaml, "weight: 2", fmt.Sprintf("weight: %d", 2+c.revision), 1)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(r.ctx, 10*time.Second)
+	defer cancel()
+	base := r.cataloguer.Current().Revision
+	revision, _, err := r.cataloguer.Apply(ctx, base, name, []byte(fmt.Sprintf("revision: %d\n%s", base, text)))
+	if err != nil || r.ctx.Err() != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wanted, _ := cataloguer.Parse([]byte(text))
+	wanted.Revision = revision
+	c.history.Accepted = append(c.history.Accepted, checker.Accepted{At: time.Now(), Revision: revision, Digest: digest(wanted)})
+}
+
+// stop ends all routers and returns the history.
+func (c *cluster) stop() checker.History {
+	ended := time.Now()
+	for _, r := range c.routers {
+		r.cancel()
+	}
+	_ = c.group.Wait()
+	c.network.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.routers {
+		for _, event := range r.recorder.Events() {
+			if (r.killed.IsZero() || event.At.Before(r.killed)) && event.At.Before(ended) {
+				c.history.Events = append(c.history.Events, event)
+			}
+		}
+	}
+	for _, u := range append(append([]*upstream{}, c.engines...), c.desks...) {
+		c.history.Runs = append(c.history.Runs, u.runs...)
+	}
+	c.history.Ended = ended
+	return c.history
+}
--- /dev/null
+++ b/internal/prover/faults_test.go
@@ -0,0 +1,133 @@
+package prover_test
+
+import (
+	"time"
+
+	"coltsfootplank/internal/fakes"
+)
+
+// fault is switched on where a step was seen, and off after a while. on may run in a goroutine of the product and does
+// not block. again runs each second meanwhile.
+type fault struct {
+	name  string
+	lasts time.Duration
+	on    func(c *cluster, at target)
+	off   func(c *cluster, at target)
+	again func(c *cluster, at target)
+}
+
+// others calls f with every router but one.
+func (c *cluster) others(name string, f func(other string)) {
+	for _, other := range []string{"r1", "r2", "r3", "r4"} {
+		if other != name {
+			f(other)
+		}
+	}
+}
+
+func cutIn(cut bool) func(*cluster, target) {
+	return func(c *cluster, at target) {
+		c.others(at.router, func(other string) { c.network.Cut(other, at.router, cut) })
+	}
+}
+
+func cutOut(cut bool) func(*cluster, target) {
+	return func(c *cluster, at target) {
+		c.others(at.router, func(other string) { c.network.Cut(at.router, other, cut) })
+	}
+}
+
+func logDown(down bool) func(*cluster, target) {
+	return func(c *cluster, _ target) { c.log.SetOutage(down) }
+}
+
+// freeze stands a router still; its catalogue is not judged until some seconds after it goes on.
+func freeze(frozen bool) func(*cluster, target) {
+	return func(c *cluster, at target) {
+		c.network.Freeze(at.router, frozen)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.thawed[at.router] = time.Now().Add(time.Hour)
+		if !frozen {
+			c.thawed[at.router] = time.Now().Add(10 * time.Second)
+		}
+	}
+}
+
+// loseAnswers loses the answer of every append, in turn of one that took effect, one that didn't and one that will.
+func loseAnswers(c *cluster, _ target) {
+	count := 0
+	c.log.SetFate(func(string, []byte) fakes.LostAnswer {
+		count++
+		return []fakes.LostAnswer{fakes.LostEffective, fakes.LostIneffective, fakes.LostLate}[count%3]
+	})
+}
+
+func eachUpstream(change func(u *upstream)) func(*cluster, target) {
+	return func(c *cluster, _ target) {
+		for _, u := range append(append([]*upstream{}, c.engines...), c.desks...) {
+			u.set(func() { change(u) })
+		}
+	}
+}
+
+// upstream returns the upstream of the step, or the first engine.
+func (c *cluster) upstream(at target) *upstream {
+	for _, u := range append(append([]*upstream{}, c.engines...), c.desks...) {
+		if u.name == at.upstream {
+			return u
+		}
+	}
+	return c.engines[0]
+}
+
+func pace(times int) func(*cluster, target) {
+	return func(c *cluster, at target) { u := c.upstream(at); u.set(func() { u.pace = times }) }
+}
+
+var faults = []fault{
+	{name: "kill", lasts: time.Second, on: func(c *cluster, at target) { c.kill(at.router) }},
+	{name: "freeze", lasts: 14 * time.Second, on: freeze(true), off: freeze(false)},
+	{name: "cut_in", lasts: 10 * time.Second, on: cutIn(true), off: cutIn(false)},
+	{name: "cut_out", lasts: 10 * time.Second, on: cutOut(true), off: cutOut(false)},
+	{name: "log_down", lasts: 8 * time.Second, on: logDown(true), off: logDown(false)},
+	{name: "append_answer_lost", lasts: 6 * time.Second, on: loseAnswers,
+		again: func(c *cluster, _ target) { c.log.StoreLate() },
+		off:   func(c *cluster, _ target) { c.log.SetFate(nil); c.log.StoreLate() }},
+	{name: "engine_crash", lasts: 4 * time.Second,
+		on:  func(c *cluster, at target) { c.upstream(at).crash() },
+		off: func(c *cluster, at target) { c.upstream(at).restart() }},
+	{name: "log_slow", lasts: 10 * time.Second,
+		on:  func(c *cluster, _ target) { c.log.SetDelay(2 * time.Second) },
+		off: func(c *cluster, _ target) { c.log.SetDelay(0) }},
+	// A round trip stays within the delay up to which the checker orders events.
+	{name: "slow_messages", lasts: 10 * time.Second,
+		on:  func(c *cluster, _ target) { c.network.SetDelay(45 * time.Millisecond) },
+		off: func(c *cluster, _ target) { c.network.SetDelay(0) }},
+	{name: "lost_messages", lasts: 10 * time.Second,
+		on:    func(c *cluster, _ target) { c.network.SetLoss(3); c.network.Break() },
+		again: func(c *cluster, _ target) { c.network.Break() },
+		off:   func(c *cluster, _ target) { c.network.SetLoss(0) }},
+	{name: "straggler", lasts: 10 * time.Second, on: pace(15), off: pace(1)},
+	{name: "stale_load", lasts: 10 * time.Second,
+		on: eachUpstream(func(u *upstream) {
+			report := u.report()
+			report.AgeMS = 8000
+			u.stale = &report
+		}),
+		off: eachUpstream(func(u *upstream) { u.stale = nil })},
+	{name: "cache_events_missing", lasts: 10 * time.Second,
+		on:  eachUpstream(func(u *upstream) { u.events = false }),
+		off: eachUpstream(func(u *upstream) { u.events = true })},
+	{name: "vm_list_late", lasts: 10 * time.Second,
+		on:  func(c *cluster, _ target) { c.mu.Lock(); c.vmsLate = true; c.mu.Unlock() },
+		off: func(c *cluster, _ target) { c.mu.Lock(); c.vmsLate = false; c.mu.Unlock() }},
+	{name: "racing_operators", lasts: 6 * time.Second, on: race, again: race},
+}
+
+// race lets an operator at each router edit the same revision.
+func race(c *cluster, _ target) {
+	for _, name := range c.live() {
+		c.group.Go(func() error { c.edit(name); return nil })
+	}
+}
--- /dev/null
+++ b/internal/prover/load_test.go
@@ -0,0 +1,162 @@
+package prover_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootplank/internal/checker"
+	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/kernel"
+)
+
+const (
+	loadTime   = 16 * time.Second
+	streamWait = 40 * time.Second // deadline of streams
+	deskWait   = 15 * time.Second // deadline of bookings and lookups
+	hangUpAt   = 5                // tokens after which some callers hang up
+)
+
+var errGone = errors.New("the caller is gone")
+
+// answer is a caller's end of a request.
+type answer struct {
+	reply  checker.Reply
+	router *router
+	gone   bool
+	hangUp bool
+}
+
+func (a *answer) Token(frame kernel.Frame) error {
+	if frame.StreamID != a.reply.RequestID {
+		a.reply.ForeignID = frame.StreamID
+	}
+	a.gone = a.gone || a.hangUp && frame.Index >= hangUpAt
+	if a.gone || a.router.ctx.Err() != nil {
+		return errGone
+	}
+	a.reply.Tokens = append(a.reply.Tokens, frame.Index)
+	return nil
+}
+
+func (a *answer) Finish(total int) error {
+	a.reply.Whole, a.reply.Total = a.router.ctx.Err() == nil, total
+	return a.router.ctx.Err()
+}
+
+func (a *answer) Response(response kernel.ServiceResponse) error {
+	a.reply.Whole = a.router.ctx.Err() == nil && response.Status == 200
+	if a.reply.Key == "" && string(response.Body) != a.reply.RequestID {
+		a.reply.ForeignID = string(response.Body)
+	}
+	return a.router.ctx.Err()
+}
+
+// serve sends one request to a router, waits for its end and returns what the caller got.
+func (c *cluster) serve(name, workName, key string, tokens int, hangUp bool) checker.Reply {
+	r := c.router(name)
+	if c.network.Gate(r.ctx, name) != nil {
+		return checker.Reply{}
+	}
+	work, ok := r.cataloguer.Current().Work(workName)
+	if !ok || r.ctx.Err() != nil {
+		return checker.Reply{}
+	}
+	c.mu.Lock()
+	c.numbers++
+	number := uint64(c.numbers)
+	id := fmt.Sprintf("%s-%d", name, number)
+	c.mu.Unlock()
+	a := &answer{router: r, hangUp: hangUp, reply: checker.Reply{
+		RequestID: id, Workspace: "caruaru", Work: workName, Key: key, Idempotent: work.Idempotent, Stream: tokens > 0, Router: name}}
+	request := &holder.Request{ID: id, Workspace: "caruaru", Work: work, Key: key, Method: work.Method, Path: work.Path,
+		Model: work.Model, PromptTokens: 100, MaxTokens: tokens, PrefixHashes: []uint64{1}, Fingerprint: number,
+		Arrived: time.Now(), Deadline: time.Now().Add(streamWait), Answer: a}
+	if key != "" {
+		request.Fingerprint = 7
+	}
+	if tokens == 0 {
+		request.Deadline = time.Now().Add(deskWait)
+	}
+	refusal := r.holder.Serve(r.ctx, request)
+	a.reply.At = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case r.ctx.Err() != nil:
+		a.reply.Cut = !a.reply.Whole
+	case refusal != nil:
+		a.reply.Outcome, a.reply.Code = string(refusal.Outcome), string(refusal.Code)
+	}
+	c.history.Replies = append(c.history.Replies, a.reply)
+	return a.reply
+}
+
+// call serves a request in the background, at the next live router after the index.
+func (c *cluster) call(index int, work, key string, tokens int, hangUp bool) {
+	live := c.live()
+	c.group.Go(func() error {
+		c.serve(live[index%len(live)], work, key, tokens, hangUp)
+		return nil
+	})
+}
+
+// load is the mixed load: streams of two tiers, some with callers that hang up, keyed bookings with repeats through
+// other routers, lookups, and two bursts of which part has to be shed.
+func (c *cluster) load() {
+	const step = 250 * time.Millisecond
+	for i := range int(loadTime / step) {
+		c.call(i, "quick", "", 10, i%7 == 3)
+		c.call(i+1, "tag", "", 20, false)
+		if i%2 == 0 {
+			key := fmt.Sprintf("key-%d", i)
+			c.call(i/2, "booking", key, 0, false)
+			c.call(i/2+1, "booking", key, 0, false)
+			time.AfterFunc(6*time.Second, func() { c.call(i/2+2, "booking", key, 0, false) })
+			c.call(i/2, "status", "", 0, false)
+		}
+		if i == 20 || i == 60 {
+			for j := range 24 {
+				c.call(j, "tag", "", 20, false)
+			}
+			for j := range 8 {
+				c.call(j, "quick", "", 10, false)
+			}
+		}
+		time.Sleep(step)
+	}
+}
+
+// settle waits until no caller waits any more, then demands that every live router serves all kinds of work.
+func (c *cluster) settle(t *testing.T) {
+	for waited := time.Duration(0); len(c.open()) > 0 && waited < 2*time.Minute; waited += time.Second {
+		time.Sleep(time.Second)
+	}
+	if open := c.open(); len(open) > 0 {
+		t.Errorf("requests without answer and refusal: %+v", open)
+	}
+	time.Sleep(20 * time.Second)
+	for _, name := range c.live() {
+		if c.router(name).holder.Draining() {
+			continue
+		}
+		for _, probe := range []struct {
+			work, key string
+			tokens    int
+		}{{"quick", "", 10}, {"tag", "", 10}, {"booking", "probe-" + name, 0}, {"status", "", 0}} {
+			if reply := c.serve(name, probe.work, probe.key, probe.tokens, false); !reply.Whole {
+				t.Errorf("router %s does not serve %s after the fault: %s (%s)", name, probe.work, reply.Code, reply.Outcome)
+			}
+		}
+	}
+}
+
+// open returns the requests that the live routers hold.
+func (c *cluster) open() []holder.Row {
+	var open []holder.Row
+	for _, name := range c.live() {
+		open = append(open, c.router(name).holder.Requests()...)
+	}
+	return open
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -49,6 +49,7 @@
 	router string
 	slots  []atomic.Pointer[Event]
 	next   atomic.Uint64
+	watch  atomic.Pointer[func(Event)]
 }
 
 // New returns a recorder for the named router that keeps the last size events.
@@ -56,12 +57,18 @@
 	return &Recorder{router: router, slots: make([]atomic.Pointer[Event], max(size, 1))}
 }
 
+// Watch calls notify for each later event, in the goroutine that records it. notify must not block.
+func (r *Recorder) Watch(notify func(Event)) { r.watch.Store(&notify) }
+
 // Record adds an event and stamps it with the time and the router's name.
 func (r *Recorder) Record(event Event) {
 	event.At = time.Now()
 	event.Router = r.router
 	index := r.next.Add(1) - 1
 	r.slots[index%uint64(len(r.slots))].Store(&event)
+	if notify := r.watch.Load(); notify != nil {
+		(*notify)(event)
+	}
 }
 
 // Events returns the kept events, oldest first.
--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -7,6 +7,10 @@
 trap 'rm -f "$log"' EXIT
 status=0
 for package in "$@"; do
+  if [ ! -d "$package" ]; then
+    echo "proofs: there is no directory $package"
+    continue
+  fi
   (cd "$package" && go test -count=1 -timeout 600s -v .) >>"$log" 2>&1 || status=1
 done
 grep -E '^(---|\s+---) FAIL|panic:|CELL P[1-8] violated' "$log"
