--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,9 @@
 unit:
 	@scripts/test.sh $(MODULES)
 
-# proofs counts the cases of each invariant in the packages that report them.
-PROOFS := scenarios
-
-proofs:
-	@scripts/proofs.sh $(PROOFS)
+# proofs runs the fault matrix and the scripted scenarios and prints one line for each invariant.
+proofs: build
+	@scripts/proofs.sh internal/prover scenarios
 
 demo: build
 	@scripts/demo.sh
