loadgen: measure quick questions among drafts

Cause: no run showed whether drafts, a hundredfold longer, hold up quick questions. Change: experiment "lengths": bursts at load 0.7, drafts one tier below the questions or in the same tier; the drafts' throughput and slots at three times the capacity.

--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -18,6 +18,7 @@
 var experiments = []experiment{
 	{"tiers", measureTiers},
 	{"shares", measureShares},
+	{"lengths", measureLengths},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
