--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -19,6 +19,7 @@
 	{"tiers", measureTiers},
 	{"shares", measureShares},
 	{"lengths", measureLengths},
+	{"deadlines", measureDeadlines},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
