--- a/loadgen/internal/experimenter/engine.go
+++ b/loadgen/internal/experimenter/engine.go
@@ -21,8 +21,9 @@
 
 // Kinds of engines; fast and slow have the figures of the demo's stand-ins.
 var (
-	fast = engineKind{"fast", 16, 12000, 512, 15 * time.Millisecond, 500 * time.Microsecond, 200000}
-	slow = engineKind{"slow", 8, 4000, 128, 40 * time.Millisecond, time.Millisecond, 80000}
+	fast   = engineKind{"fast", 16, 12000, 512, 15 * time.Millisecond, 500 * time.Microsecond, 200000}
+	medium = engineKind{"medium", 12, 8000, 256, 25 * time.Millisecond, 750 * time.Microsecond, 120000}
+	slow   = engineKind{"slow", 8, 4000, 128, 40 * time.Millisecond, time.Millisecond, 80000}
 )
 
 // fullStep is the duration in seconds of a decode step with all slots in use.
--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -20,6 +20,7 @@
 	{"shares", measureShares},
 	{"lengths", measureLengths},
 	{"deadlines", measureDeadlines},
+	{"engines", measureEngines},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
