loadgen: measure prefix affinity

Cause: no run showed how much prefill the affinity saves with late and lost cache events. Change: experiment "prefixes": shared prompt prefixes that exceed one engine's cache, a fifth of the events lost.

--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -21,6 +21,7 @@
 	{"lengths", measureLengths},
 	{"deadlines", measureDeadlines},
 	{"engines", measureEngines},
+	{"prefixes", measurePrefixes},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
