scheduler: keep known prefixes across gaps in cache events

Cause: after each gap in an engine's cache events the scheduler forgot every prefix that wasn't used in the last 2 s. With a fifth of the events lost nearly every poll has a gap, so the affinity knew next to nothing. Change: a gap forgets nothing. A prefix whose eviction was lost attracts one request at most, because that run puts the prefix back into the cache. Seen failing first (TestPrefixAffinity): prefixes cleared at a gap.

--- a/internal/scheduler/prefixes.go
+++ b/internal/scheduler/prefixes.go
@@ -18,7 +18,6 @@
 	seen map[uint64]time.Time
 	// order holds the hashes in the order of their first use, the oldest first.
 	order []uint64
-	next  uint64
 }
 
 func newPrefixIndex(settings *Settings) *prefixIndex {
@@ -108,7 +107,8 @@
 }
 
 // ObserveCache takes a page of an engine's cache events. Events come late: an eviction doesn't undo an own dispatch
-// of the last moments. After a gap, what hasn't been used lately is forgotten.
+// of the last moments. Events are also lost. A prefix whose eviction was lost stays listed: it attracts one request at
+// most, whose run puts it back into the engine's cache.
 func (s *Scheduler) ObserveCache(now time.Time, engine string, events kernel.CacheEvents) {
 	s.at(now)
 	e := s.engines.byName[engine]
@@ -116,10 +116,6 @@
 		return
 	}
 	for _, event := range events.Events {
-		if e.cache.next > 0 && event.Seq > e.cache.next {
-			s.engines.prefixes.forgetUnused(e, now)
-		}
-		e.cache.next = event.Seq + 1
 		switch event.Kind {
 		case kernel.CacheStored:
 			s.engines.prefixes.add(e, event.Hash, now)
@@ -130,19 +126,3 @@
 		}
 	}
 }
-
-// forgetUnused drops the prefixes of an engine that weren't used within the lag of the events.
-func (p *prefixIndex) forgetUnused(e *engine, now time.Time) {
-	kept := e.cache.order[:0]
-	for _, hash := range e.cache.order {
-		seen, known := e.cache.seen[hash]
-		switch {
-		case !known:
-		case now.Sub(seen) > p.settings.CacheEventLag:
-			p.remove(e, hash)
-		default:
-			kept = append(kept, hash)
-		}
-	}
-	e.cache.order = kept
-}
