Count a request that ends with neither an answer nor a refusal against P3

Cause: the checker passed over replies that were not whole, so a stream that just stops was not noticed. Change: such a reply violates P3 unless its connection was cut, which P7 judges for planned stops. Tested: the new case fails without the rule; matrix and scenarios pass with it.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -49,6 +49,8 @@
 		{"whole stream", "P3", History{Replies: []Reply{{Stream: true, Whole: true, Tokens: []int{0, 1}, Total: 2}}}, true},
 		{"repeated token", "P3", History{Replies: []Reply{{Stream: true, Whole: true, Tokens: []int{0, 0}, Total: 2}}}, false},
 		{"short stream", "P3", History{Replies: []Reply{{Stream: true, Whole: true, Tokens: []int{0}, Total: 2}}}, false},
+		{"refused beside whole", "P3", History{Replies: []Reply{{Whole: true}, {RequestID: "b", Outcome: "unknown"}}}, true},
+		{"silent end", "P3", History{Replies: []Reply{{Whole: true}, {RequestID: "b", Stream: true, Tokens: []int{0}}}}, false},
 		{"foreign part", "P3", History{Replies: []Reply{{Whole: true, ForeignID: "b"}}}, false},
 		{"refused and idle", "P4", History{Replies: []Reply{{RequestID: "a", Outcome: "not_run"}}}, true},
 		{"refused but ran", "P4", History{
--- a/internal/checker/requests.go
+++ b/internal/checker/requests.go
@@ -46,6 +46,10 @@
 			verdict.violate("request %s got a part of %s", reply.RequestID, reply.ForeignID)
 		}
 		if !reply.Whole {
+			// A refused connection has no request id.
+			if reply.RequestID != "" && reply.Outcome == "" && !reply.Cut {
+				verdict.violate("request %s ended with neither a whole answer nor a refusal", reply.RequestID)
+			}
 			continue
 		}
 		verdict.Cases++
