Record the end of a request that is answered by a stored result

Cause: a repeat that got the stored result of an earlier run left no event of its end in the history. Whoever reads the history, such as the check of planned stops, took it for a request that was cut off.

Ruled out: the drain, which waited for them.

Change: the replay records the event answered with the detail replayed.

--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -175,7 +175,7 @@
 }
 
 // TestServe guards against a request that runs twice, a "not run" for one that ran, a claim that stays when
-// nothing ran, and a grant that is never released.
+// nothing ran, a grant that is never released, and a history without the end of a request.
 func TestServe(t *testing.T) {
 	notSent := &kernel.NotSentError{Cause: io.EOF}
 	lost := &kernel.LostError{Cause: io.EOF}
@@ -270,6 +270,10 @@
 				assert.Equal(t, f.claims.results, c.results)
 				assert.DeepEqual(t, f.tickets.releases, c.releases)
 				assert.Equal(t, len(f.holder.Requests()), 0)
+				events := f.holder.recorder.Events()
+				last := events[len(events)-1].Kind
+				assert.Equal(t, last == recorder.Answered, c.outcome == "", "%s", last)
+				assert.Equal(t, last == recorder.Refused, c.outcome != "", "%s", last)
 			})
 		})
 	}
--- a/internal/holder/serve.go
+++ b/internal/holder/serve.go
@@ -200,6 +200,7 @@
 	if err != nil {
 		return h.finish(request, &Refusal{Outcome: OutcomeUnknown, Code: CodeCallerGone, Message: err.Error()})
 	}
+	h.record(request, recorder.Answered, "replayed")
 	metrics.GetOrRegisterCounter("requests.replayed", h.metrics).Inc(1)
 	return nil
 }
