--- a/loadgen/internal/experimenter/engine.go
+++ b/loadgen/internal/experimenter/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"coltsfootplank/internal/kernel"
@@ -100,16 +101,16 @@
 // finishStep applies a step to the batch and begins the next.
 func (e *engine) finishStep() {
 	e.stepping = false
+	if slices.ContainsFunc(e.running, func(c *call) bool { return c.poison && c.share > 0 }) {
+		e.crash(2 * time.Second)
+		return
+	}
 	kept := e.running[:0]
 	for _, c := range e.running {
 		switch {
 		case c.share > 0:
 			c.prefilled += c.share
 			c.computed += c.share
-			if c.poison {
-				e.crash(2 * time.Second)
-				return
-			}
 			if c.prefilled == c.kind.prompt {
 				e.cache.store(c)
 			}
--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -22,6 +22,7 @@
 	{"deadlines", measureDeadlines},
 	{"engines", measureEngines},
 	{"prefixes", measurePrefixes},
+	{"poison", measurePoison},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
--- a/loadgen/internal/experimenter/world.go
+++ b/loadgen/internal/experimenter/world.go
@@ -38,6 +38,7 @@
 	refused func(*world, *call, *protocol.Refusal)
 	lost    func(*world, *call)
 	granted func(*world, *call)
+	ended   func()
 }
 
 // world is the state of one run.
@@ -64,6 +65,9 @@
 	engines   []*engine
 	queued    [4]int
 	wakeAt    time.Duration
+	// retired schedulers grant nothing; tickets that reach them go to next.
+	retired bool
+	next    *router
 }
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -86,8 +90,10 @@
 	}
 	for i, c := range p.calls {
 		fresh := *c
-		fresh.router = w.routers[i%len(w.routers)]
-		w.at(fresh.arrived, func() { w.submit(&fresh) })
+		w.at(fresh.arrived, func() {
+			fresh.router = w.routers[i%len(w.routers)]
+			w.submit(&fresh)
+		})
 	}
 	if p.prepare != nil {
 		p.prepare(w)
@@ -134,6 +140,11 @@
 	}
 	r := c.router
 	w.after(hop, func() {
+		if r.retired {
+			c.router = r.next
+			w.send(c)
+			return
+		}
 		c.queued = true
 		r.queued[c.kind.tier]++
 		r.scheduler.Submit(w.time(), "h", t)
@@ -157,6 +168,9 @@
 
 func (r *router) decide() {
 	w := r.world
+	if r.retired {
+		return
+	}
 	for _, d := range r.scheduler.Step(w.time()) {
 		if d.Grant != nil {
 			r.grant(w.calls[d.Grant.RequestId], w.byName[d.Grant.Engine])
@@ -209,6 +223,9 @@
 // release tells the scheduler about the end of a grant.
 func (r *router) release(c *call, kind protocol.ReleaseKind) {
 	w := r.world
+	if w.ended != nil {
+		w.ended()
+	}
 	m := &protocol.Release{RequestId: c.id, Engine: c.engine.name, Kind: kind, PromptTokens: uint32(c.kind.prompt),
 		CachedTokens: uint32(c.cached), OutputTokens: uint32(c.produced), FirstTokenMs: (c.first - c.dispatched).Milliseconds(),
 		TotalMs: (w.now - c.dispatched).Milliseconds(), Fingerprint: c.fingerprint}
@@ -232,6 +249,16 @@
 	}
 }
 
+// retry sends a call again as a new request with the same content.
+func (w *world) retry(c *call, delay time.Duration) {
+	again := &call{kind: c.kind, id: c.id + "+", fingerprint: c.fingerprint, hashes: c.hashes, output: c.output,
+		poison: c.poison, router: c.router}
+	w.after(delay, func() {
+		again.arrived = w.now
+		w.submit(again)
+	})
+}
+
 // poll delivers a load report and the cache events to the schedulers after the lag.
 func (e *engine) poll() {
 	w := e.world
