loadgen: measure limits of entries and workspaces

Cause: no run showed how far a workspace exceeds its limits with two cells or during a takeover. Change: experiment "limits": the highest number of requests in flight and the most tokens in any minute, relative to the limits.

--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -23,6 +23,7 @@
 	{"engines", measureEngines},
 	{"prefixes", measurePrefixes},
 	{"poison", measurePoison},
+	{"limits", measureLimits},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
