--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -24,6 +24,7 @@
 	{"prefixes", measurePrefixes},
 	{"poison", measurePoison},
 	{"limits", measureLimits},
+	{"retries", measureRetries},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
