loadgen: measure the cost of a decision

Cause: the time of a decision at 900 engines was known from a benchmark only, without a bound. Change: experiment "cost", in real time, after the other experiments; at most twice the time of 12 engines.

--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -25,6 +25,7 @@
 	{"poison", measurePoison},
 	{"limits", measureLimits},
 	{"retries", measureRetries},
+	{costName, measureCost},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
--- a/loadgen/internal/experimenter/row.go
+++ b/loadgen/internal/experimenter/row.go
@@ -52,12 +52,17 @@
 	return r
 }
 
-// ratioAtLeast bounds the ratio instead of the value.
+// ratioAtLeast and ratioAtMost bound the ratio instead of the value.
 func (r Row) ratioAtLeast(bound float64) Row {
 	r.Bound, r.Met = fmt.Sprintf("ratio >= %.4g", bound), r.Ratio >= bound
 	return r
 }
 
+func (r Row) ratioAtMost(bound float64) Row {
+	r.Bound, r.Met = fmt.Sprintf("ratio <= %.4g", bound), r.Ratio <= bound
+	return r
+}
+
 // WriteJSON writes the rows as a JSON array.
 func WriteJSON(out io.Writer, rows []Row) error {
 	encoder := json.NewEncoder(out)
