--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -22,6 +22,10 @@
 	{"deadlines", measureDeadlines},
 	{"engines", measureEngines},
 	{"prefixes", measurePrefixes},
+	{"poison", measurePoison},
+	{"limits", measureLimits},
+	{"retries", measureRetries},
+	{costName, measureCost},
 }
 
 // Run measures the experiment with the given name, or all of them, side by side on up to four cores. Rows are in the
