loadgen: add the capacity command

The new command measures the caller front, the scheduler, the traffic of tickets and membership at several sizes, fits a line to each figure, extrapolates it and compares it with the budgets. make capacity runs it and writes the tables into docs/CAPACITY.md.

Tested with the race detector.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINTER := $(TOOLS)/golangci-lint
 LINTER_VERSION := v2.15.0
 
-.PHONY: all build test check-format lint unit demo clean
+.PHONY: all build test check-format lint unit demo capacity clean
 
 all: build
 
@@ -34,5 +34,11 @@
 demo: build
 	@scripts/demo.sh
 
+# capacity measures the parts of the router on this machine, in about three minutes, and writes the tables of
+# docs/CAPACITY.md.
+capacity:
+	@mkdir -p bin
+	@go build -o bin/loadgen ./loadgen && bin/loadgen capacity --write docs/CAPACITY.md
+
 clean:
 	rm -rf bin .tools
--- a/loadgen/internal/commander/commander.go
+++ b/loadgen/internal/commander/commander.go
@@ -25,6 +25,8 @@
 type commandLine struct {
 	Run    runCommand    `cmd:"" help:"Send a load and report goodput by tier, wasted prefill and latencies."`
 	Sample sampleCommand `cmd:"" help:"Send one request of each kind of work and print the answers."`
+
+	Capacity capacityCommand `cmd:"" help:"Measure the parts of the router on this machine and extrapolate to the design scale."`
 }
 
 // session is what a command gets besides its own options.
--- /dev/null
+++ b/loadgen/internal/extrapolator/cellhost.go
@@ -0,0 +1,121 @@
+package extrapolator
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/detector"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/messenger"
+	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/runner"
+	"coltsfootplank/internal/scheduler"
+)
+
+// idleProtocol is an engine protocol in memory whose engines report no load.
+const idleProtocol = "capacity_idle"
+
+func init() {
+	kernel.Engines.Register(idleProtocol, func(string) (kernel.EngineProtocol, func(), error) {
+		return idleEngine{}, func() {}, nil
+	})
+}
+
+type idleEngine struct{ kernel.EngineProtocol }
+
+// Load implements kernel.EngineProtocol.
+func (idleEngine) Load(context.Context) (kernel.LoadReport, error) {
+	return kernel.LoadReport{Instance: "i", BatchSlots: 64}, nil
+}
+
+// CacheEvents implements kernel.EngineProtocol.
+func (idleEngine) CacheEvents(context.Context, uint64) (kernel.CacheEvents, error) {
+	return kernel.CacheEvents{}, nil
+}
+
+type fixedCatalogue struct{ catalogue *cataloguer.Catalogue }
+
+// Current returns the only catalogue.
+func (f fixedCatalogue) Current() *cataloguer.Catalogue { return f.catalogue }
+
+// Subscribe never calls: the catalogue doesn't change.
+func (f fixedCatalogue) Subscribe(func(*cataloguer.Catalogue)) (unsubscribe func()) { return func() {} }
+
+// hosted adapts a scheduler to the types of the runner.
+type hosted struct{ *scheduler.Scheduler }
+
+// SetEngines passes on the engines of the cell.
+func (h hosted) SetEngines(now time.Time, engines []runner.EngineInfo) {
+	infos := make([]scheduler.EngineInfo, 0, len(engines))
+	for _, engine := range engines {
+		infos = append(infos, scheduler.EngineInfo(engine))
+	}
+	h.Scheduler.SetEngines(now, infos)
+}
+
+// Step passes on the decisions.
+func (h hosted) Step(now time.Time) []runner.Decision {
+	decisions := h.Scheduler.Step(now)
+	result := make([]runner.Decision, 0, len(decisions))
+	for _, decision := range decisions {
+		result = append(result, runner.Decision(decision))
+	}
+	return result
+}
+
+// Dump returns the state of the scheduler.
+func (h hosted) Dump() any { return h.Scheduler.Dump() }
+
+// cellHost is one router that schedules one cell of 64 engines, reached by other routers over the loopback
+// interface.
+type cellHost struct {
+	listener *countingListener
+	messages atomic.Int64
+	cancel   context.CancelFunc
+	group    errgroup.Group
+}
+
+func startCellHost(ctx context.Context) (*cellHost, error) {
+	listener, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	h := &cellHost{listener: listener}
+	ctx, h.cancel = context.WithCancel(ctx)
+	members := detector.New(detector.Settings{Name: "scheduler", Address: listener.Addr().String()}, nil)
+	members.Ready()
+	pool := cataloguer.Pool{Name: "p", Protocol: idleProtocol}
+	for i := range cellEngines {
+		pool.Upstreams = append(pool.Upstreams, cataloguer.Upstream{
+			Name: fmt.Sprintf("engine-%04d", i), Address: "127.0.0.1:1", Slots: 64,
+		})
+	}
+	catalogue := (&cataloguer.Catalogue{Revision: 1, Pools: []cataloguer.Pool{pool}}).Index()
+	host := runner.New(runner.Options{
+		Self: "scheduler", Members: members, Catalogue: fixedCatalogue{catalogue},
+		Factory: func(pool cataloguer.Pool, now time.Time) runner.Scheduler {
+			return hosted{scheduler.New(pool.Name, scheduler.DefaultSettings(), now)}
+		},
+	})
+	_, handler := messenger.Mount(messenger.Handlers{
+		Accept: func(hello *protocol.Hello, outbox *messenger.Outbox[protocol.SchedulerMessage]) messenger.Session {
+			return &countingSession{Session: host.Accept(hello, outbox), messages: &h.messages}
+		},
+		Gossip: members.Handle,
+	})
+	h.group.Go(func() error { return host.Run(ctx) })
+	h.group.Go(func() error { return messenger.Serve(ctx, net.Listener(listener), handler, nil) })
+	return h, nil
+}
+
+func (h *cellHost) close() {
+	h.cancel()
+	// Both parts end by the end of their context, which is no failure.
+	_ = h.group.Wait()
+}
