--- a/Makefile
+++ b/Makefile
@@ -44,5 +44,11 @@
 	@go build -o bin/loadgen ./loadgen
 	@bin/loadgen measure $(MEASURE)
 
+# capacity measures the parts of the router on this machine, in about three minutes, and writes the tables of
+# docs/CAPACITY.md.
+capacity:
+	@mkdir -p bin
+	@go build -o bin/loadgen ./loadgen && bin/loadgen capacity --write docs/CAPACITY.md
+
 clean:
 	rm -rf bin .tools
--- a/loadgen/internal/commander/commander.go
+++ b/loadgen/internal/commander/commander.go
@@ -26,7 +26,8 @@
 	Run    runCommand    `cmd:"" help:"Send a load and report goodput by tier, wasted prefill and latencies."`
 	Sample sampleCommand `cmd:"" help:"Send one request of each kind of work and print the answers."`
 
-	Measure measureCommand `cmd:"" help:"Measure the scheduler's policies against their baselines on virtual time."`
+	Measure  measureCommand  `cmd:"" help:"Measure the scheduler's policies against their baselines on virtual time."`
+	Capacity capacityCommand `cmd:"" help:"Measure the parts of the router on this machine and extrapolate to the design scale."`
 }
 
 // session is what a command gets besides its own options.
