Add pairs of faults to the fault matrix and shorten its run

Change: 40 pairs of faults at a step, chosen by a fixed seed. The processes of the cells no longer wait for 1 s at their end, which the race detector does by default.

--- a/internal/prover/matrix_test.go
+++ b/internal/prover/matrix_test.go
@@ -1,8 +1,10 @@
 package prover_test
 
 import (
+	"math/rand/v2"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -86,6 +88,29 @@
 	}
 }
 
+// Pairs of faults are chosen by a fixed seed, so that every run has the same cells.
+const (
+	pairSeed  = 4
+	pairCount = 40
+)
+
+// TestMatrixPairs injects two faults at the same step.
+func TestMatrixPairs(t *testing.T) {
+	random := rand.New(rand.NewPCG(pairSeed, 0))
+	for range pairCount {
+		s := steps[random.IntN(len(steps))]
+		pair := random.Perm(len(faults))
+		first, second := faults[pair[0]], faults[pair[1]]
+		if leftOut[s.name+"/"+first.name] != "" || leftOut[s.name+"/"+second.name] != "" {
+			continue
+		}
+		t.Run(s.name+"/"+first.name+"+"+second.name, func(t *testing.T) {
+			t.Parallel()
+			alone(t, func(t *testing.T) { runCell(t, s, first, second) })
+		})
+	}
+}
+
 // inCell is set in the environment of the process of one cell.
 const inCell = "MATRIX_CELL"
 
@@ -97,9 +122,10 @@
 		synctest.Test(t, cell)
 		return
 	}
-	pattern := "^" + strings.ReplaceAll(t.Name(), "/", "$/^") + "$"
+	pattern := "^" + strings.ReplaceAll(regexp.QuoteMeta(t.Name()), "/", "$/^") + "$"
 	command := exec.CommandContext(t.Context(), os.Args[0], "-test.run="+pattern, "-test.v", "-test.timeout=120s")
-	command.Env = append(os.Environ(), "GOMAXPROCS=1", inCell+"=1")
+	// The race detector waits for 1 s at the end of a process unless it is told not to.
+	command.Env = append(os.Environ(), "GOMAXPROCS=1", "GORACE=atexit_sleep_ms=0", inCell+"=1")
 	output, err := command.CombinedOutput()
 	for line := range strings.Lines(string(output)) {
 		if err != nil || strings.Contains(line, "CELL ") {
@@ -111,25 +137,27 @@
 	}
 }
 
-// inject switches a fault on and, after its time, off.
-func (c *cluster) inject(f fault, at target) {
-	f.on(c, at)
-	c.group.Go(func() error {
-		for range int(f.lasts / time.Second) {
-			time.Sleep(time.Second)
-			if f.again != nil {
-				f.again(c, at)
+// inject switches faults on and, after their times, off.
+func (c *cluster) inject(faults []fault, at target) {
+	for _, f := range faults {
+		f.on(c, at)
+		c.group.Go(func() error {
+			for range int(f.lasts / time.Second) {
+				time.Sleep(time.Second)
+				if f.again != nil {
+					f.again(c, at)
+				}
 			}
-		}
-		if f.off != nil {
-			f.off(c, at)
-		}
-		return nil
-	})
+			if f.off != nil {
+				f.off(c, at)
+			}
+			return nil
+		})
+	}
 }
 
-// runCell runs the load with a fault that starts when a step is first seen 3 s after the start of the load.
-func runCell(t *testing.T, s step, f fault) {
+// runCell runs the load with faults that start when a step is first seen 3 s after the start of the load.
+func runCell(t *testing.T, s step, faults ...fault) {
 	c := newCluster(t)
 	var once sync.Once
 	time.AfterFunc(3*time.Second, func() {
@@ -137,11 +165,11 @@
 		defer c.mu.Unlock()
 		c.watch = func(step string, at target) {
 			if step == s.event {
-				once.Do(func() { c.inject(f, at) })
+				once.Do(func() { c.inject(faults, at) })
 			}
 		}
 		if s.take != nil {
-			once.Do(func() { c.group.Go(func() error { c.inject(f, s.at); s.take(c); return nil }) })
+			once.Do(func() { c.group.Go(func() error { c.inject(faults, s.at); s.take(c); return nil }) })
 		}
 	})
 	c.group.Go(func() error {
@@ -158,5 +186,9 @@
 	if seen {
 		t.Errorf("the step was not seen")
 	}
-	prover.Report(t, s.name+"/"+f.name, c.stop(), checker.DefaultBounds(), append(s.expect, always...)...)
+	name := s.name
+	for _, f := range faults {
+		name += "/" + f.name
+	}
+	prover.Report(t, name, c.stop(), checker.DefaultBounds(), append(s.expect, always...)...)
 }
