messenger: give up a stream to a frozen router at once

Cause: HTTP/2 doesn't look at the cancellation of a request while it waits for the next part of its body. The stream to a scheduler that was frozen stayed open after the limit of 500 ms had passed, until the scheduler woke, and its tickets weren't sent to the next scheduler. Change: interrupting a stream also ends its request body. Tested: TestSilentPeer fails without the change (stream open after 1 s) and passes with it; internal/messenger and internal/ticketer pass under the race detector. internal/runner's TestLoopback is flaky (leaked goroutines): it failed in 3 of 8 runs without the change and in 1 of 8 with it.

--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -132,5 +132,10 @@
 	cancel context.CancelFunc
 }
 
-// Interrupt cancels the HTTP request, which makes Send and Receive return.
-func (s *clientStream) Interrupt() { s.cancel() }
+// Interrupt cancels the HTTP request and ends its body, which makes Send and Receive return. HTTP/2 doesn't look at the
+// cancellation while it waits for the next part of the body.
+func (s *clientStream) Interrupt() {
+	s.cancel()
+	// An error means that the stream has ended already.
+	_ = s.CloseRequest()
+}
--- /dev/null
+++ b/internal/messenger/silent_test.go
@@ -0,0 +1,59 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/protocol/protocolconnect"
+)
+
+// silent is a router that answers a stream once and then neither sends nor reads, like one that is frozen.
+type silent struct {
+	protocolconnect.UnimplementedRouterServiceHandler
+	end chan struct{}
+}
+
+func (s *silent) Schedule(
+	_ context.Context, stream *connect.BidiStream[protocol.HolderMessage, protocol.SchedulerMessage],
+) error {
+	err := stream.Send(&protocol.SchedulerMessage{Heartbeat: true})
+	<-s.end
+	return err
+}
+
+// TestSilentPeer guards against a stream to a frozen scheduler that is only given up when the scheduler wakes, so that
+// tickets move to the next one seconds late.
+func TestSilentPeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	peer := &silent{end: make(chan struct{})}
+	_, handler := protocolconnect.NewRouterServiceHandler(peer)
+	var group errgroup.Group
+	group.Go(func() error { return Serve(ctx, listener, handler, nil) })
+	pool, cleanup := NewPool(nil)
+	defer cleanup()
+	outbox := NewHolderOutbox()
+	assert.NilError(t, outbox.Put(&protocol.HolderMessage{Hello: &protocol.Hello{Router: "h"}}))
+	ended := make(chan error, 1)
+	group.Go(func() error {
+		ended <- pool.Schedule(ctx, listener.Addr().String(), outbox, func(*protocol.SchedulerMessage) {})
+		return nil
+	})
+	select {
+	case err = <-ended:
+	case <-time.After(2 * SilenceLimit):
+		t.Error("the stream is still open")
+	}
+	close(peer.end)
+	cancel()
+	_ = group.Wait()
+	assert.ErrorContains(t, err, "nothing received")
+}
