--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -109,7 +109,7 @@
 	"within": with(2, func(w *world, ts *testscript.TestScript, args []string) {
 		w.finishSends(ts)
 		limit := duration(ts, args[1])
-		for _, a := range w.answers {
+		for _, a := range w.given() {
 			if a.Group == args[0] && a.Took > limit {
 				ts.Fatalf("an answer of %s at %s took %s\n%s", args[0], a.Router, a.Took, w.trace(a))
 			}
@@ -120,7 +120,7 @@
 		group, router, _ := strings.Cut(args[0], "@")
 		w.finishSends(ts)
 		w.sends[args[1]] = &errgroup.Group{}
-		for _, a := range slices.Clone(w.answers) {
+		for _, a := range w.given() {
 			if a.Group == group && (router == "" || a.Router == router) && !a.Whole {
 				o := a.order
 				o.group, o.router = args[1], args[2]
@@ -305,7 +305,7 @@
 		want, _ := strconv.Atoi(parts[3])
 		got := 0
 		details = details[:0]
-		for _, a := range w.answers {
+		for _, a := range w.given() {
 			if a.Group != group || router != "" && a.Router != router {
 				continue
 			}
--- a/scenarios/observe_test.go
+++ b/scenarios/observe_test.go
@@ -105,6 +105,13 @@
 	return fmt.Sprintf("%016x", xxhash.Sum64(canonical)), Error.Wrap(err)
 }
 
+// given returns the answers so far.
+func (w *world) given() []answer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.answers)
+}
+
 // eventsOf returns the events seen so far in the order of their time.
 func (w *world) eventsOf(match func(recorder.Event) bool) []recorder.Event {
 	w.mu.Lock()
@@ -128,11 +135,15 @@
 			}
 		}
 	}
+	w.mu.Lock()
 	history := w.history
+	history.InForce = slices.Clone(history.InForce)
+	w.mu.Unlock()
 	history.Ended = time.Now()
 	history.Events = w.eventsOf(func(recorder.Event) bool { return true })
-	for _, a := range w.answers {
-		history.Replies = append(history.Replies, a.judged(w.answers))
+	answers := w.given()
+	for _, a := range answers {
+		history.Replies = append(history.Replies, a.judged(answers))
 	}
 	history.Events = append(history.Events, w.endsSeenByCallers()...)
 	var err error
@@ -145,7 +156,7 @@
 func (w *world) endsSeenByCallers() []recorder.Event {
 	var events []recorder.Event
 	for _, stop := range w.history.Stops {
-		for _, a := range w.answers {
+		for _, a := range w.given() {
 			if a.Router == stop.Router && (a.Whole || a.Outcome != "") {
 				events = append(events, recorder.Event{
 					At: a.At, Router: a.Router, Kind: recorder.Answered, RequestID: a.RequestID, Key: a.Key,
