--- a/internal/scheduler/dump_test.go
+++ b/internal/scheduler/dump_test.go
@@ -39,6 +39,9 @@
 		c := newCell(0, 0, func(s *Settings) { s.UrgentReserve, s.LongShare = 0.25, 0.5 })
 		c.SetEngines(c.now, []EngineInfo{{Name: "e0", Slots: 4, KVTokens: 10_000}})
 		c.SetWorks(works)
+		c.submit(1, 0, "other")
+		first, _ := c.step()
+		c.answer(first[0], 100, 100)
 		for i, ticket := range append(k.running, k.waiting) {
 			ticket.RequestId, ticket.Workspace, ticket.Tier = string(rune('a'+i)), "w", k.tier
 			c.Submit(c.now, "h", ticket)
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -75,6 +75,9 @@
 	// alone is a suspect of a crash that runs on the engine; nothing else is admitted.
 	alone *request
 
+	// reserve is the share of the slots that lower tiers leave free, 0 while no urgent work comes.
+	reserve float64
+
 	class   *engineClass
 	openPos [openCount]int
 	roomPos int
@@ -107,7 +110,7 @@
 
 // reserved is the number of slots that lower tiers leave free for urgent work.
 func (e *engine) reserved() int {
-	return min(e.slots-1, int(math.Round(float64(e.slots)*e.settings.UrgentReserve)))
+	return min(e.slots-1, int(math.Round(float64(e.slots)*e.reserve)))
 }
 
 // room is the number of tokens that may be in flight.
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -32,6 +32,9 @@
 	noneSince time.Time
 	// roomiest orders the engines with a free slot, but for the reserved one, by the tokens that they can take.
 	roomiest *indexedHeap[*engine]
+	// urgentSeen is the arrival of the last ticket that may use the reserved slots; urgent says whether there are any.
+	urgentSeen time.Time
+	urgent     bool
 	// now is the time of the current call.
 	now time.Time
 }
@@ -124,7 +127,7 @@
 		s.unreserve(s.reserved.reservedFor)
 	}
 	for _, e := range s.list {
-		e.slots = s.slotsOf(e)
+		e.slots, e.reserve = s.slotsOf(e), s.reserveShare()
 		if e.counted = e.usable(); e.counted {
 			s.slots += max(0, e.info.Slots)
 		}
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -23,6 +23,7 @@
 	LongShare float64
 	// UrgentReserve is the share of an engine's slots that tiers below UrgentTier leave free. Engines can't
 	// pre-empt, so an urgent ticket would otherwise wait for the end of a lower tier's run.
+	// There is no reserve while no urgent ticket has come for urgentMemory.
 	UrgentReserve float64
 	// UrgentTier is the lowest tier that may use the reserved slots.
 	UrgentTier int
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -10,6 +10,7 @@
 	if now.Sub(s.engines.speeds.at) >= surveyInterval {
 		s.engines.survey()
 	}
+	s.engines.urgentDue()
 	s.engines.probeDue(now)
 	s.expire(now)
 	s.unparkDue(now)
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -41,6 +41,7 @@
 		s.refuse(r, CodeDeadlineInfeasible, "the queue ahead leaves no time for the run", s.retryAfter(r.bucket))
 		return
 	}
+	s.engines.noteUrgent(r)
 	s.enqueue(r)
 }
 
