scheduler: take a refused connection as a sign of a crash

Cause: requests lost in a crash became suspects only at the next failed load report. A poison request that its caller repeated within that second ran among others and crashed another engine. Change: a holder's failed connection shortly after makes them suspects too. What ran alone still waits for a load report or a restart before it is convicted, because the holder's own network may be at fault. Seen failing first (TestCrashEvidence): runs alone included, age of the loss ignored, nobody suspected.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootplank/internal/isolator"
@@ -31,6 +32,18 @@
 	}
 }
 
+// unreachableEvidence notes a failed connection, which shows a crash long before the next load report fails. It may
+// also be the holder's network, so it makes suspects, but what ran alone waits for a report before it is convicted.
+func (s *Scheduler) unreachableEvidence(e *engine, now time.Time) {
+	e.lost = slices.DeleteFunc(e.lost, func(l lostRun) bool {
+		if l.alone || now.Sub(l.at) > s.settings.CrashWindow {
+			return false
+		}
+		s.suspect(now, l.fingerprint, false)
+		return true
+	})
+}
+
 // observeLoss takes a broken connection. Alone it is no crash: only together with a restart or a failed load
 // report of the engine.
 func (s *Scheduler) observeLoss(now time.Time, e *engine, r *request, fingerprint uint64) {
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -29,6 +29,10 @@
 	lose := func(c *cell) { c.finish(&protocol.Grant{RequestId: "r1", Engine: "e0"}, lost, 1) }
 	foreign := func(c *cell) { c.finish(&protocol.Grant{RequestId: "x", Engine: "e0"}, lost, 1) }
 	answer := func(c *cell) { c.answer(&protocol.Grant{RequestId: "r1", Engine: "e0"}, 100, 100) }
+	unreachable := func(c *cell) {
+		c.finish(&protocol.Grant{RequestId: "x", Engine: "e0"}, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE, 2)
+	}
+	alone := func(c *cell) { c.requests["r1"].alone = true }
 	late := func(c *cell) { c.now = c.now.Add(time.Minute) }
 	cases := []struct {
 		name  string
@@ -38,6 +42,10 @@
 		{"lost only", []func(*cell){lose, same}, isolator.Clear},
 		{"lost, then failed report", []func(*cell){lose, fail}, isolator.Suspect},
 		{"failed report, then lost", []func(*cell){fail, lose}, isolator.Suspect},
+		{"lost, then unreachable", []func(*cell){lose, unreachable}, isolator.Suspect},
+		{"lost long before unreachable", []func(*cell){lose, late, unreachable}, isolator.Clear},
+		{"alone, lost, then unreachable", []func(*cell){alone, lose, unreachable}, isolator.Clear},
+		{"alone, lost, unreachable, then restart", []func(*cell){alone, lose, unreachable, restart}, isolator.Poison},
 		{"lost, then restart", []func(*cell){lose, restart}, isolator.Suspect},
 		{"restart, then lost late", []func(*cell){restart, late, lose}, isolator.Suspect},
 		{"another scheduler's grant", []func(*cell){foreign, restart}, isolator.Suspect},
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -161,6 +161,7 @@
 	case protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.observeLoss(now, e, r, release.GetFingerprint())
 	case protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+		s.unreachableEvidence(e, now)
 		if !e.excluded {
 			s.engines.exclude(e, now, "a holder could not connect")
 		}
