--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -41,6 +41,7 @@
 		s.refuse(r, CodeDeadlineInfeasible, "the queue ahead leaves no time for the run", s.retryAfter(r.bucket))
 		return
 	}
+	s.engines.noteUrgent(r)
 	s.enqueue(r)
 }
 
@@ -160,6 +161,7 @@
 	case protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.observeLoss(now, e, r, release.GetFingerprint())
 	case protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+		s.unreachableEvidence(e, now)
 		if !e.excluded {
 			s.engines.exclude(e, now, "a holder could not connect")
 		}
