ranker: find the first ranks without sorting all members

Every ticket asks for the first three ranks, once at its holder and once at the scheduler. Top sorted the whole ranking for that and allocated twice the list of members. It now looks at each member once and keeps three.

--- a/internal/ranker/rank.go
+++ b/internal/ranker/rank.go
@@ -45,10 +45,35 @@
 	return best.member
 }
 
-// Top returns the first Candidates members of the ranking.
+// Top returns the first Candidates members of the ranking. It is called for each ticket, so it looks at each
+// member once and sorts none.
 func Top(role string, members []string) []string {
-	ranked := Rank(role, members)
-	return ranked[:min(len(ranked), Candidates)]
+	best := make([]scored, 0, Candidates+1)
+	for _, member := range members {
+		entry := scored{member: member, score: score(role, member)}
+		if len(best) == Candidates && !entry.before(best[Candidates-1]) {
+			continue
+		}
+		place := len(best)
+		for place > 0 && entry.before(best[place-1]) {
+			place--
+		}
+		best = slices.Insert(best, place, entry)
+		best = best[:min(len(best), Candidates)]
+	}
+	top := make([]string, len(best))
+	for i, s := range best {
+		top[i] = s.member
+	}
+	return top
+}
+
+// before says whether s is ranked before other.
+func (s scored) before(other scored) bool {
+	if s.score != other.score {
+		return s.score > other.score
+	}
+	return s.member < other.member
 }
 
 // score hashes role and member together. The zero byte separates them, so that ("a", "bc") and ("ab", "c")
--- a/internal/ranker/rank_test.go
+++ b/internal/ranker/rank_test.go
@@ -57,3 +57,26 @@
 		assert.Assert(t, after == before || after == 4, "%s moved from cell %d to %d", key, before, after)
 	}
 }
+
+// TestTop guards against first ranks that differ from those of the whole ranking.
+func TestTop(t *testing.T) {
+	for count := range 12 {
+		for i := range 100 {
+			ranked := Rank(Role("pool", i), names(count))
+			assert.DeepEqual(t, Top(Role("pool", i), names(count)), ranked[:min(count, Candidates)])
+		}
+	}
+}
+
+// BenchmarkTop measures the first ranks at several numbers of members.
+func BenchmarkTop(b *testing.B) {
+	for _, count := range []int{20, 100, 410} {
+		members := names(count)
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Top("pool/3", members)
+			}
+		})
+	}
+}
