loadgen: measure claims, the catalogue and orders in the capacity command

The command lacked the roles that use the log. It now measures appends, waits, memory and reading of claims, the replica of the catalogue and its edits, and appends and load reports of orders, on a log in memory.

TestLogRuns passes with the race detector. It was seen failing with the memory of kept claims set to 0, with the bytes of the first record instead of the last edit, and with orders counted instead of appends.

--- a/loadgen/internal/extrapolator/partscheduler.go
+++ b/loadgen/internal/extrapolator/partscheduler.go
@@ -19,7 +19,8 @@
 		return err
 	}
 	polls, err := sizes([]int{12, 64, 200}, func(n int) (pollRun, error) { return runPolling(ctx, n) },
-		func(p pollRun) float64 { return p.bytes }, func(p pollRun) float64 { return p.cpu * 1e6 })
+		func(p pollRun) float64 { return p.bytes }, func(p pollRun) float64 { return p.cpu * 1e6 },
+		func(p pollRun) float64 { return p.reports })
 	if err != nil {
 		return err
 	}
@@ -30,6 +31,8 @@
 	engine := r.add(roleScheduler, "memory of all engines", "B", "engines", perCell, engines[0])
 	pollBytes := r.add(roleScheduler, "bytes of a round of load reports and cache events", "B", "engines", perCell, polls[0])
 	pollCPU := r.add(roleScheduler, "CPU of the same, both ends", "us", "engines", perCell, polls[1])
+	reports := r.add(roleScheduler, "bytes of a round of load reports alone", "B", "engines", perCell, polls[2])
+	f.reportBytes = reports.Slope
 	f.decision = decision.At(perCell) / 1e6
 	f.pollBytes, f.pollCPU = pollBytes.At(perCell)/perCell, pollCPU.At(perCell)/perCell/1e6
 	rate := scaleRequests / float64(f.layout.cells)
--- a/loadgen/internal/extrapolator/polling.go
+++ b/loadgen/internal/extrapolator/polling.go
@@ -13,10 +13,12 @@
 // pollRounds is how often each engine is polled in the measurement.
 const pollRounds = 20
 
-// pollRun is the cost of one round of polls: a load report and a page of cache events of each engine.
+// pollRun is the cost of one round of polls: a load report and a page of cache events of each engine. Reports are
+// the bytes of the load reports alone.
 type pollRun struct {
-	bytes float64
-	cpu   float64
+	bytes   float64
+	cpu     float64
+	reports float64
 }
 
 // runPolling polls a number of engines over the loopback interface, with 8 cache events in each page.
@@ -67,5 +69,15 @@
 	})
 	run.bytes = float64(listener.bytes.Load()-before) / pollRounds
 	run.cpu = c.cpu.Seconds() / pollRounds
-	return run, err
+	if err != nil {
+		return run, err
+	}
+	before = listener.bytes.Load()
+	for _, client := range clients {
+		if _, err := client.Load(ctx); err != nil {
+			return run, err
+		}
+	}
+	run.reports = float64(listener.bytes.Load() - before)
+	return run, nil
 }
--- a/loadgen/internal/extrapolator/run.go
+++ b/loadgen/internal/extrapolator/run.go
@@ -14,6 +14,8 @@
 	gossipBytes, gossipCPU float64
 	// pollBytes and pollCPU are for one engine in a second.
 	pollBytes, pollCPU float64
+	// reportBytes is for one load report without cache events.
+	reportBytes float64
 	// ticketBytes and ticketCPU are for one request, linkBytes and linkCPU for one idle link in a second.
 	ticketBytes, ticketCPU, linkBytes, linkCPU float64
 	batchedBytes, batchedMessages, messages    float64
@@ -32,6 +34,9 @@
 		{"engine scheduler", reportScheduler},
 		{"tickets", reportTickets},
 		{"membership", reportMembership},
+		{"claims", reportClaims},
+		{"catalogue", reportCatalogue},
+		{"orders and leases", reportOrders},
 	}
 	for _, role := range roles {
 		start := time.Now()
--- a/loadgen/internal/extrapolator/runs_test.go
+++ b/loadgen/internal/extrapolator/runs_test.go
@@ -28,3 +28,25 @@
 	assert.Assert(t, run.bytes > run.requests*200, "%+v", run)
 	assert.Assert(t, run.messages > run.requests*2, "%+v", run)
 }
+
+// TestLogRuns guards against claims, edits and orders that are timed without having reached their readers.
+func TestLogRuns(t *testing.T) {
+	claims, err := runClaims(t.Context(), 4, 100)
+	assert.NilError(t, err)
+	assert.Assert(t, claims.appends > 10 && claims.appends <= claimAppends*1.1, "%+v", claims)
+	assert.Assert(t, claims.wait > 0)
+
+	kept, err := runKept(t.Context(), 1000)
+	assert.NilError(t, err)
+	// The identifiers of a claim alone have more than 80 bytes.
+	assert.Assert(t, kept.memory > 80*1000, "%+v", kept)
+
+	catalogue, err := runCatalogue(t.Context(), 5)
+	assert.NilError(t, err)
+	assert.Assert(t, catalogue.bytes > 100 && catalogue.bytes < 1000, "%+v", catalogue)
+
+	orders, err := runOrders(t.Context(), 5)
+	assert.NilError(t, err)
+	assert.Equal(t, orders.appends, 10.0)
+	assert.Assert(t, orders.reports > 3 && orders.reports < 7, "%+v", orders)
+}
--- a/loadgen/internal/extrapolator/scale.go
+++ b/loadgen/internal/extrapolator/scale.go
@@ -11,6 +11,8 @@
 	scaleDataCentres = 6
 	scaleChanges     = 550
 	scaleReplaced    = 140
+	// scaleInForce is in seconds.
+	scaleInForce = 14.0
 )
 
 // Budgets per node: share of a core, bytes, bytes a second; appends a second of the whole system.
