Make the second burst of the fault matrix large enough to be shed

Routers that lost messages schedule with more queues for some seconds.

Change: the second burst has 64 tags instead of 24.

--- a/internal/prover/load_test.go
+++ b/internal/prover/load_test.go
@@ -104,7 +104,8 @@
 }
 
 // load is the mixed load: streams of two tiers, some with callers that hang up, keyed bookings with repeats through
-// other routers, lookups, and two bursts of which part has to be shed.
+// other routers, lookups, and two bursts of which part has to be shed: the second
+// is larger, because routers that could not reach each other have more schedulers and queues for a while.
 func (c *cluster) load() {
 	const step = 250 * time.Millisecond
 	for i := range int(loadTime / step) {
@@ -118,7 +119,7 @@
 			c.call(i/2, "status", "", 0, false)
 		}
 		if i == 20 || i == 60 {
-			for j := range 24 {
+			for j := range 24 + i - 20 {
 				c.call(j, "tag", "", 20, false)
 			}
 			for j := range 8 {
