Let tickets wait longer for a pool without usable engines

Ruled out: the claim and the frozen router (the claim was won and the request waited). Change: the limit is 15 s; deadlines still refuse earlier. TestEngineDown sets its own limit below the second probe, where its check is as strict as before.

--- a/internal/scheduler/observe_test.go
+++ b/internal/scheduler/observe_test.go
@@ -115,6 +115,8 @@
 // tickets that wait for ever for a pool without engines.
 func TestEngineDown(t *testing.T) {
 	c := newCell(2, 2, nil)
+	// The limit must end before the second probe, or the tickets are served after all.
+	c.settings.NoUpstreamAfter = c.settings.ProbeAfter
 	c.submit(8, 1, "a")
 	grants, _ := c.step()
 	for _, g := range grants {
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -57,7 +57,8 @@
 	CrashWindow time.Duration
 	// Isolation bounds suspicions and convictions.
 	Isolation isolator.Settings
-	// NoUpstreamAfter is how long tickets wait for a pool without usable engines.
+	// NoUpstreamAfter is how long tickets wait for a pool without usable engines. It is well above ProbeAfter, so that
+	// a short outage of all engines refuses nothing that could still be served.
 	NoUpstreamAfter time.Duration
 	// RetryAfterMin and RetryAfterMax bound the Retry-After of refusals.
 	RetryAfterMin time.Duration
@@ -100,7 +101,7 @@
 		CacheEventLag:   2 * time.Second,
 		PrefixEntries:   2048,
 		CrashWindow:     5 * time.Second,
-		NoUpstreamAfter: 5 * time.Second,
+		NoUpstreamAfter: 15 * time.Second,
 		Isolation: isolator.Settings{
 			SuspectFor: 10 * time.Minute, PoisonFor: time.Hour, Entries: 4096,
 		},
