Write stored results through one piece of code

Cause: the chat answer and the service answer wrote a whole response in the same lines. Change: the chat answer calls the service answer, which also flushes and leaves out an empty content type. Tested: the tests of receiver, holder and router with the race detector; linter clean.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -109,12 +109,7 @@
 
 // Response passes on the stored result of an earlier request with the same key.
 func (a *chatAnswer) Response(response kernel.ServiceResponse) error {
-	a.w.Header().Set(headerContentType, response.ContentType)
-	a.w.WriteHeader(response.Status)
-	if _, err := a.w.Write(response.Body); err != nil {
-		return &WriteError{Cause: err}
-	}
-	return nil
+	return (&serviceAnswer{w: a.w}).Response(response)
 }
 
 // refuse answers with a refusal: as a status if nothing was written yet, else as the last event of the stream.
