--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Programs and checks of coltsfootplank. Everything needs only Go (with cgo) and make.
 SHELL := /bin/bash
-MODULES := internal router routerctl standin loadgen scenarios
+MODULES := internal platform router routerctl standin loadgen scenarios
 PROGRAMS := router routerctl standin loadgen
 TOOLS := $(CURDIR)/.tools
 LINTER := $(TOOLS)/golangci-lint
--- a/internal/cataloguer/entries.go
+++ b/internal/cataloguer/entries.go
@@ -21,9 +21,22 @@
 
 // Workspace is one customer. KeyHashes are hex SHA-256 digests of its bearer keys. Weight scales its fair share.
 type Workspace struct {
-	Name      string   `yaml:"name"`
-	Weight    float64  `yaml:"weight"`
-	KeyHashes []string `yaml:"key_hashes"`
+	Name      string    `yaml:"name"`
+	Weight    float64   `yaml:"weight"`
+	KeyHashes []string  `yaml:"key_hashes"`
+	Allowance Allowance `yaml:"-"`
+}
+
+// Allowance bounds what all requests of a workspace may use, in units a second and units at once; a Rate of 0 means no
+// limit. It comes from the platform's configuration only.
+type Allowance struct {
+	Rate  float64
+	Burst float64
+}
+
+// Part returns a share of the allowance.
+func (a Allowance) Part(share float64) Allowance {
+	return Allowance{Rate: a.Rate * share, Burst: a.Burst * share}
 }
 
 // Upstream is one engine or service instance. Address is "ip:port". Slots bounds the requests in flight on it.
@@ -41,6 +54,8 @@
 	DesiredModel   string `yaml:"desired_model,omitempty"`
 	DesiredAdapter string `yaml:"desired_adapter,omitempty"`
 	DesiredRole    string `yaml:"desired_role,omitempty"`
+	// Started is when the upstream's process began, in ms since the epoch, if its registration says so.
+	Started int64 `yaml:"-"`
 }
 
 // Pool is a set of upstreams that can serve the same work. Protocol names the adapter plug-in.
@@ -49,6 +64,9 @@
 	Protocol  string     `yaml:"protocol"`
 	MaxQueue  int        `yaml:"max_queue,omitempty"`
 	Upstreams []Upstream `yaml:"upstreams"`
+	// Opaque pools get requests as callers sent them. Model says that their upstreams are model engines.
+	Opaque bool `yaml:"-"`
+	Model  bool `yaml:"-"`
 }
 
 // Limits bounds one workspace's use of one kind of work; 0 means no limit.
--- a/internal/detector/settings.go
+++ b/internal/detector/settings.go
@@ -40,6 +40,8 @@
 	// SyncInterval is the time between exchanges of the full table with one random member, which repair what
 	// lost deltas have missed; default 1 min.
 	SyncInterval time.Duration
+	// VMListInterval is the time between reads of the VM list once it has been read; default 1 s.
+	VMListInterval time.Duration
 	// VMList may be nil.
 	VMList kernel.VMListProtocol
 	Logger *zap.Logger
@@ -55,6 +57,7 @@
 		{&s.SuspectTime, 2 * time.Second},
 		{&s.ForgetTime, 15 * time.Minute},
 		{&s.SyncInterval, time.Minute},
+		{&s.VMListInterval, vmPollInterval},
 	} {
 		if *d.value == 0 {
 			*d.value = d.initial
--- a/internal/detector/vmlist.go
+++ b/internal/detector/vmlist.go
@@ -12,11 +12,11 @@
 	"coltsfootplank/internal/kernel"
 )
 
-// vmPollInterval is the time between reads of the VM list.
+// vmPollInterval is the usual time between reads of the VM list, and that between failed ones.
 const vmPollInterval = time.Second
 
-// vmRoleRouter is the role of routers in the VM list.
-const vmRoleRouter = "router"
+// RoleRouter is the role of routers in the VM list.
+const RoleRouter = "router"
 
 // vmHints is what the VM list says: a hint, since the list lags behind. It is replaced, never changed in place.
 type vmHints struct {
@@ -43,7 +43,7 @@
 		if vm.State == kernel.VMLeaving {
 			hints.leaving[vm.Address] = true
 		}
-		if vm.Role != vmRoleRouter || vm.State == kernel.VMLeaving {
+		if vm.Role != RoleRouter || vm.State == kernel.VMLeaving {
 			continue
 		}
 		address := vm.Address
@@ -62,25 +62,30 @@
 
 // pollVMList reads the VM list until ctx ends. While the list can't be read, the last one stays in use.
 func (d *Detector) pollVMList(ctx context.Context) error {
-	ticker := time.NewTicker(vmPollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		d.readVMList(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		pause := vmPollInterval
+		if d.readVMList(ctx) {
+			pause = d.settings.VMListInterval
+		}
+		timer.Reset(pause)
 	}
 }
 
-func (d *Detector) readVMList(ctx context.Context) {
+// readVMList returns whether the list could be read.
+func (d *Detector) readVMList(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, vmPollInterval)
 	defer cancel()
 	vms, err := d.settings.VMList.VMs(ctx)
 	if err != nil {
 		d.settings.Logger.Debug("read VM list", zap.Error(err))
-		return
+		return false
 	}
 	hints := newVMHints(vms, d.settings.Address)
 	d.update(func(_ time.Time, t *table) {
@@ -89,4 +94,5 @@
 			t.changed = true
 		}
 	})
+	return true
 }
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,106 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"coltsfootplank/internal/connector"
+	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/limiter"
+	"coltsfootplank/internal/subscriber"
+)
+
+// Server serves one request from arrival to its answer; nil means that the whole answer was passed on.
+type Server interface {
+	Serve(ctx context.Context, request *holder.Request) *holder.Refusal
+}
+
+// Plans gives the newest plan, nil before the first, and says which upstreams are known to leave.
+type Plans interface {
+	Plan() *subscriber.Plan
+	Departed(upstream string) bool
+}
+
+// Options are the dependencies of a forwarder.
+type Options struct {
+	Plans     Plans
+	Server    Server
+	Dialect   kernel.Dialect
+	Connector *connector.Connector
+	Repeats   *limiter.Repeats
+	// Leaving says that this router is stopping: callers are told not to reuse their connections.
+	Leaving func() bool
+	// MaxBodyBytes bounds a request's body where the publication states no limit.
+	MaxBodyBytes int64
+	Metrics      metrics.Registry
+	Logger       *zap.Logger
+}
+
+// Forwarder is the callers' HTTP handler for published routes.
+type Forwarder struct {
+	options Options
+}
+
+// New returns a forwarder.
+func New(options Options) *Forwarder { return &Forwarder{options: options} }
+
+// ServeHTTP serves one request. An answer that can't be completed ends with its connection, so that it doesn't look
+// whole.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.options.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	arrived := time.Now()
+	x, refusal := f.intake(w, r, arrived)
+	if refusal != nil {
+		f.turnAway(w, r, x, refusal)
+		return
+	}
+	refusal = f.options.Server.Serve(r.Context(), x.held)
+	f.observe(x, refusal, time.Since(arrived))
+	if refusal == nil {
+		return
+	}
+	if x.started || refusal.Code == holder.CodeCallerGone {
+		panic(http.ErrAbortHandler)
+	}
+	writeRefusal(w, refusal)
+}
+
+// turnAway refuses a request that didn't become one of the holder's.
+func (f *Forwarder) turnAway(w http.ResponseWriter, r *http.Request, x *exchange, refusal *holder.Refusal) {
+	f.options.Logger.Info("request turned away", zap.String("request_id", x.envelope.RequestID),
+		zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.Int64("version", x.version),
+		zap.String("code", string(refusal.Code)), zap.String("reason", refusal.Message))
+	metrics.GetOrRegisterCounter("requests.turned_away."+string(refusal.Code), f.options.Metrics).Inc(1)
+	writeRefusal(w, refusal)
+}
+
+// histogramSamples is the size of the reservoir of a latency histogram.
+const histogramSamples = 512
+
+// histogramDecay weighs recent samples more; the value is the usual one of the library.
+const histogramDecay = 0.015
+
+// observe adds a request's time to the histograms.
+func (f *Forwarder) observe(x *exchange, refusal *holder.Refusal, total time.Duration) {
+	outcome := "answered"
+	if refusal != nil {
+		outcome = "refused"
+	}
+	f.sample("latency_ms."+outcome, total)
+	if x.firstByte > 0 {
+		f.sample("first_byte_ms", x.firstByte)
+	}
+}
+
+func (f *Forwarder) sample(name string, value time.Duration) {
+	f.options.Metrics.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSamples, histogramDecay))
+	}).(metrics.Histogram).Update(value.Milliseconds())
+}
--- /dev/null
+++ b/internal/forwarder/intake.go
@@ -0,0 +1,197 @@
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/connector"
+	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/subscriber"
+)
+
+// noPlanRetryAfter is when to come back to a router that has no configuration yet; reading it takes less.
+const noPlanRetryAfter = 300 * time.Millisecond
+
+// intake reads a request and makes one of the holder's from it. The exchange isn't nil in case of a refusal either.
+func (f *Forwarder) intake(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange, *holder.Refusal) {
+	x := &exchange{forwarder: f, w: w, method: r.Method, host: r.Host, header: r.Header}
+	plan := f.options.Plans.Plan()
+	if plan == nil {
+		return x, &holder.Refusal{
+			Outcome: holder.OutcomeNotRun, Code: holder.CodeNoUpstream, Message: "this router has no configuration yet",
+			RetryAfter: noPlanRetryAfter,
+		}
+	}
+	x.version = plan.Version
+	envelope, err := f.options.Dialect.Envelope(r.Header)
+	x.envelope = envelope
+	if err != nil || envelope.RequestID == "" {
+		return x, invalid("the request has no id, or a header that can't be read")
+	}
+	x.target = target(r)
+	path, _, _ := strings.Cut(x.target, "?")
+	route, ok := plan.Route(r.Host, path)
+	if !ok {
+		return x, &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeUnknownEntry, Message: "no route matches"}
+	}
+	x.route = route
+	workspace, refusal := authenticate(plan, route, envelope)
+	if refusal != nil {
+		return x, refusal
+	}
+	if refusal := x.readBody(r, plan.MaxBodyBytes); refusal != nil {
+		return x, refusal
+	}
+	connector.StripHop(x.header)
+	x.header.Del("Content-Length")
+	x.held = x.request(plan, workspace, arrived)
+	f.options.Repeats.Request(x.held.Work.Pool)
+	return x, nil
+}
+
+// target returns the path and query as the caller sent them. An absolute request line is cut to them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// authenticate returns the workspace that holds the caller's key; nil on a public route.
+func authenticate(plan *subscriber.Plan, route *kernel.Route, envelope kernel.Envelope) (*kernel.PublishedWorkspace, *holder.Refusal) {
+	if len(plan.Workspaces) == 0 || route.Public {
+		return nil, nil
+	}
+	workspace, ok := plan.Workspace(envelope.Credential)
+	if !ok {
+		return nil, &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeUnauthorized, Message: "unknown API key"}
+	}
+	return workspace, nil
+}
+
+// readBody reads the whole body: it may have to be sent to a second upstream.
+func (x *exchange) readBody(r *http.Request, published int64) *holder.Refusal {
+	limit := x.forwarder.options.MaxBodyBytes
+	if published > 0 {
+		limit = published
+	}
+	x.hasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
+	if !x.hasBody {
+		return nil
+	}
+	body := http.MaxBytesReader(x.w, r.Body, limit)
+	var err error
+	if r.ContentLength > 0 && r.ContentLength <= limit {
+		x.body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(body, x.body)
+	} else {
+		x.body, err = io.ReadAll(body)
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &holder.Refusal{
+			Outcome: holder.OutcomeNotRun, Code: holder.CodeTooLarge, Message: "the body is longer than the limit",
+		}
+	}
+	if err != nil {
+		return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeCallerGone, Message: "the body broke off"}
+	}
+	return nil
+}
+
+// request describes the exchange to the holder.
+func (x *exchange) request(plan *subscriber.Plan, workspace *kernel.PublishedWorkspace, arrived time.Time) *holder.Request {
+	route, envelope := x.route, x.envelope
+	held := &holder.Request{
+		ID: envelope.RequestID, Arrived: arrived, Exchange: x, Method: x.method, Path: x.target, Deadline: arrived.Add(route.Timeout),
+		PromptTokens: max(1, envelope.PromptTokens), MaxTokens: max(1, envelope.OutputTokens),
+	}
+	if route.Timeout <= 0 || envelope.Remaining > 0 && envelope.Remaining < route.Timeout {
+		held.Deadline = arrived.Add(envelope.Remaining)
+	}
+	if route.Objective > 0 {
+		held.StartBy = arrived.Add(route.Objective)
+	}
+	if envelope.OutputEstimate > 0 {
+		held.MaxTokens = min(held.MaxTokens, envelope.OutputEstimate)
+	}
+	tier := route.Tier
+	if workspace != nil {
+		held.Workspace = workspace.Name
+		held.Charge = charge(workspace, envelope)
+		if workspace.HasTier {
+			tier = workspace.Tier
+		}
+	}
+	held.Work = &cataloguer.Work{
+		Name: route.Name, Class: class(route), Tier: min(max(tier, cataloguer.HighestTier), cataloguer.LowestTier),
+		Pool: choose(route.Targets), Idempotent: route.Kind == kernel.RouteRepeatable || route.Resumable,
+	}
+	held.Fingerprint = x.fingerprint(held.Workspace)
+	x.service = held.Work.Pool
+	x.tokensPerEvent = plan.TokensPerEvent(x.service)
+	return held
+}
+
+func class(route *kernel.Route) cataloguer.Class {
+	if route.Kind == kernel.RouteStream {
+		return cataloguer.ClassStream
+	}
+	return cataloguer.ClassUnary
+}
+
+// charge is what a request counts against its workspace's allowance.
+func charge(workspace *kernel.PublishedWorkspace, envelope kernel.Envelope) int {
+	switch {
+	case workspace.Rate <= 0:
+		return 0
+	case workspace.RequestUnit:
+		return 1
+	case envelope.Sized:
+		return envelope.PromptTokens + envelope.OutputTokens
+	default:
+		return workspace.UnsizedTokens
+	}
+}
+
+// choose picks one of a route's targets by weight.
+func choose(targets []kernel.Target) string {
+	sum := 0
+	for _, target := range targets {
+		sum += max(0, target.Weight)
+	}
+	if sum == 0 {
+		return targets[0].Service
+	}
+	left := rand.IntN(sum)
+	for _, target := range targets {
+		if left -= max(0, target.Weight); left < 0 {
+			return target.Service
+		}
+	}
+	return targets[len(targets)-1].Service
+}
+
+// fingerprint identifies a request by content, so that one that crashes upstreams is recognised when it comes again.
+func (x *exchange) fingerprint(workspace string) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{workspace, x.method, x.target} {
+		// A hash never returns a write error.
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(x.body)
+	return digest.Sum64()
+}
+
+func invalid(message string) *holder.Refusal {
+	return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeInvalidRequest, Message: message}
+}
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -21,6 +21,9 @@
 	}
 	request.upstream = grant.GetEngine()
 	h.record(request, recorder.Granted, "")
+	if request.Exchange != nil {
+		return h.exchange(ctx, request, grant)
+	}
 	pool, upstream, ok := h.upstream(request.Work.Pool, grant.GetEngine())
 	if !ok {
 		h.requeue(request, grant, Granted, protocol.ReleaseKind_RELEASE_KIND_UNUSED)
--- a/internal/holder/refusal.go
+++ b/internal/holder/refusal.go
@@ -38,6 +38,8 @@
 	CodeStreamTruncated    Code = "stream_truncated"
 	CodeNoUpstream         Code = "no_upstream"
 	CodeCallerGone         Code = "caller_gone"
+	CodeTooLarge           Code = "too_large"
+	CodeAllowanceExceeded  Code = "allowance_exceeded"
 )
 
 // Refusal is the typed answer to a request that got no whole answer. RetryAfter is 0 if a retry doesn't help.
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -38,12 +38,20 @@
 	Arrived      time.Time
 	Deadline     time.Time
 	Answer       Answer
+	// StartBy is when the answer has to begin to be worth a run; zero if there is no such time.
+	StartBy time.Time
+	// Charge counts against the workspace's allowance.
+	Charge int
+	// Exchange is set on opaque requests, which have no Answer.
+	Exchange Exchange
 
 	state     stateWord
 	decisions chan decision
 	attempt   uint32
 	upstream  string
 	claimID   string
+	// ran says that an upstream may have run the request under an earlier grant.
+	ran bool
 }
 
 // decision is what the scheduler, or the limit on waiting requests, decided about a request.
@@ -93,6 +101,10 @@
 		Fingerprint:  r.Fingerprint,
 		AgeMs:        now.Sub(r.Arrived).Milliseconds(),
 		Attempt:      r.attempt,
+		Charge:       uint32(r.Charge),
+	}
+	if !r.StartBy.IsZero() {
+		ticket.StartMs = max(r.StartBy.Sub(now).Milliseconds(), 1)
 	}
 	if !r.Deadline.IsZero() {
 		ticket.DeadlineMs = max(r.Deadline.Sub(now).Milliseconds(), 1)
--- a/internal/holder/serve.go
+++ b/internal/holder/serve.go
@@ -122,7 +122,7 @@
 
 // notRun refuses a request if nothing was sent, and says "unknown" otherwise.
 func (h *Holder) notRun(request *Request, refusal *Refusal) *Refusal {
-	if request.state.refuse() || request.State() == NotRun {
+	if (request.state.refuse() || request.State() == NotRun) && !request.ran {
 		return refusal
 	}
 	return &Refusal{Outcome: OutcomeUnknown, Code: refusal.Code, Message: refusal.Message}
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -27,6 +27,9 @@
 	PoisonFor time.Duration
 	// Entries bounds the table; the suspect that expires first makes room.
 	Entries int
+	// CrashLimit, if it isn't 0, is the number of crashes that convicts a request in place of one while it ran alone;
+	// suspects then run with others.
+	CrashLimit int
 }
 
 // Isolator is the table of suspects and convictions. It is not safe for concurrent use.
@@ -54,6 +57,8 @@
 		return Clear
 	case e.poison:
 		return Poison
+	case i.settings.CrashLimit > 0:
+		return Clear
 	}
 	return Suspect
 }
@@ -70,10 +75,14 @@
 		i.add(fingerprint, e)
 	}
 	e.crashes++
-	e.poison = e.poison || alone
+	e.poison = e.poison || alone || i.overLimit(e)
 	i.extend(e, now)
 }
 
+func (i *Isolator) overLimit(e *entry) bool {
+	return i.settings.CrashLimit > 0 && int(e.crashes) >= i.settings.CrashLimit
+}
+
 func (i *Isolator) extend(e *entry, now time.Time) {
 	lasts := i.settings.SuspectFor
 	if e.poison {
--- a/internal/kernel/errors.go
+++ b/internal/kernel/errors.go
@@ -150,3 +150,35 @@
 func (e *RateLimitedError) Error() string {
 	return e.Operation + ": rate limit exceeded"
 }
+
+// MalformedHeaderError reports a header of a caller that can't be read.
+type MalformedHeaderError struct {
+	Header string
+	Value  string
+}
+
+func (e *MalformedHeaderError) Error() string {
+	return fmt.Sprintf("header %s: malformed value %q", e.Header, e.Value)
+}
+
+// MalformedRecordError reports a directory record that can't be used.
+type MalformedRecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *MalformedRecordError) Error() string {
+	return fmt.Sprintf("directory record %q: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *MalformedRecordError) Unwrap() error { return e.Cause }
+
+// MissingFieldError reports a required field that is absent or has no usable value.
+type MissingFieldError struct {
+	Field string
+}
+
+func (e *MissingFieldError) Error() string {
+	return fmt.Sprintf("field %q is missing or unusable", e.Field)
+}
--- /dev/null
+++ b/internal/limiter/repeats.go
@@ -0,0 +1,59 @@
+package limiter
+
+import "sync"
+
+// repeatShare is the part of the budget that the routers use: requests are counted over windows that end before the
+// repeats do, and routers come and go.
+const repeatShare = 0.5
+
+// RepeatSettings bounds how often requests are sent to a further upstream.
+type RepeatSettings struct {
+	// Ratio is the share of a service's requests that may be sent again, over all routers.
+	Ratio float64
+	// Slack is the number of repeats in a window that are allowed besides, over all routers.
+	Slack float64
+	// Routers returns how many routers share the slack.
+	Routers func() int
+}
+
+// Repeats is one router's part of the repeat budget of each service. Its methods may be called concurrently.
+type Repeats struct {
+	settings RepeatSettings
+	mu       sync.Mutex
+	balances map[string]float64
+}
+
+// NewRepeats returns a full budget.
+func NewRepeats(settings RepeatSettings) *Repeats {
+	return &Repeats{settings: settings, balances: make(map[string]float64)}
+}
+
+// Request counts a request of a service, which earns a part of a repeat.
+func (r *Repeats) Request(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balances[service] = min(r.limit(), r.balance(service)+r.settings.Ratio*repeatShare)
+}
+
+// Take says whether a request of a service may be sent once more, and counts it.
+func (r *Repeats) Take(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	balance := r.balance(service)
+	if balance < 1 {
+		return false
+	}
+	r.balances[service] = balance - 1
+	return true
+}
+
+func (r *Repeats) balance(service string) float64 {
+	if balance, ok := r.balances[service]; ok {
+		return balance
+	}
+	return r.limit()
+}
+
+func (r *Repeats) limit() float64 {
+	return max(1, r.settings.Slack*repeatShare/float64(max(1, r.settings.Routers())))
+}
--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -34,6 +34,7 @@
 			SuspectRetention:        10 * time.Minute,
 			PoisonRetention:         time.Hour,
 			PoisonEntries:           4096,
+			ProbeAfter:              5 * time.Second,
 			RetryBudget:             0.2,
 			RetryPerSecond:          0.5,
 			RetryBurst:              20,
@@ -43,6 +44,10 @@
 			QueuePolicy:             "tier_fair",
 			EnginePolicy:            "expected_first_token",
 		},
+		Gateway: Gateway{
+			WatchWait: 2500 * time.Millisecond, PollInterval: 900 * time.Millisecond, LapseGrace: 2200 * time.Millisecond,
+			MemberInterval: 30 * time.Second, RepeatRatio: 0.1, RepeatSlack: 20, IdlePerUpstream: 16,
+		},
 		Claims: Claims{
 			Retention: 24 * time.Hour,
 		},
--- /dev/null
+++ b/internal/loader/gateway.go
@@ -0,0 +1,42 @@
+package loader
+
+import "time"
+
+// Gateway makes the router serve the routes that operators publish in the platform's directory, with requests and answers
+// passed on unchanged, in place of the catalogue's entries.
+type Gateway struct {
+	// Directory holds the operator's configuration and the registrations of upstreams. Without an address the router
+	// serves the catalogue.
+	Directory Service `yaml:"directory" help:"directory of published routes and upstreams; with an address, the router serves these in place of the catalogue"`
+	// Dialect names the plug-in that translates the headers of callers and upstreams.
+	Dialect string `yaml:"dialect" format:"name" help:"plug-in for the headers of callers and upstreams"`
+	// Reporter names the plug-in that reads the load reports of model engines.
+	Reporter string `yaml:"reporter" format:"name" help:"plug-in for the load reports of model engines; empty means that they aren't read"`
+	// Readiness is where the load balancer asks whether to send connections here.
+	Readiness Readiness `yaml:"readiness" help:"readiness check of the load balancer"`
+	// WatchWait is how long a read for a new configuration waits in the directory.
+	WatchWait time.Duration `yaml:"watch_wait" unit:"duration" min:"100ms" max:"30s" help:"longest wait of a read for a new configuration; a silent connection is noticed after it"`
+	// PollInterval is the time between two reads of the registrations.
+	PollInterval time.Duration `yaml:"poll_interval" unit:"duration" min:"100ms" max:"30s" help:"time between two reads of the upstreams' registrations"`
+	// LapseGrace is how long a registration that lapsed during an outage may come back.
+	LapseGrace time.Duration `yaml:"lapse_grace" unit:"duration" min:"0s" max:"30s" help:"time after an outage of the directory in which lapsed registrations may come back"`
+	// MemberInterval is the time between two reads of the routers' own records.
+	MemberInterval time.Duration `yaml:"member_interval" unit:"duration" min:"100ms" max:"1h" help:"time between two reads of the routers' records in the directory"`
+	// RepeatRatio and RepeatSlack bound how often requests go to a further upstream, over all routers.
+	RepeatRatio float64 `yaml:"repeat_ratio" unit:"share of 1" min:"0" max:"1" help:"share of a service's requests that all routers together may send to a further upstream"`
+	// RepeatSlack is the number of repeats allowed besides.
+	RepeatSlack float64 `yaml:"repeat_slack" unit:"requests" min:"0" max:"1000000" help:"repeats of a service allowed besides, in each budget window"`
+	// IdlePerUpstream bounds the kept connections.
+	IdlePerUpstream int `yaml:"idle_per_upstream" unit:"connections" min:"0" max:"10000" help:"idle connections kept to each upstream"`
+}
+
+// Enabled says whether the router serves published routes.
+func (g Gateway) Enabled() bool { return g.Directory.Address != "" }
+
+// Readiness is the listener of the load balancer's check.
+type Readiness struct {
+	// Listen is the address to bind.
+	Listen string `yaml:"listen" unit:"IP:port" format:"listen" help:"address of the readiness check"`
+	// Path is answered with 200 while the router takes connections, else with 503.
+	Path string `yaml:"path" help:"path of the readiness check"`
+}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -19,6 +19,8 @@
 	Admin Admin `yaml:"admin" help:"address for operators"`
 	// Platform tells how to reach the platform's services.
 	Platform Platform `yaml:"platform" help:"services of the platform"`
+	// Gateway serves published routes in place of the catalogue.
+	Gateway Gateway `yaml:"gateway" help:"published routes in place of the catalogue"`
 	// TLS holds the certificates of the three listeners.
 	TLS TLS `yaml:"tls" help:"certificates of the listeners"`
 	// Membership tunes failure detection.
@@ -33,8 +35,8 @@
 	Drain Drain `yaml:"drain" help:"planned stop"`
 	// Limits bounds what one router holds in memory.
 	Limits Limits `yaml:"limits" help:"bounds of this router's memory"`
-	// Log says what is logged to stderr.
-	Log Log `yaml:"log" help:"log lines on stderr"`
+	// Log says what is logged to stdout.
+	Log Log `yaml:"log" help:"log lines on stdout"`
 }
 
 // Endpoint is one listener. Advertise is the address that others are told; empty means Listen.
@@ -99,11 +101,13 @@
 	MaxWaiting int `yaml:"max_waiting" unit:"requests" min:"1" max:"1000000" help:"requests held at once; more are refused as overloaded"`
 	// MaxBodyBytes bounds the body of one request.
 	MaxBodyBytes int64 `yaml:"max_body_bytes" unit:"bytes" min:"1024" max:"67108864" help:"longest request body"`
+	// MemoryMB bounds the memory that the garbage collector lets grow; 0 means no bound.
+	MemoryMB int `yaml:"memory_mb" unit:"MB" min:"0" max:"1048576" help:"memory that garbage collection keeps to; 0 means no bound"`
 	// MaxHeaderBytes bounds the headers of one request.
 	MaxHeaderBytes int `yaml:"max_header_bytes" unit:"bytes" min:"1024" max:"1048576" help:"longest request headers"`
 }
 
-// Log says what is logged to stderr.
+// Log says what is logged to stdout.
 type Log struct {
 	// Level is the lowest level that is logged.
 	Level string `yaml:"level" oneof:"debug,info,warn,error" required:"true" help:"lowest level logged"`
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -48,6 +48,10 @@
 	PoisonRetention time.Duration `yaml:"poison_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a poison request stays refused"`
 	// PoisonEntries bounds the suspects and poison requests that one scheduler remembers.
 	PoisonEntries int `yaml:"poison_entries" unit:"requests" min:"16" max:"1000000" help:"suspect and poison requests that one scheduler remembers"`
+	// PoisonCrashes convicts by number in place of a run alone.
+	PoisonCrashes int `yaml:"poison_crashes" unit:"crashes" min:"0" max:"100" help:"crashes after which a request is refused; 0 means that suspects run alone and one crash then suffices"`
+	// ProbeAfter is the time until an engine that was taken out gets a request again; it doubles with each failure.
+	ProbeAfter time.Duration `yaml:"probe_after" unit:"duration" min:"10ms" max:"1m" help:"time until an engine that was taken out is tried again"`
 	// RetryBudget is the share of a workspace's requests that may be retries.
 	RetryBudget float64 `yaml:"retry_budget" unit:"share of 1" min:"0" max:"1" help:"share of a workspace's requests that may be retries"`
 	// RetryPerSecond is the retries that a workspace earns by time, so that one with little traffic can retry too.
--- a/internal/loader/validate.go
+++ b/internal/loader/validate.go
@@ -11,9 +11,17 @@
 			problems = append(problems, &ConflictError{Position: Position{Field: path}, Reason: reason})
 		}
 	}
-	if s.Platform.Log.Address == "" && !skip["platform.log.address"] {
+	if !s.Gateway.Enabled() && s.Platform.Log.Address == "" && !skip["platform.log.address"] {
 		problems = append(problems, &MissingError{Position: Position{Field: "platform.log.address"}})
 	}
+	for _, field := range []struct{ path, value string }{
+		{"gateway.directory.protocol", s.Gateway.Directory.Protocol}, {"gateway.dialect", s.Gateway.Dialect},
+		{"gateway.readiness.listen", s.Gateway.Readiness.Listen}, {"gateway.readiness.path", s.Gateway.Readiness.Path},
+	} {
+		if s.Gateway.Enabled() && field.value == "" && !skip[field.path] {
+			problems = append(problems, &MissingError{Position: Position{Field: field.path}})
+		}
+	}
 	conflict(s.Membership.ProbeTimeout >= s.Membership.ProbeInterval, "membership.probe_timeout",
 		"must be below membership.probe_interval")
 	conflict(s.Scheduling.RetryAfterMax < s.Scheduling.RetryAfterMin, "scheduling.retry_after_max",
--- a/internal/runner/catalogue.go
+++ b/internal/runner/catalogue.go
@@ -67,8 +67,10 @@
 		}
 	}
 	weights := make(map[string]float64, len(catalogue.Workspaces))
+	allowances := make(map[string]cataloguer.Allowance, len(catalogue.Workspaces))
 	for _, w := range catalogue.Workspaces {
 		weights[w.Name] = w.Weight
+		allowances[w.Name] = w.Allowance.Part(allowanceShare(catalogue, part) / float64(cells))
 	}
 	works := make(map[string]cataloguer.Work)
 	for _, w := range catalogue.Works {
@@ -83,6 +85,33 @@
 	}
 	c.scheduler.SetWorkspaces(weights)
 	c.scheduler.SetWorks(works)
+	if keeper, ok := c.scheduler.(allowanceKeeper); ok {
+		keeper.SetAllowances(allowances)
+	}
 	c.scheduler.SetEngines(now, infos)
 	c.pollEngines(part)
 }
+
+// plainShare is the part of a workspace's allowance that the pools of plain services may use together where there are
+// model engines too: their requests count for little, and each scheduler counts by itself.
+const plainShare = 0.06
+
+// allowanceShare returns the part of the workspaces' allowances that the schedulers of one pool may grant. The model
+// pools divide the whole, so that the sum exceeds the allowance by plainShare at most.
+func allowanceShare(catalogue *cataloguer.Catalogue, pool cataloguer.Pool) float64 {
+	models := 0
+	for _, other := range catalogue.Pools {
+		if other.Model {
+			models++
+		}
+	}
+	plain := len(catalogue.Pools) - models
+	switch {
+	case models == 0:
+		return 1 / float64(max(1, plain))
+	case pool.Model:
+		return 1 / float64(models)
+	default:
+		return plainShare / float64(max(1, plain))
+	}
+}
--- a/internal/runner/engine.go
+++ b/internal/runner/engine.go
@@ -29,6 +29,9 @@
 
 // pollEngines starts and stops the polling of upstreams after a catalogue change.
 func (c *cell) pollEngines(pool cataloguer.Pool) {
+	if pool.Opaque {
+		pool.Protocol = c.runner.options.Reporter
+	}
 	wanted := make(map[string]cataloguer.Upstream, len(pool.Upstreams))
 	for _, u := range pool.Upstreams {
 		wanted[u.Name] = u
@@ -45,6 +48,11 @@
 		ctx, cancel := context.WithCancel(c.runner.ctx)
 		e := &engine{address: u.Address, protocol: pool.Protocol, cancel: cancel}
 		c.engines[name] = e
+		if pool.Opaque && (!pool.Model || pool.Protocol == "") {
+			// Nothing reports the load; the outcomes of the requests have to do.
+			e.reported = true
+			continue
+		}
 		c.unreported++
 		c.runner.spawn(func() { c.poll(ctx, name, e) })
 	}
@@ -65,7 +73,7 @@
 	}
 }
 
-// upstream polls one engine or service. cacheEvents is nil for services.
+// upstream polls one engine or service. cacheEvents is nil for services and for upstreams of opaque requests.
 type upstream struct {
 	load        func(context.Context) (kernel.LoadReport, error)
 	cacheEvents func(context.Context, uint64) (kernel.CacheEvents, error)
@@ -73,6 +81,13 @@
 
 // connect makes the client of an upstream by the adapter that the pool names.
 func connect(protocol, address string) (upstream, func(), error) {
+	if factory, err := kernel.Reporters.Lookup(protocol); err == nil {
+		client, cleanup, err := factory(address)
+		if err != nil {
+			return upstream{}, nil, err
+		}
+		return upstream{load: client.Load}, cleanup, nil
+	}
 	if factory, err := kernel.Engines.Lookup(protocol); err == nil {
 		client, cleanup, err := factory(address)
 		if err != nil {
--- a/internal/runner/holder.go
+++ b/internal/runner/holder.go
@@ -152,7 +152,8 @@
 // still waits sends the ticket again as its next attempt.
 func (c *cell) withdraw(now time.Time, holder string, release *protocol.Release) {
 	switch release.GetKind() {
-	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE,
+		protocol.ReleaseKind_RELEASE_KIND_SHED:
 		c.scheduler.Cancel(now, holder, release.GetRequestId())
 	default:
 	}
@@ -202,6 +203,9 @@
 		}
 		grant := proto.CloneOf(decision.Grant)
 		grant.Attempt, grant.Pool, grant.Cell = r.attempt, c.pool, uint32(c.index)
+		if e := c.engines[grant.GetEngine()]; e != nil {
+			grant.Address = e.address
+		}
 		r.granted, r.engine = true, grant.GetEngine()
 		message.Grants = append(message.Grants, grant)
 	}
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -33,5 +33,8 @@
 	Factory   Factory
 	// CellEngines is the largest number of engines in a pool cell; 0 means the default.
 	CellEngines int
-	Logger      *zap.Logger
+	// Reporter names the plug-in that reads the load reports of the model engines of opaque pools; empty means that
+	// their reports aren't read.
+	Reporter string
+	Logger   *zap.Logger
 }
--- a/internal/runner/scheduler.go
+++ b/internal/runner/scheduler.go
@@ -51,6 +51,11 @@
 // Factory makes the scheduler of one pool cell. The pool has the engines and the queue limit of that cell.
 type Factory func(pool cataloguer.Pool, now time.Time) Scheduler
 
+// allowanceKeeper is implemented by schedulers that bound what each workspace uses.
+type allowanceKeeper interface {
+	SetAllowances(allowances map[string]cataloguer.Allowance)
+}
+
 // queueLimiter is implemented by schedulers whose queue limit can change while they run.
 type queueLimiter interface {
 	SetMaxQueue(limit int)
--- a/internal/scheduler/deadlines.go
+++ b/internal/scheduler/deadlines.go
@@ -8,10 +8,10 @@
 // infeasible says whether a ticket can't finish in time behind the work that is served before it: the queues of
 // higher tiers, and of its own tier what its workspace's share makes it wait for.
 func (s *Scheduler) infeasible(r *request, now time.Time) bool {
-	if r.deadline.IsZero() || s.engines.slots == 0 {
+	if s.engines.slots == 0 || r.latestStart.IsZero() {
 		return false
 	}
-	return now.Add(seconds(s.expectedWait(r) + s.engines.bestSeconds(r))).After(r.deadline)
+	return now.Add(seconds(s.expectedWait(r))).After(r.latestStart)
 }
 
 // expectedWait is in seconds.
@@ -37,7 +37,7 @@
 		if !ok || r.latestStart.After(now) {
 			return
 		}
-		if now.Before(r.deadline) {
+		if r.deadline.IsZero() || now.Before(r.deadline) {
 			s.refuse(r, CodeDeadlineInfeasible, "the deadline is nearer than the shortest run", s.retryAfter(r.bucket))
 		} else {
 			s.refuse(r, CodeDeadlineExpired, "the deadline passed in the queue", 0)
@@ -77,6 +77,14 @@
 	return prompt/s.speeds.bestPrefill + r.output/s.speeds.bestTokens
 }
 
+// bestFirst is the shortest time until the answer begins, in seconds.
+func (s *engineSet) bestFirst(r *request) float64 {
+	if s.speeds.bestPrefill <= 0 {
+		return 0
+	}
+	return r.prompt / s.speeds.bestPrefill
+}
+
 // meanSeconds is the time in a slot on an average engine, in seconds.
 func (s *engineSet) meanSeconds(r *request) float64 {
 	return r.prompt/s.speeds.meanPrefill + r.output/s.speeds.meanTokens
--- a/internal/scheduler/decision.go
+++ b/internal/scheduler/decision.go
@@ -22,6 +22,7 @@
 	CodePoison              = "poison"
 	CodeNoUpstream          = "no_upstream"
 	CodeRetryBudgetExceeded = "retry_budget_exceeded"
+	CodeAllowanceExceeded   = "allowance_exceeded"
 )
 
 // refuse adds a refusal to the decisions of the next step. retryAfter zero means that a retry can't help.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -7,6 +7,9 @@
 	"coltsfootplank/internal/estimator"
 )
 
+// shedPause is how long an engine that said it was full gets no request: about the time in which a slot becomes free.
+const shedPause = 100 * time.Millisecond
+
 // EngineInfo describes one engine of the cell. Speeds are in tokens per second: PrefillPerSec of the engine,
 // TokensPerSec of one output stream. Zero means unknown.
 type EngineInfo struct {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -30,7 +30,9 @@
 	sequence uint64
 	// deadline is zero if there is none.
 	deadline time.Time
-	// latestStart is when even the fastest engine would miss the deadline.
+	// startBy is when the answer has to begin; zero if there is no such time.
+	startBy time.Time
+	// latestStart is when even the fastest engine would miss the deadline, or startBy; zero without either.
 	latestStart time.Time
 	// prompt and output are estimates in tokens, seconds the expected time in a slot.
 	prompt float64
@@ -49,6 +51,8 @@
 	engine    *engine
 	grantedAt time.Time
 	charged   float64
+	// prepaid is what was taken from the workspace's allowance and is given back if the request doesn't run.
+	prepaid float64
 	// done is the work in tokens that the release reported; the estimate until then.
 	done float64
 	// prefillWork and decodeWork are what the request added to its engine's work, in seconds.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -15,24 +15,26 @@
 
 // Scheduler holds the queue, the grants and the view of the engines of one pool cell.
 type Scheduler struct {
-	pool     string
-	settings Settings
-	order    OrderPolicy
-	choose   EngineChoice
-	random   *rand.Rand
-	engines  *engineSet
-	buckets  []*bucket
-	requests map[string]*request
-	holders  map[string]map[string]*request
-	weights  map[string]float64
-	works    map[string]cataloguer.Work
-	sequence uint64
-	byTier   [tiers]int
+	pool       string
+	settings   Settings
+	order      OrderPolicy
+	choose     EngineChoice
+	random     *rand.Rand
+	engines    *engineSet
+	buckets    []*bucket
+	requests   map[string]*request
+	holders    map[string]map[string]*request
+	weights    map[string]float64
+	works      map[string]cataloguer.Work
+	allowances map[string]cataloguer.Allowance
+	sequence   uint64
+	byTier     [tiers]int
 	// deadlines orders the queued tickets that have a deadline by their latest start.
 	deadlines *indexedHeap[*request]
 	lengths   *estimator.Lengths
 	limiter   *limiter.Limiter
 	retries   *limiter.Retries
+	allowed   *limiter.Allowances
 	isolator  *isolator.Isolator
 	// parked orders the lanes that wait for a limit by their next look.
 	parked     *indexedHeap[*lane]
@@ -67,6 +69,7 @@
 	s.lengths = estimator.NewLengths()
 	s.engines.noneSince = now
 	s.limiter = limiter.New()
+	s.allowed = limiter.NewAllowances(now)
 	s.isolator = isolator.New(settings.Isolation)
 	s.retries = limiter.NewRetries(settings.Retries)
 	s.parked = newIndexedHeap(func(a, b *lane) bool { return a.wakeAt.Before(b.wakeAt) },
@@ -119,6 +122,11 @@
 	s.dirty = true
 }
 
+// SetAllowances sets what the requests of each workspace may use; a workspace that isn't listed has no limit.
+func (s *Scheduler) SetAllowances(allowances map[string]cataloguer.Allowance) {
+	s.allowances = allowances
+}
+
 // SetCapacityShare bounds the part of every engine's capacity that this scheduler uses: 1, or 1/members when a
 // router schedules alone.
 func (s *Scheduler) SetCapacityShare(share float64) {
@@ -152,7 +160,7 @@
 func (s *Scheduler) enqueue(r *request) {
 	r.account.add(r)
 	s.byTier[r.tier]++
-	if !r.deadline.IsZero() {
+	if !r.latestStart.IsZero() {
 		s.deadlines.push(r)
 	}
 }
@@ -189,6 +197,8 @@
 	if r.engine != nil {
 		s.endGrant(r, s.engines.now)
 	}
+	s.allowed.Refund(r.ticket.GetWorkspace(), r.prepaid)
+	r.prepaid = 0
 	s.engines.unreserve(r)
 	id := r.ticket.GetRequestId()
 	if s.requests[id] == r {
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -151,6 +151,7 @@
 	a.charge(r.charged)
 	s.engines.start(e, r, now)
 	s.startLimits(r, now)
+	r.prepaid = 0
 	s.grantDecision(r)
 }
 
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -76,9 +76,14 @@
 
 // exclude takes an engine out until its next probe.
 func (s *engineSet) exclude(e *engine, now time.Time, reason string) {
-	e.excluded, e.allowance = true, 1
 	e.backoff = min(max(2*e.backoff, s.settings.ProbeAfter), s.settings.ProbeAfterMax)
-	e.probeAt = now.Add(e.backoff)
+	s.excludeFor(e, now, e.backoff, reason)
+}
+
+// excludeFor takes an engine out for a time.
+func (s *engineSet) excludeFor(e *engine, now time.Time, pause time.Duration, reason string) {
+	e.excluded, e.allowance = true, 1
+	e.probeAt = now.Add(pause)
 	e.note(now, reason)
 	s.out = append(s.out, e)
 	s.refresh()
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -37,6 +37,10 @@
 	if s.poisonous(r, now) {
 		return
 	}
+	if wait, ok := s.prepay(r, now); !ok {
+		s.refuse(r, CodeAllowanceExceeded, "the workspace's allowance is used up", s.jitter(wait))
+		return
+	}
 	if s.infeasible(r, now) {
 		s.refuse(r, CodeDeadlineInfeasible, "the queue ahead leaves no time for the run", s.retryAfter(r.bucket))
 		return
@@ -60,9 +64,28 @@
 		r.deadline = now.Add(time.Duration(ticket.GetDeadlineMs()) * time.Millisecond)
 		r.latestStart = r.deadline.Add(-seconds(s.engines.bestSeconds(r)))
 	}
+	if ticket.GetStartMs() > 0 {
+		r.startBy = now.Add(time.Duration(ticket.GetStartMs()) * time.Millisecond)
+		latest := r.startBy.Add(-seconds(s.engines.bestFirst(r)))
+		if r.latestStart.IsZero() || latest.Before(r.latestStart) {
+			r.latestStart = latest
+		}
+	}
 	return r
 }
 
+// prepay takes the request's charge from its workspace's allowance, or returns how long until it suffices. A scheduler
+// that uses only a share of the capacity grants only that share of the allowance.
+func (s *Scheduler) prepay(r *request, now time.Time) (wait time.Duration, ok bool) {
+	charge := float64(r.ticket.GetCharge())
+	workspace := r.ticket.GetWorkspace()
+	wait, ok = s.allowed.Take(now, workspace, s.allowances[workspace].Part(s.engines.share), charge)
+	if ok {
+		r.prepaid = charge
+	}
+	return wait, ok
+}
+
 // estimate sets the expected lengths and the class of a request.
 func (s *Scheduler) estimate(r *request) {
 	work := s.works[r.ticket.GetWork()]
@@ -132,8 +155,10 @@
 		return
 	}
 	switch release.GetKind() {
-	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE,
+		protocol.ReleaseKind_RELEASE_KIND_SHED:
 		s.refund(r)
+		r.prepaid = float64(r.ticket.GetCharge())
 		s.endGrant(r, now)
 		s.enqueue(r)
 	case protocol.ReleaseKind_RELEASE_KIND_FAILED, protocol.ReleaseKind_RELEASE_KIND_LOST:
@@ -165,6 +190,10 @@
 		if !e.excluded {
 			s.engines.exclude(e, now, "a holder could not connect")
 		}
+	case protocol.ReleaseKind_RELEASE_KIND_SHED:
+		if !e.excluded {
+			s.engines.excludeFor(e, now, shedPause, "the engine was full")
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/subscriber/plan.go
@@ -0,0 +1,105 @@
+package subscriber
+
+import (
+	"net"
+	"strings"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/kernel"
+)
+
+// Plan is one publication with its lookup tables. It is immutable.
+type Plan struct {
+	*kernel.Publication
+	// routes holds the routes of each host by their prefix.
+	routes     map[string]map[string]*kernel.Route
+	keys       map[string]*kernel.PublishedWorkspace
+	services   map[string]*kernel.PublishedService
+	workspaces map[string]*kernel.PublishedWorkspace
+}
+
+// NewPlan builds the lookup tables of a publication.
+func NewPlan(publication *kernel.Publication) *Plan {
+	plan := &Plan{
+		Publication: publication,
+		routes:      make(map[string]map[string]*kernel.Route),
+		keys:        make(map[string]*kernel.PublishedWorkspace),
+		services:    make(map[string]*kernel.PublishedService, len(publication.Services)),
+		workspaces:  make(map[string]*kernel.PublishedWorkspace, len(publication.Workspaces)),
+	}
+	for i := range publication.Routes {
+		route := &publication.Routes[i]
+		host := strings.ToLower(route.Host)
+		if plan.routes[host] == nil {
+			plan.routes[host] = make(map[string]*kernel.Route)
+		}
+		plan.routes[host][route.Prefix] = route
+	}
+	for i := range publication.Services {
+		plan.services[publication.Services[i].Name] = &publication.Services[i]
+	}
+	for i := range publication.Workspaces {
+		workspace := &publication.Workspaces[i]
+		plan.workspaces[workspace.Name] = workspace
+		for _, key := range workspace.Keys {
+			plan.keys[key] = workspace
+		}
+	}
+	return plan
+}
+
+// Route returns the route with the longest prefix that begins the path, among those of the host.
+func (p *Plan) Route(host, path string) (*kernel.Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	routes := p.routes[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route, ok := routes[path[:end+1]]; ok {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Workspace returns the workspace that holds an API key.
+func (p *Plan) Workspace(key string) (*kernel.PublishedWorkspace, bool) {
+	workspace, ok := p.keys[key]
+	return workspace, ok
+}
+
+// TokensPerEvent returns how many tokens an event of a service's streams holds; 0 if it isn't known.
+func (p *Plan) TokensPerEvent(service string) int {
+	if found, ok := p.services[service]; ok {
+		return found.TokensPerEvent
+	}
+	return 0
+}
+
+// catalogue returns the pools of the plan's services with the upstreams that take new work, and the workspaces.
+func (p *Plan) catalogue(revision uint64, upstreams []kernel.Registration) *cataloguer.Catalogue {
+	catalogue := &cataloguer.Catalogue{Revision: revision}
+	pools := make(map[string]int, len(p.Services))
+	for _, service := range p.Services {
+		pools[service.Name] = len(catalogue.Pools)
+		catalogue.Pools = append(catalogue.Pools, cataloguer.Pool{Name: service.Name, Opaque: true, Model: service.Model})
+	}
+	for _, upstream := range upstreams {
+		index, ok := pools[upstream.Service]
+		if !ok || upstream.Leaving {
+			continue
+		}
+		pool := &catalogue.Pools[index]
+		pool.Upstreams = append(pool.Upstreams, cataloguer.Upstream{
+			Name: upstream.Name, Address: upstream.Address, DataCentre: upstream.DataCentre, Slots: upstream.Slots,
+			KVTokens: p.services[upstream.Service].KVTokens, Started: upstream.Started,
+		})
+	}
+	for _, workspace := range p.Workspaces {
+		catalogue.Workspaces = append(catalogue.Workspaces, cataloguer.Workspace{
+			Name: workspace.Name, Weight: 1,
+			Allowance: cataloguer.Allowance{Rate: workspace.Rate, Burst: workspace.Burst},
+		})
+	}
+	return catalogue.Index()
+}
--- /dev/null
+++ b/internal/subscriber/snapshot.go
@@ -0,0 +1,57 @@
+package subscriber
+
+import (
+	"encoding/json"
+	"time"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// snapshot is what a router passes on to a peer that can't read the directory.
+type snapshot struct {
+	Publication kernel.DirectoryRecord   `json:"publication"`
+	Upstreams   []kernel.DirectoryRecord `json:"upstreams"`
+}
+
+// Snapshot returns the newest records for a peer, with the version of the publication and the offset of the last
+// registration that changed.
+func (s *Subscriber) Snapshot() (data []byte, version uint64, offset int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := snapshot{Publication: s.publication}
+	for _, known := range s.table.entries {
+		state.Upstreams = append(state.Upstreams, known.record)
+	}
+	data, err := json.Marshal(state)
+	if err != nil {
+		s.logger.Error("snapshot not encoded", errorField(err))
+		return nil, 0, 0
+	}
+	return data, s.version(), s.table.changed
+}
+
+// Adopt takes over the records of a peer's snapshot that are newer than the known ones. Errors:
+// *kernel.MalformedRecordError.
+func (s *Subscriber) Adopt(data []byte) error {
+	var state snapshot
+	if err := json.Unmarshal(data, &state); err != nil {
+		return &kernel.MalformedRecordError{Key: "snapshot", Cause: err}
+	}
+	if state.Publication.Value != nil {
+		s.publish(state.Publication, sourcePeer)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for _, record := range state.Upstreams {
+		one, err := s.table.apply(record, s.options.Directory.Registration, time.Now())
+		changed = changed || one
+		if err != nil {
+			s.logger.Warn("registration not usable", errorField(err))
+		}
+	}
+	if changed {
+		s.rebuild(sourcePeer)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/subscriber/subscriber.go
@@ -0,0 +1,337 @@
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/kernel"
+)
+
+const (
+	// backoffMin and backoffMax bound the pause between failed reads. The upper bound keeps the recovery after an outage
+	// well within the time in which a change must be in force.
+	backoffMin = 100 * time.Millisecond
+	backoffMax = 800 * time.Millisecond
+	// peerInterval is the time between requests for a peer's snapshot.
+	peerInterval = 500 * time.Millisecond
+)
+
+// Sources of a change, for the log.
+const (
+	sourceDirectory = "directory"
+	sourcePeer      = "peer"
+	sourceClock     = "clock"
+)
+
+// Options are the dependencies and the timing of a subscriber.
+type Options struct {
+	Directory kernel.DirectoryProtocol
+	// FetchSnapshot returns the snapshot of a peer that knows more, or nil.
+	FetchSnapshot func(ctx context.Context) ([]byte, error)
+	// WatchWait is how long a read for a new publication waits in the directory. A connection that went silent is
+	// noticed after it.
+	WatchWait time.Duration
+	// PollInterval is the time between two reads of the registrations. Heartbeats arrive there all the time, so that a
+	// waiting read would end at once.
+	PollInterval time.Duration
+	// LapseGrace is how long after the directory's return a registration that lapsed meanwhile may come back.
+	LapseGrace time.Duration
+	Logger     *zap.Logger
+}
+
+// Subscriber keeps the newest publication and registrations. Its methods may be called concurrently.
+type Subscriber struct {
+	options Options
+	logger  *zap.Logger
+	plan    atomic.Pointer[Plan]
+	current atomic.Pointer[cataloguer.Catalogue]
+
+	mu          sync.Mutex
+	publication kernel.DirectoryRecord
+	table       *table
+	revision    uint64
+	lapseTimer  *time.Timer
+	health      [2]health
+	subscribers map[int]func(*cataloguer.Catalogue)
+	nextID      int
+}
+
+// health says since when the reads of a topic succeed or fail.
+type health struct {
+	known   bool
+	failing bool
+	since   time.Time
+}
+
+// New returns a subscriber without a plan; Run fills it.
+func New(options Options) *Subscriber {
+	s := &Subscriber{
+		options: options, logger: options.Logger, table: newTable(), subscribers: make(map[int]func(*cataloguer.Catalogue)),
+	}
+	s.current.Store((&cataloguer.Catalogue{Offset: -1}).Index())
+	return s
+}
+
+// Run follows the directory, and the peers while it can't be read, until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		return s.tail(ctx, kernel.TopicPublication, s.options.WatchWait, 0, s.applyPublications)
+	})
+	group.Go(func() error {
+		return s.tail(ctx, kernel.TopicUpstreams, 0, s.options.PollInterval, s.applyUpstreams)
+	})
+	group.Go(func() error { return s.followPeers(ctx) })
+	return group.Wait()
+}
+
+// Plan returns the newest plan, nil before the first publication is known.
+func (s *Subscriber) Plan() *Plan { return s.plan.Load() }
+
+// Current returns the newest catalogue; it is never nil.
+func (s *Subscriber) Current() *cataloguer.Catalogue { return s.current.Load() }
+
+// Subscribe calls f for later catalogues, which may skip some, until the returned function is called. f must not block.
+func (s *Subscriber) Subscribe(f func(*cataloguer.Catalogue)) (unsubscribe func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := s.nextID
+	s.nextID++
+	s.subscribers[id] = f
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.subscribers, id)
+	}
+}
+
+// Departed says whether an upstream is known to be leaving or gone.
+func (s *Subscriber) Departed(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.departed(time.Now(), name)
+}
+
+// Healthy says whether the last reads of the directory succeeded.
+func (s *Subscriber) Healthy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.healthy()
+}
+
+func (s *Subscriber) healthy() bool {
+	for _, h := range s.health {
+		if !h.known || h.failing {
+			return false
+		}
+	}
+	return true
+}
+
+// tail reads a topic until ctx ends: first the newest record of each key, then the changes.
+func (s *Subscriber) tail(ctx context.Context, topic kernel.Topic, wait, pause time.Duration,
+	apply func(page kernel.DirectoryPage, whole bool),
+) error {
+	next, backoff := int64(-1), backoffMin
+	for ctx.Err() == nil {
+		page, whole, err := s.read(ctx, topic, next, wait)
+		var trimmed *kernel.TrimmedError
+		if errors.As(err, &trimmed) {
+			s.logger.Warn("directory records dropped unread", zap.Stringer("topic", topic), zap.Int64("next", next),
+				zap.Int64("first", trimmed.First))
+			next = -1
+			continue
+		}
+		if err != nil {
+			s.failed(topic, err)
+			sleep(ctx, backoff/2+rand.N(backoff/2))
+			backoff = min(2*backoff, backoffMax)
+			continue
+		}
+		backoff = backoffMin
+		s.succeeded(topic)
+		apply(page, whole)
+		next = page.Next
+		if !whole {
+			sleep(ctx, pause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *Subscriber) read(ctx context.Context, topic kernel.Topic, next int64, wait time.Duration) (page kernel.DirectoryPage, whole bool, err error) {
+	if next < 0 {
+		page, err = s.options.Directory.Newest(ctx, topic)
+		return page, true, err
+	}
+	page, err = s.options.Directory.Changes(ctx, topic, next, wait)
+	return page, false, err
+}
+
+func (s *Subscriber) applyPublications(page kernel.DirectoryPage, _ bool) {
+	for _, record := range page.Records {
+		s.publish(record, sourceDirectory)
+	}
+}
+
+func (s *Subscriber) applyUpstreams(page kernel.DirectoryPage, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dropAt := time.Now()
+	if back := s.health[kernel.TopicUpstreams].since.Add(s.options.LapseGrace); back.After(dropAt) {
+		dropAt = back
+	}
+	changed := false
+	report := func(err error) { s.logger.Warn("registration not usable", errorField(err)) }
+	if whole {
+		changed = s.table.replace(page, s.options.Directory.Registration, dropAt, report)
+	} else {
+		for _, record := range page.Records {
+			one, err := s.table.apply(record, s.options.Directory.Registration, dropAt)
+			changed = changed || one
+			if err != nil {
+				report(err)
+			}
+		}
+	}
+	if changed || whole && s.plan.Load() != nil {
+		s.rebuild(sourceDirectory)
+	}
+}
+
+// publish makes a publication current if it is newer than the current one.
+func (s *Subscriber) publish(record kernel.DirectoryRecord, source string) {
+	publication, err := s.options.Directory.Publication(record)
+	if err != nil {
+		s.logger.Error("publication not usable", errorField(err), zap.String("source", source))
+		return
+	}
+	if publication == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if plan := s.plan.Load(); plan != nil && publication.Version <= plan.Version {
+		return
+	}
+	s.publication = record
+	s.plan.Store(NewPlan(publication))
+	s.logger.Info("publication in force", zap.Int64("version", publication.Version), zap.Int("routes", len(publication.Routes)),
+		zap.Int("workspaces", len(publication.Workspaces)), zap.String("source", source))
+	s.rebuild(source)
+}
+
+// version is the version of the current publication, 0 before the first.
+func (s *Subscriber) version() uint64 {
+	plan := s.plan.Load()
+	if plan == nil || plan.Version < 0 {
+		return 0
+	}
+	return uint64(plan.Version)
+}
+
+// Revision returns the version of the publication and the offset of the last registration that changed.
+func (s *Subscriber) Revision() (version uint64, offset int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version(), s.table.changed
+}
+
+// rebuild makes a catalogue of the plan and the upstreams and tells the subscribers.
+func (s *Subscriber) rebuild(source string) {
+	plan := s.plan.Load()
+	if plan == nil {
+		return
+	}
+	upstreams, next := s.table.upstreams(time.Now())
+	s.revision++
+	catalogue := plan.catalogue(s.revision, upstreams)
+	s.current.Store(catalogue)
+	s.logger.Info("upstreams in force", zap.Int("upstreams", len(upstreams)), zap.Int64("version", plan.Version),
+		zap.Int64("offset", s.table.changed), zap.String("source", source))
+	if s.lapseTimer != nil {
+		s.lapseTimer.Stop()
+	}
+	if !next.IsZero() {
+		s.lapseTimer = time.AfterFunc(time.Until(next), s.lapse)
+	}
+	for _, notify := range s.subscribers {
+		notify(catalogue)
+	}
+}
+
+// lapse takes out the upstreams whose registration didn't come back.
+func (s *Subscriber) lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rebuild(sourceClock)
+}
+
+func (s *Subscriber) failed(topic kernel.Topic, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &s.health[topic]
+	if h.known && !h.failing {
+		s.logger.Warn("directory lost", zap.Stringer("topic", topic), errorField(err))
+	}
+	if !h.failing {
+		*h = health{known: true, failing: true, since: time.Now()}
+	}
+}
+
+func (s *Subscriber) succeeded(topic kernel.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &s.health[topic]
+	switch {
+	case !h.known:
+		s.logger.Info("directory reached", zap.Stringer("topic", topic))
+		*h = health{known: true}
+	case h.failing:
+		s.logger.Info("directory regained", zap.Stringer("topic", topic), zap.Duration("after", time.Since(h.since)))
+		*h = health{known: true, since: time.Now()}
+	}
+}
+
+// followPeers takes over a peer's snapshot while the directory can't be read.
+func (s *Subscriber) followPeers(ctx context.Context) error {
+	for {
+		sleep(ctx, peerInterval)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if s.Healthy() {
+			continue
+		}
+		data, err := s.options.FetchSnapshot(ctx)
+		if err == nil && data != nil {
+			err = s.Adopt(data)
+		}
+		if err != nil && ctx.Err() == nil {
+			s.logger.Warn("peer's snapshot not taken over", errorField(err))
+		}
+	}
+}
+
+// sleep waits, or until ctx ends.
+func sleep(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func errorField(err error) zap.Field { return zap.Error(err) }
--- a/internal/ticketer/ticketer.go
+++ b/internal/ticketer/ticketer.go
@@ -142,7 +142,8 @@
 	}
 	t.giveBack(now, tk, release)
 	switch release.GetKind() {
-	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
+	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE,
+		protocol.ReleaseKind_RELEASE_KIND_SHED:
 		tk.granted, tk.engine, tk.session = false, "", nil
 		if !t.chooseCell(tk) {
 			t.later(t.refuse(tk, codeNoUpstream, "the pool is not in the catalogue"))
--- a/router/internal/assembler/claims.go
+++ b/router/internal/assembler/claims.go
@@ -14,15 +14,15 @@
 const claimRolePrefix = "claims/"
 
 // askClaims registers claims in memory at a router, which may be this one.
-func (r *Router) askClaims(ctx context.Context, router string, entries []*protocol.ClaimEntry) ([]*protocol.ClaimVerdict, error) {
-	if router == r.settings.Name {
-		return r.claimer.Register(entries), nil
+func (c *catalogued) askClaims(ctx context.Context, router string, entries []*protocol.ClaimEntry) ([]*protocol.ClaimVerdict, error) {
+	if router == c.settings.Name {
+		return c.claimer.Register(entries), nil
 	}
-	member, known := r.detector.View().Member(router)
+	member, known := c.detector.View().Member(router)
 	if !known {
 		return nil, &MemberUnknownError{Name: router}
 	}
-	response, err := r.peers.Claim(ctx, member.Address, &protocol.ClaimRequest{Router: r.settings.Name, Claims: entries})
+	response, err := c.peers.Claim(ctx, member.Address, &protocol.ClaimRequest{Router: c.settings.Name, Claims: entries})
 	if err != nil {
 		return nil, err
 	}
@@ -31,10 +31,10 @@
 
 // claimRanks ranks the members known for the whole memory window for a scope, dead ones included, so that both sides
 // of a partition name the same home routers.
-func (r *Router) claimRanks(scopeHash uint64) []string {
+func (c *catalogued) claimRanks(scopeHash uint64) []string {
 	since := time.Now().Add(-claimer.MemoryWindow)
 	var names []string
-	for _, member := range r.detector.View().Members {
+	for _, member := range c.detector.View().Members {
 		if member.Known.Before(since) {
 			names = append(names, member.Name)
 		}
--- a/router/internal/assembler/control.go
+++ b/router/internal/assembler/control.go
@@ -22,11 +22,11 @@
 )
 
 // control adapts this router to the members and tells them its catalogue revision.
-func (r *Router) control(ctx context.Context) error {
+func (c *catalogued) control(ctx context.Context) error {
 	ticker := time.NewTicker(controlInterval)
 	defer ticker.Stop()
 	for {
-		r.adapt(ctx)
+		c.adapt(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -35,54 +35,54 @@
 	}
 }
 
-func (r *Router) adapt(ctx context.Context) {
-	view := r.detector.View()
-	catalogue := r.cataloguer.Current()
-	r.detector.SetCatalogue(catalogue.Revision, catalogue.Offset)
-	if r.settings.Claims.Window == 0 {
+func (c *catalogued) adapt(ctx context.Context) {
+	view := c.detector.View()
+	catalogue := c.cataloguer.Current()
+	c.detector.SetCatalogue(catalogue.Revision, catalogue.Offset)
+	if c.settings.Claims.Window == 0 {
 		members := max(len(view.Ranked()), 1)
-		r.claimer.SetWindow(time.Duration(members) * time.Second / claimAppendsPerSecond)
+		c.claimer.SetWindow(time.Duration(members) * time.Second / claimAppendsPerSecond)
 	}
-	if ranker.First(catalogueRole, view.Ranked()) != r.settings.Name {
+	if ranker.First(catalogueRole, view.Ranked()) != c.settings.Name {
 		return
 	}
-	if err := r.cataloguer.Republish(ctx); err != nil && ctx.Err() == nil {
-		r.logger.Warn("catalogue not republished", zap.Error(err))
+	if err := c.cataloguer.Republish(ctx); err != nil && ctx.Err() == nil {
+		c.logger.Warn("catalogue not republished", zap.Error(err))
 	}
 }
 
 // peerHandlers answers other routers.
-func (r *Router) peerHandlers() messenger.Handlers {
+func (c *catalogued) peerHandlers() messenger.Handlers {
 	return messenger.Handlers{
-		Accept: r.runner.Accept,
-		Gossip: r.detector.Handle,
+		Accept: c.runner.Accept,
+		Gossip: c.detector.Handle,
 		Snapshot: func(_ context.Context, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
-			data, revision, offset := r.cataloguer.Snapshot()
+			data, revision, offset := c.cataloguer.Snapshot()
 			if revision <= request.GetAboveRevision() {
 				return &protocol.SnapshotResponse{Revision: revision, Offset: offset}, nil
 			}
 			return &protocol.SnapshotResponse{Revision: revision, Offset: offset, Catalogue: data}, nil
 		},
 		Claim: func(_ context.Context, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error) {
-			return &protocol.ClaimResponse{Verdicts: r.claimer.Register(request.GetClaims())}, nil
+			return &protocol.ClaimResponse{Verdicts: c.claimer.Register(request.GetClaims())}, nil
 		},
 	}
 }
 
 // fetchSnapshot asks the member with the highest catalogue revision for its snapshot.
-func (r *Router) fetchSnapshot(ctx context.Context) (snapshot []byte, revision uint64, offset int64, err error) {
-	current := r.cataloguer.Current().Revision
+func (c *catalogued) fetchSnapshot(ctx context.Context) (snapshot []byte, revision uint64, offset int64, err error) {
+	current := c.cataloguer.Current().Revision
 	best := current
 	address := ""
-	for _, member := range r.detector.View().Members {
-		if member.Name != r.settings.Name && member.CatalogueRevision > best && reachable(member.State) {
+	for _, member := range c.detector.View().Members {
+		if member.Name != c.settings.Name && member.CatalogueRevision > best && reachable(member.State) {
 			best, address = member.CatalogueRevision, member.Address
 		}
 	}
 	if address == "" {
 		return nil, 0, 0, nil
 	}
-	response, err := r.peers.Snapshot(ctx, address, &protocol.SnapshotRequest{AboveRevision: current})
+	response, err := c.peers.Snapshot(ctx, address, &protocol.SnapshotRequest{AboveRevision: current})
 	if err != nil {
 		return nil, 0, 0, err
 	}
--- a/router/internal/assembler/errors.go
+++ b/router/internal/assembler/errors.go
@@ -31,3 +31,10 @@
 func (e *MemberUnknownError) Error() string {
 	return fmt.Sprintf("find router %s: not a member", e.Name)
 }
+
+// ReadOnlyError reports an edit of a catalogue that comes from the platform's directory.
+type ReadOnlyError struct{}
+
+func (*ReadOnlyError) Error() string {
+	return "edit the catalogue: this router takes its routes from the platform's directory"
+}
--- a/router/internal/assembler/listeners.go
+++ b/router/internal/assembler/listeners.go
@@ -16,6 +16,8 @@
 const (
 	// readHeaderTimeout bounds how long a caller may take to send the headers.
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers that send nothing; callers reuse them after 12 s at most.
+	idleTimeout = time.Minute
 	// shutdownTimeout bounds the wait for idle connections at the end of a planned stop.
 	shutdownTimeout = 5 * time.Second
 )
@@ -25,6 +27,8 @@
 	Callers net.Listener
 	Peers   net.Listener
 	Admin   net.Listener
+	// Readiness is nil if the settings name none.
+	Readiness net.Listener
 }
 
 // listen binds all addresses, so that a taken port stops the router at start.
@@ -38,7 +42,11 @@
 		{"callers", settings.Callers.Listen, &result.Callers},
 		{"peers", settings.Peers.Listen, &result.Peers},
 		{"operators", settings.Admin.Listen, &result.Admin},
+		{"readiness", settings.Gateway.Readiness.Listen, &result.Readiness},
 	} {
+		if l.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return result, &ListenError{Listener: l.name, Address: l.address, Cause: err}
@@ -54,6 +62,7 @@
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, config *tls.Config, maxHeaderBytes int) error {
 	server := &http.Server{
 		Handler: handler, TLSConfig: config, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout: idleTimeout,
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
--- a/router/internal/assembler/orders.go
+++ b/router/internal/assembler/orders.go
@@ -17,23 +17,23 @@
 const weightsRole = "weights"
 
 // newOrderer returns the part that drives engines to the state that the catalogue wants.
-func (r *Router) newOrderer(clients *dispatcher.Clients) *leaser.Orderer {
-	perMinute := r.settings.Platform.WeightStore.LoadsPerMinute
-	return leaser.NewOrderer(r.leaser, leaser.OrdererOptions{
-		Catalogue: r.cataloguer.Current,
+func (c *catalogued) newOrderer(clients *dispatcher.Clients) *leaser.Orderer {
+	perMinute := c.settings.Platform.WeightStore.LoadsPerMinute
+	return leaser.NewOrderer(c.leaser, leaser.OrdererOptions{
+		Catalogue: c.cataloguer.Current,
 		Assigned: func(string) bool {
-			return ranker.First(weightsRole, r.detector.View().Ranked()) == r.settings.Name
+			return ranker.First(weightsRole, c.detector.View().Ranked()) == c.settings.Name
 		},
 		Engine: func(upstream *cataloguer.Upstream) (kernel.EngineProtocol, error) {
-			return clients.Engine(r.protocolOf(upstream.Name), upstream.Address)
+			return clients.Engine(c.protocolOf(upstream.Name), upstream.Address)
 		},
 		Loads: rate.NewLimiter(rate.Every(time.Minute/time.Duration(perMinute)), 1),
-	}, r.logger)
+	}, c.logger.Logger)
 }
 
 // protocolOf returns the protocol of the pool that an upstream belongs to.
-func (r *Router) protocolOf(upstream string) string {
-	for _, pool := range r.cataloguer.Current().Pools {
+func (c *catalogued) protocolOf(upstream string) string {
+	for _, pool := range c.cataloguer.Current().Pools {
 		for i := range pool.Upstreams {
 			if pool.Upstreams[i].Name == upstream {
 				return pool.Protocol
--- a/router/internal/assembler/plugins.go
+++ b/router/internal/assembler/plugins.go
@@ -7,4 +7,5 @@
 	_ "coltsfootplank/internal/plugins/httpservice"
 	_ "coltsfootplank/internal/plugins/httpvmlist"
 	_ "coltsfootplank/internal/plugins/httpweights"
+	_ "coltsfootplank/platform"
 )
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -2,25 +2,28 @@
 
 import (
 	"context"
+	"net/http"
+	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"coltsfootplank/internal/administrator"
 	"coltsfootplank/internal/cataloguer"
-	"coltsfootplank/internal/claimer"
 	"coltsfootplank/internal/detector"
 	"coltsfootplank/internal/dispatcher"
 	"coltsfootplank/internal/dumper"
 	"coltsfootplank/internal/holder"
-	"coltsfootplank/internal/leaser"
+	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/loader"
+	"coltsfootplank/internal/logger"
 	"coltsfootplank/internal/messenger"
-	"coltsfootplank/internal/receiver"
 	"coltsfootplank/internal/recorder"
 	"coltsfootplank/internal/runner"
 	"coltsfootplank/internal/ticketer"
@@ -32,23 +35,19 @@
 // Router is one entry daemon.
 type Router struct {
 	settings  *loader.Settings
-	logger    *zap.Logger
-	platform  platform
+	logger    *logger.Logger
 	listeners listeners
+	// form is what the router serves: the catalogue's entries, or the routes published in the directory.
+	form form
 
-	peers      *messenger.Pool
-	detector   *detector.Detector
-	cataloguer *cataloguer.Cataloguer
-	claimer    *claimer.Claimer
-	leaser     *leaser.Leaser
-	orderer    *leaser.Orderer
-	runner     *runner.Runner
-	ticketer   *ticketer.Ticketer
-	holder     *holder.Holder
-	receiver   *receiver.Receiver
-	recorder   *recorder.Recorder
-	dumper     *dumper.Dumper
-	metrics    metrics.Registry
+	peers    *messenger.Pool
+	detector *detector.Detector
+	runner   *runner.Runner
+	ticketer *ticketer.Ticketer
+	holder   *holder.Holder
+	recorder *recorder.Recorder
+	dumper   *dumper.Dumper
+	metrics  metrics.Registry
 
 	leaving   atomic.Bool
 	drainOnce sync.Once
@@ -67,14 +66,15 @@
 }
 
 func build(settings *loader.Settings, closers *cleanups) (*Router, error) {
-	logger, err := newLogger(settings)
+	log, closeLog, err := logger.New(logger.Settings{
+		Level: settings.Log.Level, Format: settings.Log.Format, Name: settings.Name,
+	}, os.Stdout)
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{settings: settings, logger: logger, metrics: metrics.NewRegistry(), drain: make(chan struct{})}
-	if r.platform, err = newPlatform(settings.Platform, closers); err != nil {
-		return nil, err
-	}
+	closers.add(closeLog)
+	r := &Router{settings: settings, logger: log, metrics: metrics.NewRegistry(), drain: make(chan struct{})}
+	limitMemory(settings.Limits)
 	if r.listeners, err = listen(settings, closers); err != nil {
 		return nil, err
 	}
@@ -84,47 +84,83 @@
 	}
 	peers, closePeers := messenger.NewPool(peerTLS)
 	closers.add(closePeers)
-	clients, closeClients := dispatcher.NewClients()
-	closers.add(closeClients)
 	r.peers = peers
-	r.assemble(clients)
+	r.recorder = recorder.New(settings.Name, historyEvents)
+	if settings.Gateway.Enabled() {
+		r.form, err = newGateway(r, closers)
+	} else {
+		r.form, err = newCatalogued(r, closers)
+	}
+	if err != nil {
+		return nil, err
+	}
 	return r, r.registerSections()
 }
 
-// assemble makes the parts in the order of their dependencies.
-func (r *Router) assemble(clients *dispatcher.Clients) {
+// limitMemory makes the garbage collector keep to the settings' bound.
+func limitMemory(limits loader.Limits) {
+	if limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(limits.MemoryMB) << 20)
+	}
+}
+
+// form is what tells the two ways to run a router apart.
+type form interface {
+	// Handler answers callers.
+	Handler() http.Handler
+	// Parts run as long as the router does.
+	Parts() []func(ctx context.Context) error
+	// PeerHandlers answers other routers.
+	PeerHandlers() messenger.Handlers
+	// Catalogue is the source of the pools.
+	Catalogue() catalogueSource
+	// Administrated is the catalogue of the administration API.
+	Administrated() administrator.Catalogue
+	// Sections are the state dump's.
+	Sections() []section
+	// Ready says whether there is anything to serve.
+	Ready() bool
+	// Stop ends what is known about this router elsewhere.
+	Stop(ctx context.Context)
+}
+
+// catalogueSource publishes the current catalogue, which is never nil.
+type catalogueSource interface {
+	Current() *cataloguer.Catalogue
+	Subscribe(notify func(*cataloguer.Catalogue)) (unsubscribe func())
+}
+
+// assemble makes the parts that both forms have, in the order of their dependencies.
+func (r *Router) assemble(options parts) {
 	s := r.settings
 	r.detector = detector.New(detector.Settings{
 		Name: s.Name, Address: s.Peers.Advertise, DataCentre: s.DataCentre, Seeds: s.Peers.Seeds,
 		ProbeInterval: s.Membership.ProbeInterval, ProbeTimeout: s.Membership.ProbeTimeout,
-		SuspectTime: s.Membership.SuspectTimeout, VMList: r.platform.VMList, Logger: r.logger,
+		SuspectTime: s.Membership.SuspectTimeout, VMList: options.vmList, VMListInterval: options.vmListInterval,
+		Logger: r.logger.Logger,
 	}, r.peers)
-	r.cataloguer = cataloguer.New(r.platform.Log, cataloguer.Options{
-		FetchSnapshot: r.fetchSnapshot, Retention: s.Catalogue.Retention,
-	}, r.logger)
-	incarnation := r.incarnation()
-	r.claimer = claimer.New(r.platform.Log, claimer.Identity{Router: s.Name, Incarnation: incarnation},
-		claimer.Options{
-			Retention: s.Claims.Retention, Window: s.Claims.Window, Ask: r.askClaims, Ranks: r.claimRanks,
-		}, r.logger)
-	r.leaser = leaser.New(r.platform.Log, leaser.Identity{Router: s.Name, Incarnation: incarnation}, leaser.Options{}, r.logger)
-	r.orderer = r.newOrderer(clients)
 	r.runner = runner.New(runner.Options{
-		Self: s.Name, Members: r.detector, Catalogue: r.cataloguer, Factory: schedulerFactory(s.Scheduling),
-		CellEngines: s.Scheduling.CellEngines, Logger: r.logger,
+		Self: s.Name, Members: r.detector, Catalogue: options.catalogue, Factory: schedulerFactory(s.Scheduling),
+		CellEngines: s.Scheduling.CellEngines, Reporter: s.Gateway.Reporter, Logger: r.logger.Logger,
 	})
 	r.ticketer = ticketer.New(ticketer.Options{
-		Self: s.Name, Incarnation: incarnation, Members: r.detector, Catalogue: r.cataloguer,
-		Remote: r.peers, Local: r.runner, CellEngines: s.Scheduling.CellEngines, Logger: r.logger,
+		Self: s.Name, Incarnation: r.incarnation(), Members: r.detector, Catalogue: options.catalogue,
+		Remote: r.peers, Local: r.runner, CellEngines: s.Scheduling.CellEngines, Logger: r.logger.Logger,
 	})
-	r.recorder = recorder.New(s.Name, historyEvents)
+}
+
+// parts are what the forms bring to the parts that both have.
+type parts struct {
+	catalogue      catalogueSource
+	vmList         kernel.VMListProtocol
+	vmListInterval time.Duration
+}
+
+// newHolder makes the holder; claims may be nil if no request has a key.
+func (r *Router) newHolder(catalogue holder.Catalogue, claims holder.Claims, clients *dispatcher.Clients) *holder.Holder {
 	held := holder.DefaultSettings()
-	held.MaxWaiting = s.Limits.MaxWaiting
-	r.holder = holder.New(held, r.cataloguer, r.ticketer, r.claimer, clients, r.recorder, r.metrics, r.logger)
-	r.receiver = receiver.New(receiver.Settings{
-		MaxBodyBytes: s.Limits.MaxBodyBytes,
-		Ready:        r.ready,
-	}, r.cataloguer, r.holder, r.logger)
+	held.MaxWaiting = r.settings.Limits.MaxWaiting
+	return holder.New(held, catalogue, r.ticketer, claims, clients, r.recorder, r.metrics, r.logger.Logger)
 }
 
 // incarnation is the number by which the detector tells this run of the router from earlier ones.
@@ -135,7 +171,16 @@
 
 // ready says whether the load balancer may send requests here.
 func (r *Router) ready() bool {
-	return !r.leaving.Load() && r.cataloguer.Current().Revision > 0
+	return !r.leaving.Load() && r.form.Ready()
+}
+
+// Reload takes over the settings that may change while the router runs: the log level and the memory bound.
+func (r *Router) Reload(settings *loader.Settings) {
+	if err := r.logger.SetLevel(settings.Log.Level); err != nil {
+		r.logger.Warn("log level not changed", zap.Error(err))
+	}
+	limitMemory(settings.Limits)
+	r.logger.Info("settings reloaded", zap.String("log_level", settings.Log.Level), zap.Int("memory_mb", settings.Limits.MemoryMB))
 }
 
 // Drain starts the planned stop; calling it again does nothing.
@@ -196,21 +241,24 @@
 		return err
 	}
 	admin := administrator.Routes(
-		administrator.New(r.cataloguer, r.dumper, r), r.dumper, r.metrics)
-	_, peerHandler := messenger.Mount(r.peerHandlers())
-	for _, run := range []func(context.Context) error{
-		r.cataloguer.Run, r.claimer.Run, r.leaser.Run, r.orderer.Run, r.detector.Run, r.runner.Run,
-		r.ticketer.Run, r.control,
+		administrator.New(r.form.Administrated(), r.dumper, r), r.dumper, r.metrics)
+	_, peerHandler := messenger.Mount(r.form.PeerHandlers())
+	runs := append(r.form.Parts(), r.detector.Run, r.runner.Run, r.ticketer.Run,
 		func(ctx context.Context) error {
 			return messenger.Serve(ctx, r.listeners.Peers, peerHandler, peerTLS)
 		},
 		func(ctx context.Context) error {
-			return serveHTTP(ctx, r.listeners.Callers, r.receiver.Handler(), callerTLS, r.settings.Limits.MaxHeaderBytes)
+			return serveHTTP(ctx, r.listeners.Callers, r.form.Handler(), callerTLS, r.settings.Limits.MaxHeaderBytes)
 		},
 		func(ctx context.Context) error {
 			return serveHTTP(ctx, r.listeners.Admin, admin, adminTLS, r.settings.Limits.MaxHeaderBytes)
-		},
-	} {
+		})
+	if r.listeners.Readiness != nil {
+		runs = append(runs, func(ctx context.Context) error {
+			return serveHTTP(ctx, r.listeners.Readiness, r.readinessHandler(), nil, r.settings.Limits.MaxHeaderBytes)
+		})
+	}
+	for _, run := range runs {
 		group.Go(func() error { return run(ctx) })
 	}
 	return nil
@@ -232,5 +280,17 @@
 	defer cancel()
 	err := r.holder.Drain(limited)
 	r.detector.Depart(ctx)
+	r.form.Stop(ctx)
 	return err
 }
+
+// readinessHandler answers the load balancer's check.
+func (r *Router) readinessHandler() http.Handler {
+	router := chi.NewRouter()
+	router.Get(r.settings.Gateway.Readiness.Path, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -36,8 +36,10 @@
 	result.DefaultOutputTokens = settings.DefaultOutputTokens
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
+	result.ProbeAfter = settings.ProbeAfter
 	result.Isolation = isolator.Settings{
 		SuspectFor: settings.SuspectRetention, PoisonFor: settings.PoisonRetention, Entries: settings.PoisonEntries,
+		CrashLimit: settings.PoisonCrashes,
 	}
 	result.LimitWait = settings.LimitWait
 	result.Retries = limiter.RetrySettings{
--- a/router/internal/assembler/sections.go
+++ b/router/internal/assembler/sections.go
@@ -4,6 +4,12 @@
 	"coltsfootplank/internal/dumper"
 )
 
+// section is one part of the state dump.
+type section struct {
+	name string
+	dump dumper.Section
+}
+
 // catalogueState is the state dump's section on the catalogue.
 type catalogueState struct {
 	Revision uint64 `json:"revision"`
@@ -24,21 +30,16 @@
 // registerSections registers what the state dump shows.
 func (r *Router) registerSections() error {
 	r.dumper = dumper.New(r.settings.Name)
-	sections := []struct {
-		name    string
-		section dumper.Section
-	}{
+	sections := []section{
 		{"router", func() any { return r.overview() }},
 		{"requests", func() any { return r.holder.Requests() }},
 		{"tickets", r.ticketer.Dump},
 		{"schedulers", r.runner.Dump},
 		{"members", r.detector.Dump},
-		{"claims", r.claimer.Dump},
-		{"catalogue", func() any { return r.catalogueState() }},
 		{"history", func() any { return r.recorder.Events() }},
 	}
-	for _, s := range sections {
-		if _, err := r.dumper.Register(s.name, s.section); err != nil {
+	for _, s := range append(sections, r.form.Sections()...) {
+		if _, err := r.dumper.Register(s.name, s.dump); err != nil {
 			return err
 		}
 	}
@@ -52,10 +53,10 @@
 	}
 }
 
-func (r *Router) catalogueState() catalogueState {
-	catalogue := r.cataloguer.Current()
+func (c *catalogued) catalogueState() catalogueState {
+	catalogue := c.cataloguer.Current()
 	return catalogueState{
 		Revision: catalogue.Revision, Offset: catalogue.Offset,
-		LogLagMS: r.cataloguer.Lag().Milliseconds(), Healthy: r.cataloguer.Healthy(),
+		LogLagMS: c.cataloguer.Lag().Milliseconds(), Healthy: c.cataloguer.Healthy(),
 	}
 }
--- a/router/internal/commander/commander.go
+++ b/router/internal/commander/commander.go
@@ -5,10 +5,12 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
 
 	"coltsfootplank/internal/loader"
 	"coltsfootplank/router/internal/assembler"
@@ -38,7 +40,7 @@
 const description = `Entry daemon of coltsfootplank.
 
 Exit codes: 0 planned stop with every accepted request finished; 1 failure; 2 wrong usage or settings.
-SIGTERM and SIGINT start a planned stop.`
+SIGTERM and SIGINT start a planned stop. SIGHUP reads the settings file again.`
 
 // Run runs the command and returns its exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
@@ -99,13 +101,36 @@
 		return exitFailure
 	}
 	defer cleanup()
-	if err := router.Run(ctx); err != nil {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	var reloads errgroup.Group
+	ended := make(chan struct{})
+	reloads.Go(func() error { reload(router, file, hangups, ended, stderr); return nil })
+	err = router.Run(ctx)
+	close(ended)
+	_ = reloads.Wait()
+	if err != nil {
 		report(stderr, err)
 		return exitFailure
 	}
 	return exitOK
 }
 
+// reload takes over the settings file after each SIGHUP. A file with errors changes nothing.
+func reload(router *assembler.Router, file string, hangups <-chan os.Signal, ended <-chan struct{}, stderr io.Writer) {
+	for {
+		select {
+		case <-ended:
+			return
+		case <-hangups:
+		}
+		if settings, _ := load(file, stderr); settings != nil {
+			router.Reload(settings)
+		}
+	}
+}
+
 func report(stderr io.Writer, err error) {
 	// An error writing to the terminal leaves nothing to report to.
 	_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
