Bound the time for which prefills hold up the streams of an engine

Change: a ticket tells its longest pause; an engine admits it only if the prefills under way and its own take less than 0.6 of that, or as long as on the fastest engine. A grant has to let the answer begin in time. Prefill speeds are learnt from long prompts. Ruled out: lateness by waiting in the queue: granted waits are short for the urgent tier.

--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -17,8 +17,14 @@
 	"coltsfootplank/internal/subscriber"
 )
 
-// noPlanRetryAfter is when to come back to a router that has no configuration yet; reading it takes less.
-const noPlanRetryAfter = 300 * time.Millisecond
+const (
+	// noPlanRetryAfter is when to come back to a router that has no configuration yet; reading it takes less.
+	noPlanRetryAfter = 300 * time.Millisecond
+	// objectiveShare is the part of the objective in which the answer has to begin by the scheduler's estimate.
+	objectiveShare = 0.92
+	// callerTrip is the way from the caller and back, which counts for the objective.
+	callerTrip = 8 * time.Millisecond
+)
 
 // intake reads a request and makes one of the holder's from it. The exchange isn't nil in case of a refusal either.
 func (f *Forwarder) intake(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange, *holder.Refusal) {
@@ -112,14 +118,14 @@
 	route, envelope := x.route, x.envelope
 	held := &holder.Request{
 		ID: envelope.RequestID, Arrived: arrived, Exchange: x, Method: x.method, Path: x.target, Deadline: arrived.Add(route.Timeout),
-		Version:      plan.Version,
+		Version: plan.Version, Pause: route.Pause,
 		PromptTokens: max(1, envelope.PromptTokens), MaxTokens: max(1, envelope.OutputTokens),
 	}
 	if route.Timeout <= 0 || envelope.Remaining > 0 && envelope.Remaining < route.Timeout {
 		held.Deadline = arrived.Add(envelope.Remaining)
 	}
 	if route.Objective > 0 {
-		held.StartBy = arrived.Add(route.Objective)
+		held.StartBy = arrived.Add(time.Duration(float64(route.Objective)*objectiveShare) - callerTrip)
 	}
 	if envelope.OutputEstimate > 0 {
 		held.MaxTokens = min(held.MaxTokens, envelope.OutputEstimate)
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -40,6 +40,8 @@
 	Answer       Answer
 	// StartBy is when the answer has to begin to be worth a run; zero if there is no such time.
 	StartBy time.Time
+	// Pause is the longest pause between two events of the answer that counts as on time; 0 if there is no such limit.
+	Pause time.Duration
 	// Charge counts against the workspace's allowance.
 	Charge int
 	// Version is that of the configuration by which the request was accepted.
@@ -104,6 +106,7 @@
 		AgeMs:        now.Sub(r.Arrived).Milliseconds(),
 		Attempt:      r.attempt,
 		Charge:       uint32(r.Charge),
+		PauseMs:      r.Pause.Milliseconds(),
 	}
 	if !r.StartBy.IsZero() {
 		ticket.StartMs = max(r.StartBy.Sub(now).Milliseconds(), 1)
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -89,8 +89,10 @@
 	Timeout time.Duration
 	// Objective is the time to the answer, or to the first event, that counts as on time.
 	Objective time.Duration
-	Tier      int
-	Targets   []Target
+	// Pause is the longest pause between two events of a stream that counts as on time.
+	Pause   time.Duration
+	Tier    int
+	Targets []Target
 	// Attempts is the number of upstreams that one submission may be sent to.
 	Attempts int
 	// Public routes need no API key.
--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -27,6 +27,7 @@
 			DefaultPrefillPerSecond: 4000,
 			DefaultTokensPerSecond:  40,
 			DefaultOutputTokens:     128,
+			PrefillSample:           64,
 			RetryAfterMin:           200 * time.Millisecond,
 			RetryAfterMax:           60 * time.Second,
 			StragglerRatio:          0.5,
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -13,6 +13,7 @@
 	blockNoEngine  block = "no_usable_engine"
 	blockIsolation block = "waits_to_run_alone"
 	blockTurn      block = "behind_other_tickets"
+	blockStall     block = "prefill_would_hold_up_streams"
 
 	blockConcurrency block = "concurrency_limit"
 	blockTokens      block = "tokens_per_minute_limit"
@@ -68,10 +69,31 @@
 		return blockLong
 	case r.tokens() > e.roomLeft():
 		return blockRoom
+	case e.wouldStall(r):
+		return blockStall
 	}
 	return blockNone
 }
 
+const (
+	// stallShare is the part of the longest pause between events that prefills may take: the steps in which an event is
+	// made take the rest.
+	stallShare = 0.6
+	// stallTolerance lets engines about as fast as the fastest take a prompt that no engine reads in that time, although
+	// the estimates of their speeds differ.
+	stallTolerance = 1.15
+)
+
+// wouldStall says whether the request's prefill, behind those that are under way, would hold up the streams on the engine
+// for too long. A prompt that no engine reads in that time may take as long as the fastest engine needs.
+func (e *engine) wouldStall(r *request) bool {
+	if r.stall <= 0 || len(e.granted) == 0 {
+		return false
+	}
+	limit := max(r.stall, r.fastestPrefill*stallTolerance)
+	return e.prefillAhead(*e.clock)+e.prefillTime(r) > limit
+}
+
 // fitsNowhere says that no engine with a free slot has room for a ticket, without a look at each of them.
 func (s *engineSet) fitsNowhere(r *request) bool {
 	if s.reserved != nil && s.reserved.admits(r) == blockNone {
@@ -99,7 +121,7 @@
 			switch found := e.admits(r); found {
 			case blockNone, blockRoom, blockIsolation:
 				return found
-			case blockReserved:
+			case blockReserved, blockStall:
 				reason = found
 			}
 		}
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -57,7 +57,7 @@
 
 // expectedFirstToken is in seconds: the work ahead of the request and its own prefill.
 func (e *engine) expectedFirstToken(r *request, now time.Time) float64 {
-	return e.decodeAhead + max(0, e.prefillUntil.Sub(now).Seconds()) + e.prefillTime(r)
+	return e.decodeAhead + e.prefillAhead(now) + e.prefillTime(r)
 }
 
 // chooseRandom takes any engine that admits the ticket.
--- a/internal/scheduler/deadlines.go
+++ b/internal/scheduler/deadlines.go
@@ -48,13 +48,13 @@
 // inTime returns an engine on which the ticket finishes by its deadline: the chosen one if possible, else any that
 // admits it, else nil.
 func (s *Scheduler) inTime(r *request, chosen *engine, now time.Time) *engine {
-	if r.deadline.IsZero() || !now.Add(seconds(chosen.runSeconds(r, now))).After(r.deadline) {
+	if chosen.meets(r, now) {
 		return chosen
 	}
 	index := s.engines.openIndex(r)
 	for _, class := range s.engines.classList {
 		for _, e := range class.open[index].store.items {
-			if e.admits(r) == blockNone && !now.Add(seconds(e.runSeconds(r, now))).After(r.deadline) {
+			if e.admits(r) == blockNone && e.meets(r, now) {
 				return e
 			}
 		}
@@ -62,9 +62,17 @@
 	return nil
 }
 
+// meets says whether the answer should begin and be complete in time if the request is granted at now.
+func (e *engine) meets(r *request, now time.Time) bool {
+	if !r.deadline.IsZero() && now.Add(seconds(e.runSeconds(r, now))).After(r.deadline) {
+		return false
+	}
+	return r.startBy.IsZero() || !now.Add(seconds(e.prefillAhead(now)+e.prefillTime(r))).After(r.startBy)
+}
+
 // runSeconds is the expected time until the answer is complete if the request is granted at now.
 func (e *engine) runSeconds(r *request, now time.Time) float64 {
-	return max(0, e.prefillUntil.Sub(now).Seconds()) + e.prefillTime(r) + r.output/e.tokenSpeed()
+	return e.prefillAhead(now) + e.prefillTime(r) + r.output/e.tokenSpeed()
 }
 
 // bestSeconds is the shortest run on the fastest engines, in seconds.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -26,6 +26,8 @@
 type engine struct {
 	info     EngineInfo
 	settings *Settings
+	// clock is the time of the current call.
+	clock *time.Time
 	// slots is the number of requests that may be in flight on it.
 	slots int
 
@@ -86,8 +88,8 @@
 	roomPos int
 }
 
-func newEngine(info EngineInfo, settings *Settings) *engine {
-	e := &engine{info: info, settings: settings, granted: make(map[string]*request), openPos: [openCount]int{-1, -1, -1, -1}, roomPos: -1}
+func newEngine(info EngineInfo, settings *Settings, clock *time.Time) *engine {
+	e := &engine{info: info, settings: settings, clock: clock, granted: make(map[string]*request), openPos: [openCount]int{-1, -1, -1, -1}, roomPos: -1}
 	e.prefill, e.decode = estimator.NewSpeed(settings.DefaultPrefillPerSec), estimator.NewSpeed(settings.DefaultTokensPerSec)
 	if info.PrefillPerSec > 0 {
 		e.prefill = estimator.NewSpeed(info.PrefillPerSec)
@@ -140,6 +142,11 @@
 	return e.room() - e.tokens
 }
 
+// prefillAhead is the time in seconds until the prefills granted so far should be done.
+func (e *engine) prefillAhead(now time.Time) float64 {
+	return max(0, e.prefillUntil.Sub(now).Seconds())
+}
+
 // prefillTime is the time in seconds until the first token on an idle engine, for the uncached part of the prompt.
 func (e *engine) prefillTime(r *request) float64 {
 	return (r.prompt - e.cached(r) + 1) / e.prefillSpeed()
@@ -156,7 +163,7 @@
 	r.engine, r.grantedAt = e, now
 	e.granted[r.ticket.GetRequestId()] = r
 	e.tokens += r.tokens()
-	r.prefillAhead = max(0, e.prefillUntil.Sub(now).Seconds())
+	r.prefillAhead = e.prefillAhead(now)
 	r.expectedRun = e.runSeconds(r, now)
 	r.alone = r.class == classAlone && e.foreign == 0
 	r.prefillWork, r.decodeWork = e.prefillTime(r), e.decodeTime(r)
@@ -196,5 +203,5 @@
 
 // touch brings the work ahead to now.
 func (e *engine) touch(now time.Time) {
-	e.ahead = e.decodeAhead + max(0, e.prefillUntil.Sub(now).Seconds())
+	e.ahead = e.decodeAhead + e.prefillAhead(now)
 }
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -60,7 +60,7 @@
 		kept[info.Name] = true
 		e := s.byName[info.Name]
 		if e == nil {
-			e = newEngine(info, s.settings)
+			e = newEngine(info, s.settings, &s.now)
 			s.byName[info.Name] = e
 		}
 		s.close(e)
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -10,11 +10,9 @@
 // failuresToExclude is the number of failed polls after which an engine is down. One poll may be lost.
 const failuresToExclude = 2
 
-// Smallest samples, in tokens, from which a speed is learnt; below them latencies of the network dominate.
-const (
-	minPromptSample = 64
-	minOutputSample = 8
-)
+// minOutputSample is the smallest output, in tokens, from which a speed is learnt; below it latencies of the network
+// dominate.
+const minOutputSample = 8
 
 // ObserveLoad takes an engine's load report, or the error of the poll.
 func (s *Scheduler) ObserveLoad(now time.Time, engine string, report kernel.LoadReport, err error) {
@@ -100,7 +98,7 @@
 	}
 	first := float64(release.GetFirstTokenMs()) / 1000
 	uncached := float64(release.GetPromptTokens()) - float64(release.GetCachedTokens())
-	if r != nil && uncached >= minPromptSample && first > 0 {
+	if r != nil && uncached >= float64(s.settings.PrefillSample) && first > 0 {
 		// Without the wait for earlier prefills; a quarter at least, since the wait is an estimate.
 		e.prefill.Observe(uncached/max(first-r.prefillAhead, first/4), s.settings.StragglerRatio)
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -32,6 +32,10 @@
 	deadline time.Time
 	// startBy is when the answer has to begin; zero if there is no such time.
 	startBy time.Time
+	// stall is the time in seconds for which a prefill may hold up the streams that run on the engine; 0 means no bound.
+	// fastestPrefill is how long the fastest engine reads the prompt.
+	stall          float64
+	fastestPrefill float64
 	// latestStart is when even the fastest engine would miss the deadline, or startBy; zero without either.
 	latestStart time.Time
 	// prompt and output are estimates in tokens, seconds the expected time in a slot.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	parked     *indexedHeap[*lane]
 	limitShare float64
 
+	// recheck is when tickets that wait for the prefills of others are looked at again.
+	recheck   time.Time
 	decisions []Decision
 	// dirty is set by every input, so that the next Step looks for grants.
 	dirty    bool
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -38,6 +38,9 @@
 	LimitWait time.Duration
 	// Retries bounds the callers' retries of each workspace.
 	Retries limiter.RetrySettings
+	// PrefillSample is the smallest uncached prompt, in tokens, from which a prefill speed is learnt; below it other times
+	// dominate.
+	PrefillSample int
 	// StragglerRatio of an engine's own baseline speed is the speed below which it is excluded.
 	StragglerRatio float64
 	// StragglerCap bounds the share of the pool's engines that are excluded or returning.
@@ -93,6 +96,7 @@
 		Retries: limiter.RetrySettings{
 			Ratio: 0.2, PerSecond: 0.5, Burst: 20, Memory: time.Minute, Entries: 4096,
 		},
+		PrefillSample:   64,
 		StragglerRatio:  0.5,
 		StragglerCap:    0.34,
 		ProbeAfter:      5 * time.Second,
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -41,6 +41,9 @@
 	if l, ok := s.parked.top(); ok {
 		sooner(l.wakeAt)
 	}
+	if s.recheck.After(now) {
+		sooner(s.recheck)
+	}
 	if at := s.engines.nextProbe(); !at.IsZero() {
 		sooner(at)
 	}
@@ -75,6 +78,9 @@
 	}
 }
 
+// recheckAfter is the pause until tickets that wait for the prefills of others are looked at again.
+const recheckAfter = 10 * time.Millisecond
+
 // skipLimit bounds the workspaces of a bucket whose first ticket is passed over in one step for lack of room. With
 // hundreds of backlogged workspaces and full engines, each step would otherwise look at all of them.
 const skipLimit = 16
@@ -115,6 +121,13 @@
 			continue
 		}
 		switch s.engines.blockOf(r) {
+		case blockStall:
+			// Prefills that are under way end soon, without a message.
+			s.recheck = now.Add(recheckAfter)
+			if !late.add(r) {
+				b.flows[f.class].remove(f)
+				skipped = append(skipped, f)
+			}
 		case blockRoom, blockIsolation:
 			s.engines.reserve(r)
 			b.flows[f.class].remove(f)
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -64,9 +64,11 @@
 		r.deadline = now.Add(time.Duration(ticket.GetDeadlineMs()) * time.Millisecond)
 		r.latestStart = r.deadline.Add(-seconds(s.engines.bestSeconds(r)))
 	}
+	r.stall = stallShare * float64(ticket.GetPauseMs()) / 1000
+	r.fastestPrefill = s.engines.bestFirst(r)
 	if ticket.GetStartMs() > 0 {
 		r.startBy = now.Add(time.Duration(ticket.GetStartMs()) * time.Millisecond)
-		latest := r.startBy.Add(-seconds(s.engines.bestFirst(r)))
+		latest := r.startBy.Add(-seconds(r.fastestPrefill))
 		if r.latestStart.IsZero() || latest.Before(r.latestStart) {
 			r.latestStart = latest
 		}
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -34,6 +34,7 @@
 	result.DefaultPrefillPerSec = float64(settings.DefaultPrefillPerSecond)
 	result.DefaultTokensPerSec = float64(settings.DefaultTokensPerSecond)
 	result.DefaultOutputTokens = settings.DefaultOutputTokens
+	result.PrefillSample = settings.PrefillSample
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
 	result.ProbeAfter = settings.ProbeAfter
