Tell a new scheduler of the requests that run under grants of the old one

Change: a holder that turns to another scheduler tells it of its running requests, with engine and age; the grant stays with the one that made it, and its release goes to both. A leaving scheduler sends all holders on at once, and a new one waits 100 ms for them. Ruled out: load reports as the source: they carry no time.

--- a/internal/messenger/merge.go
+++ b/internal/messenger/merge.go
@@ -7,7 +7,7 @@
 )
 
 // NewHolderOutbox returns the outbox of a holder's end of a Schedule stream. The receiver of a merged message
-// applies cancels first, then releases, then tickets; a cancel therefore removes the tickets before it.
+// applies cancels first, then adoptions, releases and tickets; a cancel therefore removes the tickets before it.
 func NewHolderOutbox() *Outbox[protocol.HolderMessage] {
 	return NewOutbox(mergeHolder)
 }
@@ -27,8 +27,9 @@
 	into.Cancels = append(into.Cancels, from.GetCancels()...)
 	into.Releases = append(into.Releases, from.GetReleases()...)
 	into.Tickets = append(into.Tickets, from.GetTickets()...)
+	into.Adoptions = append(into.Adoptions, from.GetAdoptions()...)
 	into.Heartbeat = into.Heartbeat || from.GetHeartbeat()
-	return len(from.GetCancels()) + len(from.GetReleases()) + len(from.GetTickets())
+	return len(from.GetCancels()) + len(from.GetReleases()) + len(from.GetTickets()) + len(from.GetAdoptions())
 }
 
 func mergeScheduler(into, from *protocol.SchedulerMessage) int {
--- a/internal/runner/cell.go
+++ b/internal/runner/cell.go
@@ -17,6 +17,9 @@
 	// firstReports bounds how long a new scheduler waits for the engines' first load reports. Without them it would
 	// take engines that are full of another scheduler's grants for empty.
 	firstReports = 250 * time.Millisecond
+	// settleTime is how long a new scheduler waits for the holders to tell of their running requests. They all turn to it
+	// within some milliseconds of each other.
+	settleTime = 100 * time.Millisecond
 	// retireAfter is how long a cell without work runs on when this router isn't ranked first for it.
 	retireAfter = 10 * time.Second
 	// minPause bounds how often a scheduler without new messages runs.
@@ -45,12 +48,21 @@
 	idleSince   time.Time
 	share       float64
 	firstSeen   firstCheck
+	// resigned is set once the holders were told that this router is leaving.
+	resigned bool
+	// settledAt is when the holders have told of their running requests.
+	settledAt time.Time
 }
 
 func newCell(r *Runner, role string, pool cataloguer.Pool, index int) *cell {
 	now := time.Now()
+	settledAt := now
+	if len(r.options.Members.View().Ranked()) > 1 {
+		settledAt = now.Add(settleTime)
+	}
 	return &cell{
-		runner: r, role: role, pool: pool.Name, index: index,
+		settledAt: settledAt,
+		runner:    r, role: role, pool: pool.Name, index: index,
 		wake:      make(chan struct{}, 1),
 		scheduler: r.options.Factory(pool, now),
 		holders:   make(map[string]*holder),
@@ -120,13 +132,16 @@
 }
 
 func (c *cell) ready(now time.Time) bool {
-	return c.unreported == 0 || !now.Before(c.readyAt)
+	return !now.Before(c.settledAt) && (c.unreported == 0 || !now.Before(c.readyAt))
 }
 
 // nextWake returns when the cell has to run next without a message: the runner posts a review each second at the
 // latest.
 func (c *cell) nextWake(now time.Time) time.Time {
 	next := now.Add(reviewInterval)
+	if now.Before(c.settledAt) {
+		return c.settledAt
+	}
 	if !c.ready(now) {
 		return c.readyAt
 	}
--- a/internal/runner/holder.go
+++ b/internal/runner/holder.go
@@ -118,6 +118,27 @@
 	}
 }
 
+// adopt counts a request that runs under a grant of another scheduler.
+func (c *cell) adopt(now time.Time, s *session, adoption *protocol.Adoption) {
+	adopter, ok := c.scheduler.(adopter)
+	h := c.holder(now, s)
+	if !ok || h == nil {
+		return
+	}
+	ticket := adoption.GetTicket()
+	id := ticket.GetRequestId()
+	if r, known := h.records[id]; known {
+		if r.granted {
+			r.attempt = ticket.GetAttempt()
+			return
+		}
+		c.forget(now, s.holder, h, id)
+	}
+	if adopter.Adopt(now, s.holder, ticket, adoption.GetEngine(), time.Duration(adoption.GetRunningMs())*time.Millisecond) {
+		h.records[id] = &record{attempt: ticket.GetAttempt(), granted: true, engine: adoption.GetEngine()}
+	}
+}
+
 // cancel withdraws waiting tickets. A grant that crossed the cancel comes back as a release.
 func (c *cell) cancel(now time.Time, s *session, ids []string) {
 	h, ok := c.holders[s.holder]
--- a/internal/runner/scheduler.go
+++ b/internal/runner/scheduler.go
@@ -51,6 +51,12 @@
 // Factory makes the scheduler of one pool cell. The pool has the engines and the queue limit of that cell.
 type Factory func(pool cataloguer.Pool, now time.Time) Scheduler
 
+// adopter is implemented by schedulers that take over the grants of another one.
+type adopter interface {
+	// Adopt returns false if the scheduler doesn't have the engine.
+	Adopt(now time.Time, holder string, ticket *protocol.Ticket, engine string, running time.Duration) bool
+}
+
 // allowanceKeeper is implemented by schedulers that bound what each workspace uses.
 type allowanceKeeper interface {
 	SetAllowances(allowances map[string]cataloguer.Allowance)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -20,13 +20,19 @@
 	held map[string]bool
 }
 
-// Receive passes the parts of a message to the cells: cancels, then releases, then tickets.
+// Receive passes the parts of a message to the cells: cancels, then adoptions, releases and tickets.
 func (s *session) Receive(message *protocol.HolderMessage) {
 	if cancels := message.GetCancels(); len(cancels) > 0 {
 		for _, c := range s.runner.all() {
 			c.post(func(now time.Time) { c.cancel(now, s, cancels) })
 		}
 	}
+	for _, adoption := range message.GetAdoptions() {
+		ticket := adoption.GetTicket()
+		if c := s.runner.cell(ticket.GetPool(), int(ticket.GetCell())); c != nil {
+			c.post(func(now time.Time) { c.adopt(now, s, adoption) })
+		}
+	}
 	for role, releases := range byRole(message.GetReleases()) {
 		if c := s.runner.find(role); c != nil {
 			c.post(func(now time.Time) { c.release(now, s, releases) })
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"coltsfootplank/internal/detector"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/ranker"
 )
@@ -36,9 +37,23 @@
 	if found := c.scheduler.Convictions(now); len(found) > 0 {
 		c.runner.options.Members.AddConvictions(found)
 	}
+	c.resign(view)
 	c.setShare(now)
 }
 
+// resign tells the holders to turn to the next rank once this router is leaving, all at the same time: the next scheduler
+// then learns of all running requests before it grants.
+func (c *cell) resign(view *detector.View) {
+	self, _ := view.Member(view.Self)
+	if c.resigned || self.State != protocol.MemberState_MEMBER_STATE_LEAVING {
+		return
+	}
+	c.resigned = true
+	for _, h := range c.holders {
+		h.session.send(&protocol.SchedulerMessage{NotScheduler: []string{c.role}})
+	}
+}
+
 // setShare limits the capacity that this scheduler uses while another one may use the same engines.
 func (c *cell) setShare(now time.Time) {
 	share := c.wantedShare(now)
--- a/internal/scheduler/opaque_test.go
+++ b/internal/scheduler/opaque_test.go
@@ -30,6 +30,20 @@
 	assert.Assert(t, refusals[0].RetryAfterMs > 0)
 }
 
+// TestAdopt guards against a new scheduler that takes the slots of its predecessor's requests for free.
+func TestAdopt(t *testing.T) {
+	c := newCell(1, 2, nil)
+	running := c.ticket(0, "a")
+	assert.Assert(t, c.Adopt(c.now, "h", running, "e0", time.Second))
+	assert.Assert(t, !c.Adopt(c.now, "h", running, "unknown", time.Second))
+	c.submit(2, 0, "a")
+	grants, _ := c.step()
+	assert.Equal(t, len(grants), 1)
+	c.answer(&protocol.Grant{RequestId: running.RequestId, Engine: "e0"}, 100, 100)
+	grants, _ = c.step()
+	assert.Equal(t, len(grants), 1)
+}
+
 // TestShed guards against an engine that said it was full getting the next request at once, and against one that stays
 // out for long.
 func TestShed(t *testing.T) {
--- /dev/null
+++ b/internal/ticketer/adopt_test.go
@@ -0,0 +1,44 @@
+package ticketer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// adopted returns the requests and engines that a scheduler was told of as running, and forgets them.
+func (s *scheduler) adopted() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for _, m := range s.messages {
+		for _, a := range m.GetAdoptions() {
+			list = append(list, a.GetTicket().GetRequestId()+" on "+a.GetEngine())
+		}
+	}
+	s.messages = nil
+	return list
+}
+
+// TestAdoption guards against a new scheduler that doesn't know of the requests that run, and against their slots staying
+// taken there after their end.
+func TestAdoption(t *testing.T) {
+	run(t, func(t *testing.T, s *setup) {
+		first, second := s.schedulers[s.ranked[0]], s.schedulers[s.ranked[1]]
+		s.submit(0)
+		first.sent()
+		first.grant(1)
+		first.breakStream(true)
+		time.Sleep(50 * time.Millisecond)
+		s.ticketer.Submit(&protocol.Ticket{RequestId: "q", Pool: "chat"}, s.decider)
+		time.Sleep(maintainInterval)
+		assert.DeepEqual(t, second.adopted(), []string{"r on e"})
+		time.Sleep(time.Second)
+		assert.Equal(t, len(second.adopted()), 0, "told once")
+		s.ticketer.Release(&protocol.Release{RequestId: "r", Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED})
+		assert.DeepEqual(t, second.sent(), []string{"release r#1 RELEASE_KIND_ANSWERED"})
+	})
+}
--- a/internal/ticketer/placement.go
+++ b/internal/ticketer/placement.go
@@ -85,6 +85,7 @@
 	picks := make(map[string]string)
 	for _, tk := range t.tickets {
 		if tk.granted {
+			t.adopt(now, tk, picks)
 			continue
 		}
 		role := tk.role
@@ -92,11 +93,7 @@
 			decisions = append(decisions, t.refuse(tk, codeNoUpstream, "the pool is not in the catalogue"))
 			continue
 		}
-		target, ok := picks[tk.role]
-		if !ok {
-			target = t.pick(now, tk.role)
-			picks[tk.role] = target
-		}
+		target := t.pickOnce(now, tk.role, picks)
 		if current := t.links[target]; tk.target == target && current != nil && current.outbox != nil &&
 			current.outbox == tk.session && tk.role == role {
 			continue
@@ -107,6 +104,36 @@
 	return decisions
 }
 
+// pickOnce is pick with the results of one round kept in picks.
+func (t *Ticketer) pickOnce(now time.Time, role string, picks map[string]string) string {
+	target, ok := picks[role]
+	if !ok {
+		target = t.pick(now, role)
+		picks[role] = target
+	}
+	return target
+}
+
+// adopt tells the scheduler that this router's tickets of the role go to now of a request that runs under a grant of another
+// one, or of an earlier process: it would take the engine's slot for free. The grant stays with the one that made it.
+func (t *Ticketer) adopt(now time.Time, tk *ticket, picks map[string]string) {
+	target := t.pickOnce(now, tk.role, picks)
+	l := t.links[target]
+	if owner := t.links[tk.target]; l == nil && owner != nil && now.Before(owner.refused[tk.role]) {
+		// The scheduler is leaving; the next one has to know before others ask it for the slot.
+		l = t.linkTo(now, target)
+	}
+	if l == nil || l.outbox == nil || l.outbox == tk.session || l.outbox == tk.adopters[target] {
+		return
+	}
+	if tk.adopters == nil {
+		tk.adopters = make(map[string]*messenger.Outbox[protocol.HolderMessage])
+	}
+	tk.adopters[target] = l.outbox
+	l.held[tk.message.GetRequestId()] = true
+	l.send(&protocol.HolderMessage{Adoptions: []*protocol.Adoption{tk.adoption(now)}})
+}
+
 // send starts the next attempt of a ticket at a router and withdraws it from the one before.
 func (t *Ticketer) send(now time.Time, tk *ticket, target string) []decision {
 	t.withdraw(tk)
--- a/internal/ticketer/ticket.go
+++ b/internal/ticketer/ticket.go
@@ -23,6 +23,10 @@
 	session *messenger.Outbox[protocol.HolderMessage]
 	granted bool
 	engine  string
+	// grantedAt is when the grant arrived.
+	grantedAt time.Time
+	// adopters are the other schedulers that were told of the granted request, with the streams.
+	adopters map[string]*messenger.Outbox[protocol.HolderMessage]
 }
 
 // outgoing returns the message for the current attempt, with the age and the time left at now. expired means that
@@ -40,6 +44,12 @@
 	return message, expired
 }
 
+// adoption describes a granted request to another scheduler than the one that granted it.
+func (t *ticket) adoption(now time.Time) *protocol.Adoption {
+	message, _ := t.outgoing(now)
+	return &protocol.Adoption{Ticket: message, Engine: t.engine, RunningMs: now.Sub(t.grantedAt).Milliseconds()}
+}
+
 // release completes a release of this ticket's grant.
 func (t *ticket) release(release *protocol.Release) *protocol.Release {
 	full := proto.CloneOf(release)
--- a/internal/ticketer/ticketer.go
+++ b/internal/ticketer/ticketer.go
@@ -155,11 +155,17 @@
 	}
 }
 
-// giveBack sends the release of a ticket's grant if the link to its scheduler still exists.
+// giveBack sends the release of a ticket's grant if the link to its scheduler still exists, and to those that adopted it.
 func (t *Ticketer) giveBack(now time.Time, tk *ticket, release *protocol.Release) {
 	if l, ok := t.links[tk.target]; ok {
 		l.release(now, tk.release(release))
 	}
+	for name := range tk.adopters {
+		if l, ok := t.links[name]; ok && name != tk.target {
+			l.release(now, tk.release(release))
+		}
+	}
+	tk.adopters = nil
 }
 
 // receive applies a message of a scheduler. Messages of a stream that was replaced are dropped: the hello of
@@ -179,7 +185,7 @@
 		tk := t.tickets[grant.GetRequestId()]
 		switch {
 		case t.current(tk, l, grant.GetAttempt()):
-			tk.granted, tk.engine = true, grant.GetEngine()
+			tk.granted, tk.engine, tk.grantedAt = true, grant.GetEngine(), now
 			l.held[grant.GetRequestId()] = true
 			decisions = append(decisions, decision{decider: tk.decider, grant: grant})
 		case tk == nil || !tk.granted || tk.target != l.name || tk.attempt != grant.GetAttempt():
