Tell more urgencies apart, and poll no engines before the first peers are known

Cause: with workspaces of two priorities, six urgencies shared four tiers, and the most urgent streams queued with the quick answers. Ruled out: probes by routers that schedule alone: no stream to a scheduler broke before 9 s.

--- a/internal/cataloguer/entries.go
+++ b/internal/cataloguer/entries.go
@@ -8,6 +8,10 @@
 	LowestTier  = 3
 )
 
+// Levels is the number of urgencies that schedulers tell apart. Entries of the catalogue use the tiers; published routes
+// use as many levels as pairs of a workspace's and a route's urgency occur.
+const Levels = 8
+
 // Class says how a kind of work is answered.
 type Class string
 
--- a/internal/holder/table.go
+++ b/internal/holder/table.go
@@ -13,7 +13,7 @@
 type table struct {
 	mu       sync.Mutex
 	requests map[string]*Request
-	waiting  [cataloguer.LowestTier + 1][]*Request
+	waiting  [cataloguer.Levels][]*Request
 	count    int
 	limit    int
 }
@@ -33,7 +33,7 @@
 	if t.count <= t.limit {
 		return nil
 	}
-	for tier := cataloguer.LowestTier; tier >= cataloguer.HighestTier; tier-- {
+	for tier := cataloguer.Levels - 1; tier >= cataloguer.HighestTier; tier-- {
 		if n := len(t.waiting[tier]); n > 0 {
 			shed = t.waiting[tier][n-1]
 			t.unqueue(shed)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,6 +18,9 @@
 	"coltsfootplank/internal/ranker"
 )
 
+// joinTime is how long a router takes at most to learn of some others after its start.
+const joinTime = 5 * time.Second
+
 // reviewInterval is the time between looks at which cells this router should host.
 const reviewInterval = time.Second
 
@@ -33,6 +36,7 @@
 	mu      sync.Mutex
 	stopped bool
 	cells   map[string]*cell
+	started time.Time
 }
 
 // New returns a runner. Its schedulers end when Run does.
@@ -43,8 +47,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Runner{
 		options: options, ctx: ctx, cancel: cancel,
-		wake:  make(chan struct{}, 1),
-		cells: make(map[string]*cell),
+		wake:    make(chan struct{}, 1),
+		cells:   make(map[string]*cell),
+		started: time.Now(),
 	}
 }
 
@@ -81,7 +86,12 @@
 // catalogue.
 func (r *Runner) review() {
 	view, catalogue := r.options.Members.View(), r.options.Catalogue.Current()
+	// A router that has just started knows no others yet; it would host, and poll, everything for a moment.
+	alone := time.Since(r.started) < joinTime && len(view.Ranked()) <= 1
 	for _, pool := range catalogue.Pools {
+		if alone {
+			break
+		}
 		for index := range ranker.Cells(len(pool.Upstreams), r.options.CellEngines) {
 			role := ranker.Role(pool.Name, index)
 			if ranker.First(role, view.Ranked()) == r.options.Self {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -26,7 +26,7 @@
 
 func init() {
 	Orders.Register(OrderTierFair, OrderPolicy{
-		Bucket:    func(tier int) int { return min(max(tier, cataloguer.HighestTier), cataloguer.LowestTier) },
+		Bucket:    func(tier int) int { return min(max(tier, cataloguer.HighestTier), tiers-1) },
 		Before:    lowerCounter,
 		ShedFirst: func(a, b *account) bool { return a.finish() > b.finish() },
 	})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,7 +11,8 @@
 	"coltsfootplank/internal/protocol"
 )
 
-const tiers = cataloguer.LowestTier + 1
+// tiers is the number of queues.
+const tiers = cataloguer.Levels
 
 // Scheduler holds the queue, the grants and the view of the engines of one pool cell.
 type Scheduler struct {
@@ -146,8 +147,14 @@
 	}
 }
 
-// Backlog returns the number of queued tickets by tier.
-func (s *Scheduler) Backlog() [4]int { return s.byTier }
+// Backlog returns the number of queued tickets by tier; the last one includes the less urgent levels.
+func (s *Scheduler) Backlog() [4]int {
+	var backlog [4]int
+	for level, n := range s.byTier {
+		backlog[min(level, len(backlog)-1)] += n
+	}
+	return backlog
+}
 
 // queued is the number of queued tickets.
 func (s *Scheduler) queued() int {
@@ -215,5 +222,5 @@
 
 // tierOf bounds a ticket's tier to the known ones.
 func tierOf(ticket *protocol.Ticket) int {
-	return int(min(ticket.GetTier(), cataloguer.LowestTier))
+	return int(min(ticket.GetTier(), tiers-1))
 }
--- a/internal/subscriber/plan.go
+++ b/internal/subscriber/plan.go
@@ -96,11 +96,10 @@
 		own.workspace = p.ranks[0].workspace
 	}
 	rank, _ := slices.BinarySearchFunc(p.ranks, own, compareUrgency)
-	tiers := cataloguer.LowestTier + 1
-	if len(p.ranks) > tiers {
-		rank = rank * tiers / len(p.ranks)
+	if len(p.ranks) > cataloguer.Levels {
+		rank = rank * cataloguer.Levels / len(p.ranks)
 	}
-	return min(rank, cataloguer.LowestTier)
+	return min(rank, cataloguer.Levels-1)
 }
 
 // Route returns the route with the longest prefix that begins the path, among those of the host.
