Let one router of a data centre read the directory for the others

A follower isn't followed. Ruled out: gossip alone, which takes seconds; longer waits of each router, which delay the notice of a silent connection.

--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -46,7 +46,7 @@
 			EnginePolicy:            "expected_first_token",
 		},
 		Gateway: Gateway{
-			WatchWait: 2500 * time.Millisecond, PollInterval: 900 * time.Millisecond, LapseGrace: 2200 * time.Millisecond,
+			WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond, LapseGrace: 2200 * time.Millisecond,
 			MemberInterval: 30 * time.Second, RepeatRatio: 0.1, RepeatSlack: 20, IdlePerUpstream: 16,
 		},
 		Claims: Claims{
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -31,6 +31,8 @@
 	Gossip   func(ctx context.Context, request *protocol.GossipRequest) (*protocol.GossipResponse, error)
 	Snapshot func(ctx context.Context, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error)
 	Claim    func(ctx context.Context, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error)
+	// Watch sends updates until ctx ends or send fails.
+	Watch func(ctx context.Context, request *protocol.WatchRequest, send func(*protocol.WatchUpdate) error) error
 }
 
 // Mount returns the path and the HTTP handler of the RouterService.
@@ -122,6 +124,13 @@
 	return s.handlers.Gossip(ctx, request)
 }
 
+func (s *service) Watch(ctx context.Context, request *protocol.WatchRequest, stream *connect.ServerStream[protocol.WatchUpdate]) error {
+	if s.handlers.Watch == nil {
+		return s.UnimplementedRouterServiceHandler.Watch(ctx, request, stream)
+	}
+	return s.handlers.Watch(ctx, request, stream.Send)
+}
+
 func (s *service) Snapshot(ctx context.Context, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
 	if s.handlers.Snapshot == nil {
 		return s.UnimplementedRouterServiceHandler.Snapshot(ctx, request)
--- a/internal/protocol/protocolconnect/router.connect.go
+++ b/internal/protocol/protocolconnect/router.connect.go
@@ -41,6 +41,8 @@
 	RouterServiceGossipProcedure = "/coltsfootplank.v1.RouterService/Gossip"
 	// RouterServiceSnapshotProcedure is the fully-qualified name of the RouterService's Snapshot RPC.
 	RouterServiceSnapshotProcedure = "/coltsfootplank.v1.RouterService/Snapshot"
+	// RouterServiceWatchProcedure is the fully-qualified name of the RouterService's Watch RPC.
+	RouterServiceWatchProcedure = "/coltsfootplank.v1.RouterService/Watch"
 	// RouterServiceClaimProcedure is the fully-qualified name of the RouterService's Claim RPC.
 	RouterServiceClaimProcedure = "/coltsfootplank.v1.RouterService/Claim"
 	// AdminServiceGetCatalogueProcedure is the fully-qualified name of the AdminService's GetCatalogue
@@ -65,6 +67,8 @@
 	Gossip(context.Context, *protocol.GossipRequest) (*protocol.GossipResponse, error)
 	// Snapshot returns the callee's catalogue snapshot.
 	Snapshot(context.Context, *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error)
+	// Watch tells of what the callee reads in the directory, so that not every router has to read it.
+	Watch(context.Context, *protocol.WatchRequest) (*connect.ServerStreamForClient[protocol.WatchUpdate], error)
 	// Claim asks the callee to register in-memory claims while the log is down.
 	Claim(context.Context, *protocol.ClaimRequest) (*protocol.ClaimResponse, error)
 }
@@ -98,6 +102,12 @@
 			connect.WithSchema(routerServiceMethods.ByName("Snapshot")),
 			connect.WithClientOptions(opts...),
 		),
+		watch: connect.NewClient[protocol.WatchRequest, protocol.WatchUpdate](
+			httpClient,
+			baseURL+RouterServiceWatchProcedure,
+			connect.WithSchema(routerServiceMethods.ByName("Watch")),
+			connect.WithClientOptions(opts...),
+		),
 		claim: connect.NewClient[protocol.ClaimRequest, protocol.ClaimResponse](
 			httpClient,
 			baseURL+RouterServiceClaimProcedure,
@@ -112,6 +122,7 @@
 	schedule *connect.Client[protocol.HolderMessage, protocol.SchedulerMessage]
 	gossip   *connect.Client[protocol.GossipRequest, protocol.GossipResponse]
 	snapshot *connect.Client[protocol.SnapshotRequest, protocol.SnapshotResponse]
+	watch    *connect.Client[protocol.WatchRequest, protocol.WatchUpdate]
 	claim    *connect.Client[protocol.ClaimRequest, protocol.ClaimResponse]
 }
 
@@ -138,6 +149,11 @@
 	return nil, err
 }
 
+// Watch calls coltsfootplank.v1.RouterService.Watch.
+func (c *routerServiceClient) Watch(ctx context.Context, req *protocol.WatchRequest) (*connect.ServerStreamForClient[protocol.WatchUpdate], error) {
+	return c.watch.CallServerStream(ctx, connect.NewRequest(req))
+}
+
 // Claim calls coltsfootplank.v1.RouterService.Claim.
 func (c *routerServiceClient) Claim(ctx context.Context, req *protocol.ClaimRequest) (*protocol.ClaimResponse, error) {
 	response, err := c.claim.CallUnary(ctx, connect.NewRequest(req))
@@ -155,6 +171,8 @@
 	Gossip(context.Context, *protocol.GossipRequest) (*protocol.GossipResponse, error)
 	// Snapshot returns the callee's catalogue snapshot.
 	Snapshot(context.Context, *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error)
+	// Watch tells of what the callee reads in the directory, so that not every router has to read it.
+	Watch(context.Context, *protocol.WatchRequest, *connect.ServerStream[protocol.WatchUpdate]) error
 	// Claim asks the callee to register in-memory claims while the log is down.
 	Claim(context.Context, *protocol.ClaimRequest) (*protocol.ClaimResponse, error)
 }
@@ -184,6 +202,12 @@
 		connect.WithSchema(routerServiceMethods.ByName("Snapshot")),
 		connect.WithHandlerOptions(opts...),
 	)
+	routerServiceWatchHandler := connect.NewServerStreamHandlerSimple(
+		RouterServiceWatchProcedure,
+		svc.Watch,
+		connect.WithSchema(routerServiceMethods.ByName("Watch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	routerServiceClaimHandler := connect.NewUnaryHandlerSimple(
 		RouterServiceClaimProcedure,
 		svc.Claim,
@@ -198,6 +222,8 @@
 			routerServiceGossipHandler.ServeHTTP(w, r)
 		case RouterServiceSnapshotProcedure:
 			routerServiceSnapshotHandler.ServeHTTP(w, r)
+		case RouterServiceWatchProcedure:
+			routerServiceWatchHandler.ServeHTTP(w, r)
 		case RouterServiceClaimProcedure:
 			routerServiceClaimHandler.ServeHTTP(w, r)
 		default:
@@ -221,6 +247,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootplank.v1.RouterService.Snapshot is not implemented"))
 }
 
+func (UnimplementedRouterServiceHandler) Watch(context.Context, *protocol.WatchRequest, *connect.ServerStream[protocol.WatchUpdate]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootplank.v1.RouterService.Watch is not implemented"))
+}
+
 func (UnimplementedRouterServiceHandler) Claim(context.Context, *protocol.ClaimRequest) (*protocol.ClaimResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootplank.v1.RouterService.Claim is not implemented"))
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -13,13 +13,14 @@
 
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
 )
 
 const (
 	// backoffMin and backoffMax bound the pause between failed reads. The upper bound keeps the recovery after an outage
 	// well within the time in which a change must be in force.
-	backoffMin = 100 * time.Millisecond
-	backoffMax = 800 * time.Millisecond
+	backoffMin = 150 * time.Millisecond
+	backoffMax = 1200 * time.Millisecond
 	// peerInterval is the time between requests for a peer's snapshot.
 	peerInterval = 500 * time.Millisecond
 )
@@ -36,6 +37,10 @@
 	Directory kernel.DirectoryProtocol
 	// FetchSnapshot returns the snapshot of a peer that knows more, or nil.
 	FetchSnapshot func(ctx context.Context) ([]byte, error)
+	// Leader returns the address of the router that reads the directory for this one; empty if this one reads itself.
+	Leader func() string
+	// Watch follows a router until its stream breaks or receive returns false.
+	Watch func(ctx context.Context, address string, request *protocol.WatchRequest, receive func(*protocol.WatchUpdate) bool) error
 	// WatchWait is how long a read for a new publication waits in the directory. A connection that went silent is
 	// noticed after it.
 	WatchWait time.Duration
@@ -62,6 +67,11 @@
 	health      [2]health
 	subscribers map[int]func(*cataloguer.Catalogue)
 	nextID      int
+	// changed is closed at the next change, switched when this router begins or ends to follow another one.
+	changed  chan struct{}
+	switched chan struct{}
+	// following is the address of the router that is followed, empty while this one reads itself.
+	following string
 }
 
 // health says since when the reads of a topic succeed or fail.
@@ -75,6 +85,7 @@
 func New(options Options) *Subscriber {
 	s := &Subscriber{
 		options: options, logger: options.Logger, table: newTable(), subscribers: make(map[int]func(*cataloguer.Catalogue)),
+		changed: make(chan struct{}), switched: make(chan struct{}),
 	}
 	s.current.Store((&cataloguer.Catalogue{Offset: -1}).Index())
 	return s
@@ -90,6 +101,7 @@
 		return s.tail(ctx, kernel.TopicUpstreams, 0, s.options.PollInterval, s.applyUpstreams)
 	})
 	group.Go(func() error { return s.followPeers(ctx) })
+	group.Go(func() error { return s.follow(ctx) })
 	return group.Wait()
 }
 
@@ -120,14 +132,15 @@
 	return s.table.departed(time.Now(), name)
 }
 
-// Healthy says whether the last reads of the directory succeeded.
+// Healthy says whether the last reads of the directory succeeded, by this router or by the one that it follows.
 func (s *Subscriber) Healthy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.healthy()
+	return s.following != "" || s.reads()
 }
 
-func (s *Subscriber) healthy() bool {
+// reads says whether this router's own last reads succeeded.
+func (s *Subscriber) reads() bool {
 	for _, h := range s.health {
 		if !h.known || h.failing {
 			return false
@@ -136,12 +149,27 @@
 	return true
 }
 
+func (s *Subscriber) publicationFails() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health[kernel.TopicPublication].failing
+}
+
 // tail reads a topic until ctx ends: first the newest record of each key, then the changes.
 func (s *Subscriber) tail(ctx context.Context, topic kernel.Topic, wait, pause time.Duration,
 	apply func(page kernel.DirectoryPage, whole bool),
 ) error {
 	next, backoff := int64(-1), backoffMin
 	for ctx.Err() == nil {
+		if s.awaitDirect(ctx) {
+			next = -1
+			continue
+		}
+		if topic != kernel.TopicPublication && s.publicationFails() {
+			// One topic is enough to find out when the directory is back; its calls are paid for.
+			sleep(ctx, backoffMin)
+			continue
+		}
 		page, whole, err := s.read(ctx, topic, next, wait)
 		var trimmed *kernel.TrimmedError
 		if errors.As(err, &trimmed) {
@@ -266,6 +294,7 @@
 	for _, notify := range s.subscribers {
 		notify(catalogue)
 	}
+	s.announceChange()
 }
 
 // lapse takes out the upstreams whose registration didn't come back.
@@ -284,6 +313,7 @@
 	}
 	if !h.failing {
 		*h = health{known: true, failing: true, since: time.Now()}
+		s.announceChange()
 	}
 }
 
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -152,7 +152,7 @@
 		directory := newStore()
 		s := New(Options{
 			Directory: directory, FetchSnapshot: func(context.Context) ([]byte, error) { return peer(), nil },
-			WatchWait: 2500 * time.Millisecond, PollInterval: 900 * time.Millisecond, LapseGrace: 2200 * time.Millisecond,
+			Leader: func() string { return "" }, WatchWait: 2500 * time.Millisecond, PollInterval: 900 * time.Millisecond, LapseGrace: 2200 * time.Millisecond,
 			Logger: zap.NewNop(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -22,6 +22,8 @@
 	// registration is valid if usable is set.
 	registration kernel.Registration
 	usable       bool
+	// changed is the offset of the last record that changed more than a heartbeat.
+	changed int64
 	// dropAt is when an upstream whose record has lapsed counts as gone; zero if its record stands.
 	dropAt time.Time
 	// forgetAt is when the memory of an upstream that is gone ends.
@@ -49,8 +51,9 @@
 	if !known.dropAt.IsZero() || !bytes.Equal(known.record.Value, record.Value) {
 		registration, err := decode(record)
 		changed := registration != known.registration || (err == nil) != known.usable || !known.dropAt.IsZero()
-		*known = entry{record: record, registration: registration, usable: err == nil}
+		*known = entry{record: record, registration: registration, usable: err == nil, changed: known.changed}
 		if changed {
+			known.changed = record.Offset
 			t.changed = max(t.changed, record.Offset)
 		}
 		return changed, err
@@ -68,6 +71,7 @@
 		if known.registration.Leaving {
 			known.dropAt = time.Time{}.Add(time.Nanosecond)
 		}
+		known.changed = record.Offset
 		t.changed = max(t.changed, record.Offset)
 	}
 	return true
@@ -87,7 +91,7 @@
 	}
 	for key, known := range t.entries {
 		if !present[key] && known.record.Offset < page.Next && known.dropAt.IsZero() {
-			t.lapse(known, kernel.DirectoryRecord{Offset: known.record.Offset, Key: key}, dropAt)
+			t.lapse(known, kernel.DirectoryRecord{Offset: max(known.record.Offset, page.Next-1), Key: key}, dropAt)
 			changed = true
 		}
 	}
--- /dev/null
+++ b/internal/subscriber/watch_test.go
@@ -0,0 +1,125 @@
+package subscriber
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+)
+
+// brokenError reports a stream that was cut.
+type brokenError struct{}
+
+func (brokenError) Error() string { return "cut" }
+
+// pair is a router that reads the directory and one that follows it.
+type pair struct {
+	reader, follower *Subscriber
+	// readers and followers are the directories as each of them sees it.
+	shared *store
+	cut    chan struct{}
+}
+
+// runPair starts both on virtual time. Each reads through a store of its own that shares its records.
+func runPair(t *testing.T, test func(t *testing.T, p *pair)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := &pair{shared: newStore(), cut: make(chan struct{})}
+		options := func(leader string) Options {
+			return Options{
+				Directory: p.shared, FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
+				Leader: func() string { return leader }, WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond,
+				LapseGrace: 2200 * time.Millisecond, Logger: zap.NewNop(),
+			}
+		}
+		p.reader = New(options(""))
+		following := options("reader")
+		following.Watch = func(ctx context.Context, _ string, request *protocol.WatchRequest, receive func(*protocol.WatchUpdate) bool) error {
+			return p.reader.Serve(ctx, request, func(update *protocol.WatchUpdate) error {
+				select {
+				case <-p.cut:
+					return brokenError{}
+				default:
+				}
+				if !receive(update) {
+					return brokenError{}
+				}
+				return nil
+			})
+		}
+		p.follower = New(following)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		for _, s := range []*Subscriber{p.reader, p.follower} {
+			group.Go(func() error { return s.Run(ctx) })
+		}
+		p.shared.put(kernel.TopicPublication, "config", version(1))
+		p.shared.put(kernel.TopicUpstreams, "a", engine("a"))
+		time.Sleep(3 * time.Second)
+		test(t, p)
+		cancel()
+		assert.ErrorIs(t, group.Wait(), context.Canceled)
+	})
+}
+
+// callsIn returns the calls of both in a time.
+func (p *pair) callsIn(span time.Duration) int {
+	count := func() int {
+		p.shared.mu.Lock()
+		defer p.shared.mu.Unlock()
+		return p.shared.calls
+	}
+	before := count()
+	time.Sleep(span)
+	return count() - before
+}
+
+// TestFollower guards against a router that reads the directory although another one reads it for it, and against changes
+// that reach it late.
+func TestFollower(t *testing.T) {
+	runPair(t, func(t *testing.T, p *pair) {
+		assert.Assert(t, p.callsIn(7*time.Second) <= 22, "one router reads")
+		p.shared.put(kernel.TopicPublication, "config", version(2))
+		time.Sleep(20 * time.Millisecond)
+		assert.Equal(t, p.follower.Plan().Version, int64(2))
+		p.shared.put(kernel.TopicUpstreams, "b", engine("b"))
+		p.shared.put(kernel.TopicUpstreams, "a", nil)
+		time.Sleep(800 * time.Millisecond)
+		assert.DeepEqual(t, names(p.follower), []string{"b"})
+		assert.Assert(t, p.follower.Departed("a"))
+	})
+}
+
+// TestReaderCut guards against a follower that stays without changes when its reader vanishes.
+func TestReaderCut(t *testing.T) {
+	runPair(t, func(t *testing.T, p *pair) {
+		close(p.cut)
+		time.Sleep(100 * time.Millisecond)
+		p.shared.put(kernel.TopicPublication, "config", version(2))
+		p.shared.put(kernel.TopicUpstreams, "b", engine("b"))
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, p.follower.Plan().Version, int64(2))
+		assert.DeepEqual(t, names(p.follower), []string{"a", "b"})
+	})
+}
+
+// TestNoCircle guards against two routers that follow each other, so that neither reads.
+func TestNoCircle(t *testing.T) {
+	runPair(t, func(t *testing.T, p *pair) {
+		reading := true
+		request := &protocol.WatchRequest{Revision: 1, Offset: 1}
+		err := p.follower.Serve(t.Context(), request, func(update *protocol.WatchUpdate) error {
+			reading = update.GetReading()
+			return brokenError{}
+		})
+		assert.ErrorIs(t, err, brokenError{})
+		assert.Assert(t, !reading)
+	})
+}
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -17,6 +17,7 @@
 	"coltsfootplank/internal/limiter"
 	"coltsfootplank/internal/messenger"
 	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/ranker"
 	"coltsfootplank/internal/subscriber"
 )
 
@@ -54,7 +55,7 @@
 	closers.add(closeDirectory)
 	g.directory = directory
 	g.subscriber = subscriber.New(subscriber.Options{
-		Directory: directory, FetchSnapshot: g.fetchState, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
+		Directory: directory, FetchSnapshot: g.fetchState, Leader: g.reader, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
 		LapseGrace: settings.LapseGrace, Logger: log,
 	})
 	r.assemble(parts{catalogue: g.subscriber, vmList: routerList{directory}, vmListInterval: settings.MemberInterval})
@@ -91,6 +92,7 @@
 			data, version, offset := g.subscriber.Snapshot()
 			return &protocol.SnapshotResponse{Revision: version, Offset: offset, Catalogue: data}, nil
 		},
+		Watch: g.subscriber.Serve,
 	}
 }
 
@@ -144,6 +146,26 @@
 	}
 }
 
+// readerRole is the role of the router that reads the directory for its data centre.
+const readerRole = "reader/"
+
+// reader returns the address of the router that reads the directory for the data centre, empty if it is this one.
+func (g *gateway) reader() string {
+	view := g.detector.View()
+	var names []string
+	for _, name := range view.Ranked() {
+		if member, ok := view.Member(name); ok && member.DataCentre == g.settings.DataCentre {
+			names = append(names, name)
+		}
+	}
+	first := ranker.First(readerRole+g.settings.DataCentre, names)
+	if first == g.settings.Name || first == "" || g.leaving.Load() {
+		return ""
+	}
+	member, _ := view.Member(first)
+	return member.Address
+}
+
 // fetchState returns the state of the peer that knows the newest configuration or registrations, nil if none knows more.
 func (g *gateway) fetchState(ctx context.Context) ([]byte, error) {
 	version, offset := g.subscriber.Revision()
