--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -86,10 +86,10 @@
 // catalogue.
 func (r *Runner) review() {
 	view, catalogue := r.options.Members.View(), r.options.Catalogue.Current()
-	// A router that has just started knows no others yet; it would host, and poll, everything for a moment.
-	alone := time.Since(r.started) < joinTime && len(view.Ranked()) <= 1
+	// A router that has just started knows few others; it would host, and poll, what others are ranked first for.
+	joining := time.Since(r.started) < joinTime
 	for _, pool := range catalogue.Pools {
-		if alone {
+		if joining {
 			break
 		}
 		for index := range ranker.Cells(len(pool.Upstreams), r.options.CellEngines) {
