--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -14,12 +14,15 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/loader"
 )
 
 // store is a directory in memory. Its records are JSON of the kernel's types.
 type store struct {
 	mu      sync.Mutex
 	down    bool
+	// deaf makes a waiting read return at the end of its wait only.
+	deaf bool
 	first   [2]int64
 	records [2][]kernel.DirectoryRecord
 	changed chan struct{}
@@ -50,6 +53,18 @@
 	s.down = down
 }
 
+func (s *store) setDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
+func (s *store) isDeaf() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deaf
+}
+
 // forget drops all records but the newest of each key from the changes.
 func (s *store) forget(topic kernel.Topic) {
 	s.mu.Lock()
@@ -79,6 +94,9 @@
 		case len(page.Records) > 0 || wait == 0:
 			return page, nil
 		}
+		if s.isDeaf() {
+			changed = nil
+		}
 		select {
 		case <-changed:
 		case <-deadline.C:
@@ -149,11 +167,11 @@
 func run(t *testing.T, peer func() []byte, test func(t *testing.T, directory *store, s *Subscriber)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		directory := newStore()
+		directory, defaults := newStore(), loader.Defaults().Gateway
 		s := New(Options{
 			Directory: directory, FetchSnapshot: func(context.Context) ([]byte, error) { return peer(), nil },
-			Leader: func() string { return "" }, WatchWait: 2500 * time.Millisecond, PollInterval: 900 * time.Millisecond, LapseGrace: 2200 * time.Millisecond,
-			Logger: zap.NewNop(),
+			Leader: func() string { return "" }, WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval,
+			LapseGrace: defaults.LapseGrace, Logger: zap.NewNop(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		var group errgroup.Group
@@ -185,6 +203,22 @@
 	})
 }
 
+// TestDeafWatch guards against a configuration that comes late because the directory doesn't wake a waiting read: it has to
+// be in force within 2 s of its publication.
+func TestDeafWatch(t *testing.T) {
+	run(t, noPeer, func(t *testing.T, directory *store, s *Subscriber) {
+		directory.put(kernel.TopicPublication, "config", version(1))
+		time.Sleep(5 * time.Second)
+		directory.setDeaf(true)
+		for number := range int64(5) {
+			time.Sleep(time.Duration(number) * 300 * time.Millisecond)
+			directory.put(kernel.TopicPublication, "config", version(2+number))
+			time.Sleep(1500 * time.Millisecond)
+			assert.Equal(t, s.Plan().Version, 2+number)
+		}
+	})
+}
+
 // TestRegistrations guards against upstreams that leave being used, and against one that can't be read spoiling others.
 func TestRegistrations(t *testing.T) {
 	leaving := engine("a")
