Grant lapsed registrations their grace after any outage of the directory

Cause: while the publication can't be read the registrations aren't read either, so their own health never showed the outage and registrations that lapsed meanwhile were dropped at once (found by TestLapseDuringOutage). Change: the grace counts from the return of either topic. Ruled out: the shorter poll. Measured: TestLapseDuringOutage failed before, passes now.

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -214,8 +214,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	dropAt := time.Now()
-	if back := s.health[kernel.TopicUpstreams].since.Add(s.options.LapseGrace); back.After(dropAt) {
-		dropAt = back
+	for _, h := range s.health {
+		// An outage of one topic is one of the directory: the others may not have been read meanwhile.
+		if back := h.since.Add(s.options.LapseGrace); !h.failing && back.After(dropAt) {
+			dropAt = back
+		}
 	}
 	changed := false
 	report := func(err error) { s.logger.Warn("registration not usable", errorField(err)) }
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -19,10 +19,10 @@
 
 // store is a directory in memory. Its records are JSON of the kernel's types.
 type store struct {
-	mu      sync.Mutex
-	down    bool
+	mu   sync.Mutex
+	down bool
 	// deaf makes a waiting read return at the end of its wait only.
-	deaf bool
+	deaf    bool
 	first   [2]int64
 	records [2][]kernel.DirectoryRecord
 	changed chan struct{}
