--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -210,8 +210,8 @@
 		directory.put(kernel.TopicPublication, "config", version(1))
 		time.Sleep(5 * time.Second)
 		directory.setDeaf(true)
-		for number := range int64(5) {
-			time.Sleep(time.Duration(number) * 300 * time.Millisecond)
+		for number := range int64(12) {
+			time.Sleep(time.Duration(number) * 170 * time.Millisecond)
 			directory.put(kernel.TopicPublication, "config", version(2+number))
 			time.Sleep(1500 * time.Millisecond)
 			assert.Equal(t, s.Plan().Version, 2+number)
