Grant a router's part of the allowances only until half of the listed routers are known

Change: a scheduler that knows fewer than half of the routers listed in the directory grants one router's part; before the list is read, a thirty-second. Ruled out: a takeover by a running router, whose opening part is a third of the burst.

--- /dev/null
+++ b/internal/detector/grounded_test.go
@@ -0,0 +1,70 @@
+package detector
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/protocol"
+)
+
+// routerRecords is a VM list of n routers that can be read or not.
+type routerRecords struct {
+	n    int
+	down bool
+}
+
+type unreadError struct{}
+
+func (unreadError) Error() string { return "not to be read" }
+
+func (l routerRecords) VMs(context.Context) ([]kernel.VM, error) {
+	if l.down {
+		return nil, unreadError{}
+	}
+	vms := make([]kernel.VM, l.n)
+	for i := range vms {
+		vms[i] = kernel.VM{Address: fmt.Sprintf("10.0.0.%d:1", i+1), Role: RoleRouter, State: kernel.VMLive}
+	}
+	return vms, nil
+}
+
+// TestGrounded guards against routers that have all just started, each knowing only itself, and that together grant many
+// times what all may use.
+func TestGrounded(t *testing.T) {
+	cases := []struct {
+		name    string
+		list    kernel.VMListProtocol
+		members int
+		want    float64
+	}{
+		{"no list", nil, 0, 1},
+		{"list not read", routerRecords{down: true}, 0, 1.0 / unlistedRouters},
+		{"only itself of ten", routerRecords{n: 10}, 0, 0.1},
+		{"half of ten", routerRecords{n: 10}, 4, 1},
+		{"first of all", routerRecords{n: 1}, 0, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := New(Settings{Name: "r", Address: "10.0.0.1:1", VMList: c.list}, nil)
+				d.Ready()
+				if c.list != nil {
+					d.readVMList(t.Context())
+				}
+				for i := range c.members {
+					row := &protocol.Member{Name: fmt.Sprint("m", i), Address: "10.0.1.1:1", Incarnation: 1, State: alive}
+					_, err := d.Handle(t.Context(), &protocol.GossipRequest{From: row})
+					assert.NilError(t, err)
+				}
+				time.Sleep(time.Millisecond)
+				assert.Equal(t, d.View().Grounded(), c.want)
+			})
+		})
+	}
+}
--- a/internal/detector/table.go
+++ b/internal/detector/table.go
@@ -58,6 +58,7 @@
 		records:     make(map[string]*record),
 		convictions: make(map[uint64]*protocol.Conviction),
 		deltas:      newDeltas(),
+		vms:         vmHints{read: settings.VMList == nil},
 		started:     now,
 		lastTick:    now,
 		changed:     true,
--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -68,6 +68,24 @@
 	return float64(max(1, present)) / float64(known)
 }
 
+// unlistedRouters stands in for the number of routers while neither the VM list nor half of them are known.
+const unlistedRouters = 32
+
+// Grounded returns the part of what all routers may use together that one scheduler may grant: 1 if it knows at least half
+// of the listed routers, else one router's part. After many routers have started together each of them is the only
+// one that it knows, and all would grant the whole.
+func (v *View) Grounded() float64 {
+	known, present := v.counts()
+	switch {
+	case v.vms.read && 2*present >= len(v.vms.routers):
+		return 1
+	case v.vms.read:
+		return 1 / float64(max(1, known, len(v.vms.routers)))
+	default:
+		return 1 / float64(max(known, unlistedRouters))
+	}
+}
+
 // counts returns the number of members, without those that left as planned, and how many of them aren't dead.
 func (v *View) counts() (known, present int) {
 	for _, m := range v.Members {
--- a/internal/detector/vmlist.go
+++ b/internal/detector/vmlist.go
@@ -24,6 +24,8 @@
 	routers []string
 	// leaving holds addresses ("ip:port", or "ip" for a whole VM) that are leaving.
 	leaving map[string]bool
+	// read says that the list has been read, or that there is none.
+	read bool
 }
 
 // leaves says whether the VM of an address is leaving.
@@ -38,7 +40,7 @@
 // newVMHints converts the VM list. An address without a port gets the port of this router's own address.
 func newVMHints(vms []kernel.VM, ownAddress string) vmHints {
 	_, ownPort, _ := net.SplitHostPort(ownAddress)
-	hints := vmHints{leaving: make(map[string]bool)}
+	hints := vmHints{leaving: make(map[string]bool), read: true}
 	for _, vm := range vms {
 		if vm.State == kernel.VMLeaving {
 			hints.leaving[vm.Address] = true
@@ -57,7 +59,7 @@
 }
 
 func (h vmHints) equal(other vmHints) bool {
-	return slices.Equal(h.routers, other.routers) && maps.Equal(h.leaving, other.leaving)
+	return h.read == other.read && slices.Equal(h.routers, other.routers) && maps.Equal(h.leaving, other.leaving)
 }
 
 // pollVMList reads the VM list until ctx ends. While the list can't be read, the last one stays in use.
--- a/internal/runner/scheduler.go
+++ b/internal/runner/scheduler.go
@@ -60,6 +60,7 @@
 // allowanceKeeper is implemented by schedulers that bound what each workspace uses.
 type allowanceKeeper interface {
 	SetAllowances(allowances map[string]cataloguer.Allowance)
+	SetAllowanceShare(share float64)
 }
 
 // queueLimiter is implemented by schedulers whose queue limit can change while they run.
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -56,6 +56,9 @@
 
 // setShare limits the capacity that this scheduler uses while another one may use the same engines.
 func (c *cell) setShare(now time.Time) {
+	if keeper, ok := c.scheduler.(allowanceKeeper); ok {
+		keeper.SetAllowanceShare(c.runner.options.Members.View().Grounded())
+	}
 	share := c.wantedShare(now)
 	if share != c.share {
 		c.share = share
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -16,20 +16,21 @@
 
 // Scheduler holds the queue, the grants and the view of the engines of one pool cell.
 type Scheduler struct {
-	pool       string
-	settings   Settings
-	order      OrderPolicy
-	choose     EngineChoice
-	random     *rand.Rand
-	engines    *engineSet
-	buckets    []*bucket
-	requests   map[string]*request
-	holders    map[string]map[string]*request
-	weights    map[string]float64
-	works      map[string]cataloguer.Work
-	allowances map[string]cataloguer.Allowance
-	sequence   uint64
-	byTier     [tiers]int
+	pool           string
+	settings       Settings
+	order          OrderPolicy
+	choose         EngineChoice
+	random         *rand.Rand
+	engines        *engineSet
+	buckets        []*bucket
+	requests       map[string]*request
+	holders        map[string]map[string]*request
+	weights        map[string]float64
+	works          map[string]cataloguer.Work
+	allowanceShare float64
+	allowances     map[string]cataloguer.Allowance
+	sequence       uint64
+	byTier         [tiers]int
 	// deadlines orders the queued tickets that have a deadline by their latest start.
 	deadlines *indexedHeap[*request]
 	lengths   *estimator.Lengths
@@ -62,9 +63,9 @@
 	}
 	s := &Scheduler{
 		pool: pool, settings: settings, order: order, choose: choose,
-		limitShare: 1,
-		random:     rand.New(rand.NewPCG(settings.Seed, uint64(len(pool)))),
-		requests:   make(map[string]*request), holders: make(map[string]map[string]*request),
+		limitShare: 1, allowanceShare: 1,
+		random:   rand.New(rand.NewPCG(settings.Seed, uint64(len(pool)))),
+		requests: make(map[string]*request), holders: make(map[string]map[string]*request),
 		counters: Counters{Since: now, Refusals: make(map[string]int)},
 	}
 	s.engines = newEngineSet(&s.settings, s.random)
@@ -130,6 +131,9 @@
 	s.allowances = allowances
 }
 
+// SetAllowanceShare bounds the part of the allowances that this scheduler grants, besides its share of the capacity.
+func (s *Scheduler) SetAllowanceShare(share float64) { s.allowanceShare = share }
+
 // SetCapacityShare bounds the part of every engine's capacity that this scheduler uses: 1, or 1/members when a
 // router schedules alone.
 func (s *Scheduler) SetCapacityShare(share float64) {
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -81,7 +81,7 @@
 func (s *Scheduler) prepay(r *request, now time.Time) (wait time.Duration, ok bool) {
 	charge := float64(r.ticket.GetCharge())
 	workspace := r.ticket.GetWorkspace()
-	wait, ok = s.allowed.Take(now, workspace, s.allowances[workspace].Part(s.engines.share), charge)
+	wait, ok = s.allowed.Take(now, workspace, s.allowances[workspace].Part(s.engines.share*s.allowanceShare), charge)
 	if ok {
 		r.prepaid = charge
 	}
