--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -74,6 +74,7 @@
 	}
 	closers.add(closeLog)
 	r := &Router{settings: settings, logger: log, metrics: metrics.NewRegistry(), drain: make(chan struct{})}
+	r.countDroppedLines()
 	limitMemory(settings.Limits)
 	if r.listeners, err = listen(settings, closers); err != nil {
 		return nil, err
@@ -98,6 +99,18 @@
 	return r, r.registerSections()
 }
 
+// countDroppedLines shows the log lines that were not written among the metrics.
+func (r *Router) countDroppedLines() {
+	metrics.NewRegisteredFunctionalGauge("log.lines_dropped", r.metrics, func() int64 {
+		full, _ := r.logger.Dropped()
+		return full
+	})
+	metrics.NewRegisteredFunctionalGauge("log.lines_sampled", r.metrics, func() int64 {
+		_, sampled := r.logger.Dropped()
+		return sampled
+	})
+}
+
 // limitMemory makes the garbage collector keep to the settings' bound.
 func limitMemory(limits loader.Limits) {
 	if limits.MemoryMB > 0 {
