Host schedulers on the strongest VMs

Change: members tell the share of a core that their VM has; schedulers are ranked among those with at least half of the strongest, if there are three or more. Ruled out: smaller cells, which leave each scheduler as many holders.

--- a/internal/detector/settings.go
+++ b/internal/detector/settings.go
@@ -25,6 +25,8 @@
 	Name       string
 	Address    string
 	DataCentre string
+	// Processor is the share of a core that this VM gives the router, in thousandths; 0 if it isn't known.
+	Processor uint32
 	// Seeds are addresses to join through besides the VM list.
 	Seeds []string
 	// ProbeInterval is the time between probes; default 1 s.
--- a/internal/detector/table.go
+++ b/internal/detector/table.go
@@ -52,7 +52,7 @@
 	return &table{
 		settings: settings,
 		self: &protocol.Member{
-			Name: settings.Name, Address: settings.Address, DataCentre: settings.DataCentre,
+			Name: settings.Name, Address: settings.Address, DataCentre: settings.DataCentre, Processor: settings.Processor,
 			Incarnation: uint64(now.UnixMilli()), State: joining,
 		},
 		records:     make(map[string]*record),
@@ -245,7 +245,7 @@
 		state = leaving
 	}
 	return Member{
-		Name: m.GetName(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Incarnation: m.GetIncarnation(),
+		Name: m.GetName(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Processor: m.GetProcessor(), Incarnation: m.GetIncarnation(),
 		State: state, CatalogueRevision: m.GetCatalogueRevision(), CatalogueOffset: m.GetCatalogueOffset(),
 		Known: known.known, Left: known.left,
 	}
--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -11,6 +11,7 @@
 	Name              string
 	Address           string
 	DataCentre        string
+	Processor         uint32
 	Incarnation       uint64
 	State             protocol.MemberState
 	CatalogueRevision uint64
@@ -32,6 +33,7 @@
 	Convictions []*protocol.Conviction
 	vms         vmHints
 	ranked      []string
+	hosts       []string
 	byName      map[string]int
 }
 
@@ -40,6 +42,41 @@
 // rank as soon as their stream breaks.
 func (v *View) Ranked() []string { return v.ranked }
 
+// Hosts returns the members that may host schedulers: those of Ranked whose VMs are about as strong as the strongest, if
+// there are enough of them to take over from each other, else all. A scheduler on a weak VM is slow for all its holders.
+func (v *View) Hosts() []string { return v.hosts }
+
+const (
+	// hostShare is the part of the strongest VM's processor that a host has.
+	hostShare = 0.5
+	// minHosts is the number of strong VMs below which all members host: each pool's scheduler has two stand-ins.
+	minHosts = 3
+)
+
+// strongest returns the names of the ranked members that may host schedulers.
+func (v *View) strongest() []string {
+	var most uint32
+	for _, m := range v.Members {
+		if isRanked(m.State) {
+			most = max(most, m.Processor)
+		}
+	}
+	var hosts []string
+	for _, m := range v.Members {
+		if isRanked(m.State) && float64(m.Processor) >= hostShare*float64(most) {
+			hosts = append(hosts, m.Name)
+		}
+	}
+	if len(hosts) < minHosts {
+		return v.ranked
+	}
+	return hosts
+}
+
+func isRanked(state protocol.MemberState) bool {
+	return state == protocol.MemberState_MEMBER_STATE_ALIVE || state == protocol.MemberState_MEMBER_STATE_SUSPECT
+}
+
 // Member returns a member by name.
 func (v *View) Member(name string) (Member, bool) {
 	i, ok := v.byName[name]
@@ -109,9 +146,10 @@
 	}
 	for i, m := range members {
 		view.byName[m.Name] = i
-		if m.State == protocol.MemberState_MEMBER_STATE_ALIVE || m.State == protocol.MemberState_MEMBER_STATE_SUSPECT {
+		if isRanked(m.State) {
 			view.ranked = append(view.ranked, m.Name)
 		}
 	}
+	view.hosts = view.strongest()
 	return view
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -101,6 +101,8 @@
 	MaxWaiting int `yaml:"max_waiting" unit:"requests" min:"1" max:"1000000" help:"requests held at once; more are refused as overloaded"`
 	// MaxBodyBytes bounds the body of one request.
 	MaxBodyBytes int64 `yaml:"max_body_bytes" unit:"bytes" min:"1024" max:"67108864" help:"longest request body"`
+	// ProcessorShare is the share of a core that the VM gives the router.
+	ProcessorShare float64 `yaml:"processor_share" unit:"cores" min:"0" max:"1024" help:"share of a core that the VM gives this router; schedulers run on the strongest VMs; 0 means that it isn't known"`
 	// MemoryMB bounds the memory that the garbage collector lets grow; 0 means no bound.
 	MemoryMB int `yaml:"memory_mb" unit:"MB" min:"0" max:"1048576" help:"memory that garbage collection keeps to; 0 means no bound"`
 	// MaxHeaderBytes bounds the headers of one request.
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -71,7 +71,7 @@
 // holders that can't reach a running scheduler must not double the load of its engines.
 func (c *cell) wantedShare(now time.Time) float64 {
 	view, self := c.runner.options.Members.View(), c.runner.options.Self
-	top := ranker.Top(c.role, view.Ranked())
+	top := ranker.Top(c.role, view.Hosts())
 	rank := slices.Index(top, self)
 	switch {
 	case rank == 0 || len(top) == 0:
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -149,6 +149,7 @@
 	s := r.settings
 	r.detector = detector.New(detector.Settings{
 		Name: s.Name, Address: s.Peers.Advertise, DataCentre: s.DataCentre, Seeds: s.Peers.Seeds,
+		Processor:     uint32(s.Limits.ProcessorShare * 1000),
 		ProbeInterval: s.Membership.ProbeInterval, ProbeTimeout: s.Membership.ProbeTimeout,
 		SuspectTime: s.Membership.SuspectTimeout, VMList: options.vmList, VMListInterval: options.vmListInterval,
 		Logger: r.logger.Logger,
--- a/router/internal/assembler/template_test.go
+++ b/router/internal/assembler/template_test.go
@@ -64,7 +64,7 @@
 		"node_name": "frontend-a-1", "zone": "a", "ip": "10.0.0.1", "internal_ports.0": 7600,
 		"listen.frontend": "10.0.0.1:8221", "listen.readiness": "10.0.0.1:8224", "listen.control_plane": "10.0.0.1:8229",
 		"seed_nodes": []string{"10.0.0.1:8229", "10.0.0.2:8229"}, "platform.address": "10.0.1.1:8225",
-		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 129,
+		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 129, "limits.cpu_share": 0.272,
 	})
 	settings, err := loader.Parse("router.yaml", []byte(text))
 	assert.NilError(t, err)
