Name the figures in refusals over an allowance; note a try with spread bursts

Change: the refusal names rate, burst, charge and wait. Ruled out, tried and reverted: half of the burst granted over the window of 8 s, half at once.

--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"coltsfootplank/internal/isolator"
@@ -38,7 +39,9 @@
 		return
 	}
 	if wait, ok := s.prepay(r, now); !ok {
-		s.refuse(r, CodeAllowanceExceeded, "the workspace's allowance is used up", s.jitter(wait))
+		allowance := s.allowances[workspace].Part(s.engines.share * s.allowanceShare)
+		s.refuse(r, CodeAllowanceExceeded, fmt.Sprintf("the workspace's allowance is used up: %.0f a second and %.0f at once here, "+
+			"%d asked, enough in %d ms", allowance.Rate, allowance.Burst, ticket.GetCharge(), wait.Milliseconds()), s.jitter(wait))
 		return
 	}
 	if s.infeasible(r, now) {
