Remove decoded fields and maps that nothing reads

Cause: connection limits, start times and a map of workspaces were decoded and kept without a reader. Ruled out: bounding idle connections by the published limit: 16 idle connections to an upstream and router are never reached. Measured: tests of internal, platform and router pass.

--- a/internal/cataloguer/entries.go
+++ b/internal/cataloguer/entries.go
@@ -58,8 +58,6 @@
 	DesiredModel   string `yaml:"desired_model,omitempty"`
 	DesiredAdapter string `yaml:"desired_adapter,omitempty"`
 	DesiredRole    string `yaml:"desired_role,omitempty"`
-	// Started is when the upstream's process began, in ms since the epoch, if its registration says so.
-	Started int64 `yaml:"-"`
 }
 
 // Pool is a set of upstreams that can serve the same work. Protocol names the adapter plug-in.
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -106,8 +106,6 @@
 	Name string
 	// Model says that its upstreams are model engines.
 	Model bool
-	// ConnectionLimit bounds the connections that one upstream accepts from all routers together.
-	ConnectionLimit int
 	// KVTokens is the memory of one engine, in tokens.
 	KVTokens int
 	// TokensPerEvent is how many tokens an event of a stream holds; 0 if it isn't known.
@@ -148,8 +146,6 @@
 	Slots      int
 	// Leaving upstreams take no new work.
 	Leaving bool
-	// Started is when the upstream's process began, in ms since the epoch; 0 if it doesn't say.
-	Started int64
 }
 
 // Topic is one kind of record in the directory.
--- a/internal/subscriber/plan.go
+++ b/internal/subscriber/plan.go
@@ -15,10 +15,9 @@
 type Plan struct {
 	*kernel.Publication
 	// routes holds the routes of each host by their prefix.
-	routes     map[string]map[string]*kernel.Route
-	keys       map[string]*kernel.PublishedWorkspace
-	services   map[string]*kernel.PublishedService
-	workspaces map[string]*kernel.PublishedWorkspace
+	routes   map[string]map[string]*kernel.Route
+	keys     map[string]*kernel.PublishedWorkspace
+	services map[string]*kernel.PublishedService
 	// ranks are the urgencies of all pairs of a workspace and a route, the most urgent first.
 	ranks []urgency
 }
@@ -40,7 +39,6 @@
 		routes:      make(map[string]map[string]*kernel.Route),
 		keys:        make(map[string]*kernel.PublishedWorkspace),
 		services:    make(map[string]*kernel.PublishedService, len(publication.Services)),
-		workspaces:  make(map[string]*kernel.PublishedWorkspace, len(publication.Workspaces)),
 	}
 	for i := range publication.Routes {
 		route := &publication.Routes[i]
@@ -55,7 +53,6 @@
 	}
 	for i := range publication.Workspaces {
 		workspace := &publication.Workspaces[i]
-		plan.workspaces[workspace.Name] = workspace
 		for _, key := range workspace.Keys {
 			plan.keys[key] = workspace
 		}
@@ -146,7 +143,7 @@
 		pool := &catalogue.Pools[index]
 		pool.Upstreams = append(pool.Upstreams, cataloguer.Upstream{
 			Name: upstream.Name, Address: upstream.Address, DataCentre: upstream.DataCentre, Slots: upstream.Slots,
-			KVTokens: p.services[upstream.Service].KVTokens, Started: upstream.Started,
+			KVTokens: p.services[upstream.Service].KVTokens,
 		})
 	}
 	for _, workspace := range p.Workspaces {
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootplank/internal/kernel"
 )
 
@@ -24,7 +26,7 @@
 	}
 	data, err := json.Marshal(state)
 	if err != nil {
-		s.logger.Error("snapshot not encoded", errorField(err))
+		s.logger.Error("snapshot not encoded", zap.Error(err))
 		return nil, 0, 0
 	}
 	return data, s.version(), s.table.changed
@@ -47,7 +49,7 @@
 		one, err := s.table.apply(record, s.options.Directory.Registration, time.Now())
 		changed = changed || one
 		if err != nil {
-			s.logger.Warn("registration not usable", errorField(err))
+			s.logger.Warn("registration not usable", zap.Error(err))
 		}
 	}
 	if changed {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -223,7 +223,7 @@
 		}
 	}
 	changed := false
-	report := func(err error) { s.logger.Warn("registration not usable", errorField(err)) }
+	report := func(err error) { s.logger.Warn("registration not usable", zap.Error(err)) }
 	if whole {
 		changed = s.table.replace(page, s.options.Directory.Registration, dropAt, report)
 	} else {
@@ -244,7 +244,7 @@
 func (s *Subscriber) publish(record kernel.DirectoryRecord, source string) {
 	publication, err := s.options.Directory.Publication(record)
 	if err != nil {
-		s.logger.Error("publication not usable", errorField(err), zap.String("source", source))
+		s.logger.Error("publication not usable", zap.Error(err), zap.String("source", source))
 		return
 	}
 	if publication == nil {
@@ -314,7 +314,7 @@
 	defer s.mu.Unlock()
 	h := &s.health[topic]
 	if h.known && !h.failing {
-		s.logger.Warn("directory lost", zap.Stringer("topic", topic), errorField(err))
+		s.logger.Warn("directory lost", zap.Stringer("topic", topic), zap.Error(err))
 	}
 	if !h.failing {
 		*h = health{known: true, failing: true, since: time.Now()}
@@ -351,7 +351,7 @@
 			err = s.Adopt(data)
 		}
 		if err != nil && ctx.Err() == nil {
-			s.logger.Warn("peer's snapshot not taken over", errorField(err))
+			s.logger.Warn("peer's snapshot not taken over", zap.Error(err))
 		}
 	}
 }
@@ -368,5 +368,3 @@
 	case <-timer.C:
 	}
 }
-
-func errorField(err error) zap.Field { return zap.Error(err) }
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -132,7 +132,7 @@
 	version, offset := s.Revision()
 	err := s.options.Watch(ctx, leader, &protocol.WatchRequest{Revision: version, Offset: offset}, func(update *protocol.WatchUpdate) bool {
 		if err := s.take(update); err != nil {
-			s.logger.Warn("reader's update not taken over", zap.String("reader", leader), errorField(err))
+			s.logger.Warn("reader's update not taken over", zap.String("reader", leader), zap.Error(err))
 			return false
 		}
 		if !update.GetReading() || s.options.Leader() != leader {
@@ -142,7 +142,7 @@
 		return true
 	})
 	if s.setFollowing("") && ctx.Err() == nil {
-		s.logger.Info("reader lost", zap.String("reader", leader), errorField(err))
+		s.logger.Info("reader lost", zap.String("reader", leader), zap.Error(err))
 	}
 }
 
--- a/router/internal/assembler/catalogued.go
+++ b/router/internal/assembler/catalogued.go
@@ -60,8 +60,6 @@
 
 func (c *catalogued) PeerHandlers() messenger.Handlers { return c.peerHandlers() }
 
-func (c *catalogued) Catalogue() catalogueSource { return c.cataloguer }
-
 func (c *catalogued) Administrated() administrator.Catalogue { return c.cataloguer }
 
 func (c *catalogued) Ready() bool { return c.cataloguer.Current().Revision > 0 }
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -96,8 +96,6 @@
 	}
 }
 
-func (g *gateway) Catalogue() catalogueSource { return g.subscriber }
-
 // Administrated returns a catalogue that can't be edited: operators publish in the directory.
 func (g *gateway) Administrated() administrator.Catalogue { return readOnly{g.subscriber} }
 
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -126,8 +126,6 @@
 	Parts() []func(ctx context.Context) error
 	// PeerHandlers answers other routers.
 	PeerHandlers() messenger.Handlers
-	// Catalogue is the source of the pools.
-	Catalogue() catalogueSource
 	// Administrated is the catalogue of the administration API.
 	Administrated() administrator.Catalogue
 	// Sections are the state dump's.
