--- a/internal/detector/vmlist.go
+++ b/internal/detector/vmlist.go
@@ -15,6 +15,9 @@
 // vmPollInterval is the usual time between reads of the VM list, and that between failed ones.
 const vmPollInterval = time.Second
 
+// lonelyInterval is the longest time between reads of the VM list while no other member is known.
+const lonelyInterval = 5 * time.Second
+
 // RoleRouter is the role of routers in the VM list.
 const RoleRouter = "router"
 
@@ -76,6 +79,9 @@
 		if d.readVMList(ctx) {
 			pause = d.settings.VMListInterval
 		}
+		if len(d.View().Ranked()) <= 1 {
+			pause = min(pause, lonelyInterval)
+		}
 		timer.Reset(pause)
 	}
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -23,6 +23,9 @@
 	backoffMax = 1200 * time.Millisecond
 	// peerInterval is the time between requests for a peer's snapshot.
 	peerInterval = 500 * time.Millisecond
+	// readerWait is how long a router that has read all waits for another one to follow before it reads on by itself. It
+	// is well below the time in which a change must be in force.
+	readerWait = 1200 * time.Millisecond
 )
 
 // Sources of a change, for the log.
@@ -59,6 +62,8 @@
 	plan    atomic.Pointer[Plan]
 	current atomic.Pointer[cataloguer.Catalogue]
 
+	began time.Time
+
 	mu          sync.Mutex
 	publication kernel.DirectoryRecord
 	// packed is the publication as followers get it, nil until one needs it.
@@ -87,7 +92,7 @@
 func New(options Options) *Subscriber {
 	s := &Subscriber{
 		options: options, logger: options.Logger, table: newTable(), subscribers: make(map[int]func(*cataloguer.Catalogue)),
-		changed: make(chan struct{}), switched: make(chan struct{}),
+		changed: make(chan struct{}), switched: make(chan struct{}), began: time.Now(),
 	}
 	s.current.Store((&cataloguer.Catalogue{Offset: -1}).Index())
 	return s
@@ -190,9 +195,11 @@
 		s.succeeded(topic)
 		apply(page, whole)
 		next = page.Next
-		if !whole {
-			sleep(ctx, pause)
+		if whole {
+			s.awaitReader(ctx)
+			continue
 		}
+		sleep(ctx, pause)
 	}
 	return ctx.Err()
 }
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -176,6 +176,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var group errgroup.Group
 		group.Go(func() error { return s.Run(ctx) })
+		// A router that has just started waits for a moment for one to follow.
+		time.Sleep(2 * readerWait)
 		test(t, directory, s)
 		cancel()
 		assert.ErrorIs(t, group.Wait(), context.Canceled)
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -162,6 +162,25 @@
 	return true
 }
 
+// awaitReader waits for a moment until another router is followed, if there is one to follow.
+func (s *Subscriber) awaitReader(ctx context.Context) {
+	s.mu.Lock()
+	switched, following := s.switched, s.following != ""
+	s.mu.Unlock()
+	// A router that has just started doesn't know yet whom to follow.
+	joining := time.Since(s.began) < readerWait
+	if following || !joining && s.options.Leader() == "" {
+		return
+	}
+	timer := time.NewTimer(readerWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-switched:
+	case <-timer.C:
+	}
+}
+
 // awaitDirect waits until this router has to read the directory itself. It returns whether it had to wait.
 func (s *Subscriber) awaitDirect(ctx context.Context) bool {
 	waited := false
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,3 +150,32 @@
 		assert.Assert(t, !reading)
 	})
 }
+
+// countingStore counts one router's reads of changes.
+type countingStore struct {
+	*store
+	changes atomic.Int64
+}
+
+func (c *countingStore) Changes(ctx context.Context, topic kernel.Topic, from int64, wait time.Duration) (kernel.DirectoryPage, error) {
+	c.changes.Add(1)
+	return c.store.Changes(ctx, topic, from, wait)
+}
+
+// TestStart guards against a router that reads on by itself at its start, although it will follow another one at once.
+func TestStart(t *testing.T) {
+	runPair(t, func(t *testing.T, p *pair) {
+		own := &countingStore{store: p.shared}
+		options := p.follower.options
+		options.Directory = own
+		fresh := New(options)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return fresh.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, own.changes.Load(), int64(0))
+		assert.Equal(t, fresh.Plan().Version, int64(1))
+		cancel()
+		assert.ErrorIs(t, group.Wait(), context.Canceled)
+	})
+}
