Keep one copy of four things that the platform's form wrote again

Cause: the kinds of release that mean "not run" stood in the holder, the ticketer, the runner and the scheduler; the fingerprint of a request in the receiver and the forwarder; the loop that applies registrations in two places, with a decoder and a reporter passed down to the table; an allowance was computed for the decision and again for its message, and a pool's share of it for each workspace. Change: ReleaseKind.NotRun, isolator.Fingerprint and Subscriber.applyRecords serve all; prepay refuses by itself, as poisonous does; the number of hosts is that of the ranker's candidates. Behaviour is as before. Ruled out: one container for the subscribers of detector, cataloguer and subscriber: they notify under different locks.

--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/ranker"
 )
 
 // Member is one row of a view.
@@ -49,8 +50,8 @@
 const (
 	// hostShare is the part of the strongest VM's processor that a host has.
 	hostShare = 0.5
-	// minHosts is the number of strong VMs below which all members host: each pool's scheduler has two stand-ins.
-	minHosts = 3
+	// minHosts is the number of strong VMs below which all members host: those that accept a role's work.
+	minHosts = ranker.Candidates
 )
 
 // strongest returns the names of the ranked members that may host schedulers.
--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -8,11 +8,10 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/subscriber"
 )
@@ -138,7 +137,7 @@
 		Name: route.Name, Class: class(route), Tier: plan.Tier(route, workspace),
 		Pool: choose(route.Targets), Idempotent: route.Kind == kernel.RouteRepeatable || route.Resumable,
 	}
-	held.Fingerprint = x.fingerprint(held.Workspace)
+	held.Fingerprint = isolator.Fingerprint(x.body, held.Workspace, x.method, x.target)
 	x.service = held.Work.Pool
 	x.tokensPerEvent = plan.TokensPerEvent(x.service)
 	return held
@@ -183,18 +182,6 @@
 	return targets[len(targets)-1].Service
 }
 
-// fingerprint identifies a request by content, so that one that crashes upstreams is recognised when it comes again.
-func (x *exchange) fingerprint(workspace string) uint64 {
-	digest := xxhash.New()
-	for _, part := range []string{workspace, x.method, x.target} {
-		// A hash never returns a write error.
-		_, _ = digest.WriteString(part)
-		_, _ = digest.Write([]byte{0})
-	}
-	_, _ = digest.Write(x.body)
-	return digest.Sum64()
-}
-
 func invalid(message string) *holder.Refusal {
 	return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeInvalidRequest, Message: message}
 }
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -27,17 +27,6 @@
 	Seen    dispatcher.Observation
 }
 
-// notRun says whether the upstream certainly did not run the request.
-func (s Sent) notRun() bool {
-	switch s.Kind {
-	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE,
-		protocol.ReleaseKind_RELEASE_KIND_SHED:
-		return true
-	default:
-		return false
-	}
-}
-
 // exchange sends an opaque request under a grant; see dispatch for the results.
 func (h *Holder) exchange(ctx context.Context, request *Request, grant *protocol.Grant) (refusal *Refusal, sent bool) {
 	upstream := &cataloguer.Upstream{Name: grant.GetEngine(), Address: grant.GetAddress()}
@@ -55,10 +44,10 @@
 	h.record(request, recorder.Dispatched, upstream.Address)
 	result := request.Exchange.Send(ctx, upstream)
 	switch {
-	case result.notRun() && result.Refusal == nil:
+	case result.Kind.NotRun() && result.Refusal == nil:
 		h.requeue(request, grant, Dispatched, result.Kind)
 		return nil, false
-	case result.notRun():
+	case result.Kind.NotRun():
 		h.release(request, grant, result.Kind)
 		h.tickets.Cancel(request.ID)
 		request.state.move(Dispatched, NotRun)
--- a/internal/receiver/intake.go
+++ b/internal/receiver/intake.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/isolator"
 )
 
 // intake reads what all kinds of requests have in common. find names the kind of work; it runs after
@@ -44,7 +44,7 @@
 		return result, invalid("this kind of work needs an " + headerKey + " header")
 	}
 	result.Deadline, refusal = deadline(request.Header, work, arrived)
-	result.Fingerprint = fingerprint(workspace.Name, work.Name, body)
+	result.Fingerprint = isolator.Fingerprint(body, workspace.Name, work.Name)
 	return result, refusal
 }
 
@@ -69,16 +69,6 @@
 	return body, nil
 }
 
-// fingerprint identifies a request by content, so that a repeat of a poison request is recognised.
-func fingerprint(workspace, work string, body []byte) uint64 {
-	digest := xxhash.New()
-	for _, part := range [][]byte{[]byte(workspace), {0}, []byte(work), {0}, body} {
-		// A hash never returns a write error.
-		_, _ = digest.Write(part)
-	}
-	return digest.Sum64()
-}
-
 func unknownEntry() *holder.Refusal {
 	return &holder.Refusal{
 		Outcome: holder.OutcomeNotRun, Code: holder.CodeUnknownEntry,
--- a/internal/runner/catalogue.go
+++ b/internal/runner/catalogue.go
@@ -68,9 +68,10 @@
 	}
 	weights := make(map[string]float64, len(catalogue.Workspaces))
 	allowances := make(map[string]cataloguer.Allowance, len(catalogue.Workspaces))
+	share := allowanceShare(catalogue, part) / float64(cells)
 	for _, w := range catalogue.Workspaces {
 		weights[w.Name] = w.Weight
-		allowances[w.Name] = w.Allowance.Part(allowanceShare(catalogue, part) / float64(cells))
+		allowances[w.Name] = w.Allowance.Part(share)
 	}
 	works := make(map[string]cataloguer.Work)
 	for _, w := range catalogue.Works {
--- a/internal/runner/holder.go
+++ b/internal/runner/holder.go
@@ -172,11 +172,8 @@
 // withdraw takes the ticket of an unused grant out of the queue, where the scheduler has put it back: a holder that
 // still waits sends the ticket again as its next attempt.
 func (c *cell) withdraw(now time.Time, holder string, release *protocol.Release) {
-	switch release.GetKind() {
-	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE,
-		protocol.ReleaseKind_RELEASE_KIND_SHED:
+	if release.GetKind().NotRun() {
 		c.scheduler.Cancel(now, holder, release.GetRequestId())
-	default:
 	}
 }
 
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -38,10 +38,7 @@
 	if s.poisonous(r, now) {
 		return
 	}
-	if wait, ok := s.prepay(r, now); !ok {
-		allowance := s.allowances[workspace].Part(s.engines.share * s.allowanceShare)
-		s.refuse(r, CodeAllowanceExceeded, fmt.Sprintf("the workspace's allowance is used up: %.0f a second and %.0f at once here, "+
-			"%d asked, enough in %d ms", allowance.Rate, allowance.Burst, ticket.GetCharge(), wait.Milliseconds()), s.jitter(wait))
+	if !s.prepay(r, now) {
 		return
 	}
 	if s.infeasible(r, now) {
@@ -79,16 +76,19 @@
 	return r
 }
 
-// prepay takes the request's charge from its workspace's allowance, or returns how long until it suffices. A scheduler
-// that uses only a share of the capacity grants only that share of the allowance.
-func (s *Scheduler) prepay(r *request, now time.Time) (wait time.Duration, ok bool) {
-	charge := float64(r.ticket.GetCharge())
-	workspace := r.ticket.GetWorkspace()
-	wait, ok = s.allowed.Take(now, workspace, s.allowances[workspace].Part(s.engines.share*s.allowanceShare), charge)
-	if ok {
-		r.prepaid = charge
-	}
-	return wait, ok
+// prepay takes the request's charge from its workspace's allowance, or refuses the request. A scheduler that uses only a share
+// of the capacity grants only that share of the allowance.
+func (s *Scheduler) prepay(r *request, now time.Time) bool {
+	charge, workspace := float64(r.ticket.GetCharge()), r.ticket.GetWorkspace()
+	allowance := s.allowances[workspace].Part(s.engines.share * s.allowanceShare)
+	wait, ok := s.allowed.Take(now, workspace, allowance, charge)
+	if !ok {
+		s.refuse(r, CodeAllowanceExceeded, fmt.Sprintf("the workspace's allowance is used up: %.0f a second and %.0f at once here, "+
+			"%.0f asked, enough in %d ms", allowance.Rate, allowance.Burst, charge, wait.Milliseconds()), s.jitter(wait))
+		return false
+	}
+	r.prepaid = charge
+	return true
 }
 
 // estimate sets the expected lengths and the class of a request.
@@ -159,14 +159,13 @@
 	if r == nil {
 		return
 	}
-	switch release.GetKind() {
-	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE,
-		protocol.ReleaseKind_RELEASE_KIND_SHED:
+	switch kind := release.GetKind(); {
+	case kind.NotRun():
 		s.refund(r)
 		r.prepaid = float64(r.ticket.GetCharge())
 		s.endGrant(r, now)
 		s.enqueue(r)
-	case protocol.ReleaseKind_RELEASE_KIND_FAILED, protocol.ReleaseKind_RELEASE_KIND_LOST:
+	case kind == protocol.ReleaseKind_RELEASE_KIND_FAILED, kind == protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.retries.Failed(now, r.ticket.GetFingerprint())
 		s.settle(r, release)
 		s.forgetRequest(r)
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -44,15 +44,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := false
-	for _, record := range state.Upstreams {
-		one, err := s.table.apply(record, s.options.Directory.Registration, time.Now())
-		changed = changed || one
-		if err != nil {
-			s.logger.Warn("registration not usable", zap.Error(err))
-		}
-	}
-	if changed {
+	if s.applyRecords(state.Upstreams, time.Now()) {
 		s.rebuild(sourcePeer)
 	}
 	return nil
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -229,24 +229,28 @@
 			dropAt = back
 		}
 	}
-	changed := false
-	report := func(err error) { s.logger.Warn("registration not usable", zap.Error(err)) }
+	changed := s.applyRecords(page.Records, dropAt)
 	if whole {
-		changed = s.table.replace(page, s.options.Directory.Registration, dropAt, report)
-	} else {
-		for _, record := range page.Records {
-			one, err := s.table.apply(record, s.options.Directory.Registration, dropAt)
-			changed = changed || one
-			if err != nil {
-				report(err)
-			}
-		}
+		changed = s.table.dropMissing(page, dropAt) || changed
 	}
 	if changed || whole && s.plan.Load() != nil {
 		s.rebuild(sourceDirectory)
 	}
 }
 
+// applyRecords applies registrations and returns whether the usable upstreams may have changed.
+func (s *Subscriber) applyRecords(records []kernel.DirectoryRecord, dropAt time.Time) bool {
+	changed := false
+	for _, record := range records {
+		one, err := s.table.apply(record, s.options.Directory.Registration, dropAt)
+		changed = changed || one
+		if err != nil {
+			s.logger.Warn("registration not usable", zap.Error(err))
+		}
+	}
+	return changed
+}
+
 // publish makes a publication current if it is newer than the current one.
 func (s *Subscriber) publish(record kernel.DirectoryRecord, source string) {
 	publication, err := s.options.Directory.Publication(record)
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -77,17 +77,12 @@
 	return true
 }
 
-// replace takes the newest records of all keys as of an offset: what isn't among them has been dropped.
-func (t *table) replace(page kernel.DirectoryPage, decode func(kernel.DirectoryRecord) (kernel.Registration, error), dropAt time.Time, report func(error)) bool {
+// dropMissing drops what isn't among the newest records of all keys as of an offset.
+func (t *table) dropMissing(page kernel.DirectoryPage, dropAt time.Time) bool {
 	changed := false
 	present := make(map[string]bool, len(page.Records))
 	for _, record := range page.Records {
 		present[record.Key] = true
-		one, err := t.apply(record, decode, dropAt)
-		changed = changed || one
-		if err != nil {
-			report(err)
-		}
 	}
 	for key, known := range t.entries {
 		if !present[key] && known.record.Offset < page.Next && known.dropAt.IsZero() {
--- a/internal/ticketer/ticketer.go
+++ b/internal/ticketer/ticketer.go
@@ -141,18 +141,16 @@
 		return
 	}
 	t.giveBack(now, tk, release)
-	switch release.GetKind() {
-	case protocol.ReleaseKind_RELEASE_KIND_UNUSED, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE,
-		protocol.ReleaseKind_RELEASE_KIND_SHED:
-		tk.granted, tk.engine, tk.session = false, "", nil
-		if !t.chooseCell(tk) {
-			t.later(t.refuse(tk, codeNoUpstream, "the pool is not in the catalogue"))
-			return
-		}
-		t.later(t.send(now, tk, t.pick(now, tk.role))...)
-	default:
+	if !release.GetKind().NotRun() {
 		delete(t.tickets, release.GetRequestId())
+		return
+	}
+	tk.granted, tk.engine, tk.session = false, "", nil
+	if !t.chooseCell(tk) {
+		t.later(t.refuse(tk, codeNoUpstream, "the pool is not in the catalogue"))
+		return
 	}
+	t.later(t.send(now, tk, t.pick(now, tk.role))...)
 }
 
 // giveBack sends the release of a ticket's grant if the link to its scheduler still exists, and to those that adopted it.
