--- a/internal/protocol/release.go
+++ b/internal/protocol/release.go
@@ -1,3 +1,4 @@
+// Package protocol holds the messages between routers and of the administration API, generated but for this file.
 package protocol
 
 // NotRun says whether the release states that the request did not run, so that it may wait for another grant.
