Take two races out of the engine stand-in's tests

TestBatchTiming failed in each run of -count=30: the first step could begin between two submissions. Ruled out: a fault left over from another test, since each test has its own table. Now the prefixes are added under the lock, and the streams arrive within the step of another one.

--- a/standin/internal/generator/engine_test.go
+++ b/standin/internal/generator/engine_test.go
@@ -41,6 +41,13 @@
 	return kernel.GenerateRequest{StreamID: id, PromptTokens: prompt, MaxTokens: tokens, PrefixHashes: hashes}
 }
 
+// addPrefix adds a cached prefix of one token while the engine's steps go on.
+func addPrefix(e *Engine, hash uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inst.cache.add(prefix{hash: hash, tokens: 1, cost: 1})
+}
+
 // finish waits for the end of a stream and returns the time that passed.
 func finish(t *testing.T, e *Engine, s *stream) time.Duration {
 	t.Helper()
@@ -62,10 +69,14 @@
 // isn't first in first out, and against prefill time that ignores the prompt's length.
 func TestBatchTiming(t *testing.T) {
 	runEngine(t, testSettings(), func(t *testing.T, e *Engine) {
+		// The others arrive during the only step of this one, so that they are planned together.
+		lead := submit(t, e, request("lead", 0, 1))
+		synctest.Wait()
 		first := submit(t, e, request("a", 0, 10))
 		second := submit(t, e, request("b", 0, 10))
 		third := submit(t, e, request("c", 0, 10))
 		fourth := submit(t, e, request("d", 0, 1))
+		assert.Equal(t, finish(t, e, lead), 10*time.Millisecond)
 		assert.Equal(t, finish(t, e, first), 100*time.Millisecond)
 		assert.Equal(t, finish(t, e, second), time.Duration(0))
 		assert.Equal(t, finish(t, e, fourth), 10*time.Millisecond)
@@ -165,9 +176,9 @@
 		assert.Equal(t, len(e.inst.events.page(0).Events), 1)
 
 		assert.NilError(t, e.table.Set(FaultLoseCacheEvents, faulter.Value{}, 0))
-		e.inst.cache.add(prefix{hash: 8, tokens: 1, cost: 1})
+		addPrefix(e, 8)
 		e.table.Clear(FaultLoseCacheEvents)
-		e.inst.cache.add(prefix{hash: 9, tokens: 1, cost: 1})
+		addPrefix(e, 9)
 		time.Sleep(time.Second)
 		page := e.inst.events.page(1)
 		assert.DeepEqual(t, page.Events, []kernel.CacheEvent{{Seq: 3, Kind: kernel.CacheStored, Hash: 9}})
