Poll engines only from routers that are ranked for their scheduler

Cause: after a common start or kill each router knows no other one for seconds, schedules its own requests and polled all engines each second until its cell retired. Without reports a lone scheduler learns from the outcomes of its own requests.

--- a/internal/runner/catalogue.go
+++ b/internal/runner/catalogue.go
@@ -49,6 +49,7 @@
 		c.applyCatalogue(now, current)
 	}
 	c.applyView(now)
+	c.startPolls()
 }
 
 func (c *cell) applyCatalogue(now time.Time, catalogue *cataloguer.Catalogue) {
@@ -90,7 +91,7 @@
 		keeper.SetAllowances(allowances)
 	}
 	c.scheduler.SetEngines(now, infos)
-	c.pollEngines(part)
+	c.setEngines(part)
 }
 
 // plainShare is the part of a workspace's allowance that the pools of plain services may use together where there are
--- a/internal/runner/cell.go
+++ b/internal/runner/cell.go
@@ -38,9 +38,11 @@
 	inbox   []func(now time.Time)
 	retired bool
 
-	scheduler   Scheduler
-	holders     map[string]*holder
-	engines     map[string]*engine
+	scheduler Scheduler
+	holders   map[string]*holder
+	engines   map[string]*engine
+	// opaque says that the pool's upstreams are sent opaque requests.
+	opaque      bool
 	convictions []*protocol.Conviction
 	catalogue   *cataloguer.Catalogue
 	readyAt     time.Time
--- a/internal/runner/cell_test.go
+++ b/internal/runner/cell_test.go
@@ -58,6 +58,25 @@
 	})
 }
 
+// TestLonePolls guards against a router that polls all engines while it knows no other router and schedules only for
+// itself: after a common start each router would.
+func TestLonePolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		catalogue := catalogueOf(2, "chat")
+		catalogue.current.Pools[0].Opaque, catalogue.current.Pools[0].Model = true, true
+		f := newFabric(t, 1, catalogue)
+		time.Sleep(337 * time.Millisecond)
+		const lone = "lone"
+		f.cut("a", lone, true)
+		f.cut(lone, "a", true)
+		started := f.start(lone, catalogue)
+		grantedOnce(t, waitGranted(t, started.submit("chat", 0, 1)))
+		time.Sleep(joinTime - time.Second)
+		started.inspect(func(f *fifo) { assert.Equal(t, f.loads["chat-engine"], 0) })
+		f.nodes["a"].inspect(func(f *fifo) { assert.Assert(t, f.loads["chat-engine"] > 0, "the first rank polls") })
+	})
+}
+
 // inspect calls look in the goroutine of the router's only cell.
 func (n *node) inspect(look func(f *fifo)) {
 	done := make(chan struct{})
--- a/internal/runner/engine.go
+++ b/internal/runner/engine.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/ranker"
 )
 
 const (
@@ -17,20 +19,25 @@
 	pollTimeout = 800 * time.Millisecond
 )
 
-// engine is one upstream that the cell polls.
+// engine is one upstream of the cell.
 type engine struct {
 	address  string
 	protocol string
-	cancel   context.CancelFunc
-	leaving  bool
-	// reported is set by the first load report, successful or not.
+	// cancel ends the polling; nil while the engine isn't polled.
+	cancel  context.CancelFunc
+	leaving bool
+	// reported is set by the first load report, successful or not, and from the start if none is awaited.
 	reported bool
 }
 
-// pollEngines starts and stops the polling of upstreams after a catalogue change.
-func (c *cell) pollEngines(pool cataloguer.Pool) {
+// setEngines takes over the upstreams of a catalogue and polls them if this cell polls.
+func (c *cell) setEngines(pool cataloguer.Pool) {
+	c.opaque = pool.Opaque
 	if pool.Opaque {
-		pool.Protocol = c.runner.options.Reporter
+		pool.Protocol = ""
+		if pool.Model {
+			pool.Protocol = c.runner.options.Reporter
+		}
 	}
 	wanted := make(map[string]cataloguer.Upstream, len(pool.Upstreams))
 	for _, u := range pool.Upstreams {
@@ -45,14 +52,29 @@
 		if c.engines[name] != nil {
 			continue
 		}
-		ctx, cancel := context.WithCancel(c.runner.ctx)
-		e := &engine{address: u.Address, protocol: pool.Protocol, cancel: cancel}
-		c.engines[name] = e
-		if pool.Opaque && (!pool.Model || pool.Protocol == "") {
-			// Nothing reports the load; the outcomes of the requests have to do.
-			e.reported = true
+		c.engines[name] = &engine{address: u.Address, protocol: pool.Protocol, reported: true}
+	}
+	c.startPolls()
+}
+
+// polls says whether the cell reads load reports. A router that isn't ranked for the cell, or knows few others yet,
+// schedules its own requests only. After a common start all routers do, and each would poll all engines.
+func (c *cell) polls() bool {
+	r := c.runner
+	return !c.opaque || !r.joining() && slices.Contains(ranker.Top(c.role, r.options.Members.View().Hosts()), r.options.Self)
+}
+
+// startPolls begins to poll the engines that aren't polled yet and report their load.
+func (c *cell) startPolls() {
+	if !c.polls() {
+		return
+	}
+	for name, e := range c.engines {
+		if e.cancel != nil || c.opaque && e.protocol == "" {
 			continue
 		}
+		ctx, cancel := context.WithCancel(c.runner.ctx)
+		e.cancel, e.reported = cancel, false
 		c.unreported++
 		c.runner.spawn(func() { c.poll(ctx, name, e) })
 	}
@@ -60,7 +82,9 @@
 
 func (c *cell) closeEngine(name string) {
 	e := c.engines[name]
-	e.cancel()
+	if e.cancel != nil {
+		e.cancel()
+	}
 	if !e.reported {
 		c.unreported--
 	}
--- a/internal/runner/fabric_test.go
+++ b/internal/runner/fabric_test.go
@@ -84,7 +84,7 @@
 		seeds = append(seeds, other)
 	}
 	n.detector = detector.New(detector.Settings{Name: name, Address: name, Seeds: seeds, VMList: end{f, name}}, end{f, name})
-	n.runner = New(Options{Self: name, Members: n.detector, Catalogue: catalogue, Factory: n.factory})
+	n.runner = New(Options{Self: name, Members: n.detector, Catalogue: catalogue, Factory: n.factory, Reporter: "fake"})
 	n.ticketer = ticketer.New(ticketer.Options{
 		Self: name, Incarnation: uint64(time.Now().UnixMilli()), Members: n.detector, Catalogue: catalogue,
 		Remote: end{f, name}, Local: n.runner,
--- a/internal/runner/fifo_test.go
+++ b/internal/runner/fifo_test.go
@@ -125,6 +125,9 @@
 	kernel.Engines.Register("fake", func(string) (kernel.EngineProtocol, func(), error) {
 		return fakeEngine{}, func() {}, nil
 	})
+	kernel.Reporters.Register("fake", func(string) (kernel.Reporter, func(), error) {
+		return fakeEngine{}, func() {}, nil
+	})
 }
 
 // fixedCatalogue is a catalogue whose value a test may replace.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -86,10 +86,8 @@
 // catalogue.
 func (r *Runner) review() {
 	view, catalogue := r.options.Members.View(), r.options.Catalogue.Current()
-	// A router that has just started knows few others; it would host, and poll, what others are ranked first for.
-	joining := time.Since(r.started) < joinTime
 	for _, pool := range catalogue.Pools {
-		if joining {
+		if r.joining() {
 			break
 		}
 		for index := range ranker.Cells(len(pool.Upstreams), r.options.CellEngines) {
@@ -104,6 +102,9 @@
 	}
 }
 
+// joining says that this router has just started and may know few others: it would host what others are ranked first for.
+func (r *Runner) joining() bool { return time.Since(r.started) < joinTime }
+
 // all returns the running cells, sorted by role.
 func (r *Runner) all() []*cell {
 	r.mu.Lock()
