Grant long answers only engines that complete twice their estimate in time

The deadline check trusted the estimate. Ruled out: slow prefills (the cut streams began within 0.5 s). The line 'answer passed on' now has both declared lengths. Test: scheduler.TestOutputMargin, red without the margin.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -98,6 +98,7 @@
 		f.sample("first_byte_ms", x.firstByte)
 		f.options.Logger.Info("answer passed on", zap.String("request_id", x.held.ID), zap.String("work", x.route.Name),
 			zap.String("upstream", x.upstream), zap.Int("sends", x.sends), zap.Int("prompt_tokens", x.envelope.PromptTokens),
+			zap.Int("max_output_tokens", x.envelope.OutputTokens), zap.Int("estimated_output_tokens", x.envelope.OutputEstimate),
 			zap.Int("events", x.events), zap.Int64("wait_ms", x.waited.Milliseconds()),
 			zap.Int64("first_byte_ms", x.firstByte.Milliseconds()), zap.Int64("objective_ms", x.route.Objective.Milliseconds()),
 			zap.Int64("longest_pause_ms", x.longestPause.Milliseconds()), zap.Int64("total_ms", total.Milliseconds()),
--- a/internal/scheduler/deadlines.go
+++ b/internal/scheduler/deadlines.go
@@ -64,15 +64,26 @@
 
 // meets says whether the answer should begin and be complete in time if the request is granted at now.
 func (e *engine) meets(r *request, now time.Time) bool {
-	if !r.deadline.IsZero() && now.Add(seconds(e.runSeconds(r, now))).After(r.deadline) {
+	if !r.deadline.IsZero() && now.Add(seconds(e.runSeconds(r, r.safeOutput, now))).After(r.deadline) {
 		return false
 	}
 	return r.startBy.IsZero() || !now.Add(seconds(e.prefillAhead(now)+e.prefillTime(r))).After(r.startBy)
 }
 
-// runSeconds is the expected time until the answer is complete if the request is granted at now.
-func (e *engine) runSeconds(r *request, now time.Time) float64 {
-	return e.prefillAhead(now) + e.prefillTime(r) + r.output/e.tokenSpeed()
+// runSeconds is the expected time until an output of some tokens is complete if the request is granted at now.
+func (e *engine) runSeconds(r *request, output float64, now time.Time) float64 {
+	return e.prefillAhead(now) + e.prefillTime(r) + output/e.tokenSpeed()
+}
+
+// reachableShare is the part of its time in which the fastest engine has to generate an output: the request may wait
+// before, behind other prefills too.
+const reachableShare = 0.85
+
+// safeOutput is the output in tokens that must fit before the deadline: the expected one with the margin for its error,
+// unless even the fastest engine is too slow for that.
+func (s *engineSet) safeOutput(r *request, left time.Duration) float64 {
+	reachable := (left.Seconds() - s.bestFirst(r)) * s.speeds.bestTokens * reachableShare
+	return max(r.output, min(r.output*s.settings.OutputMargin, reachable))
 }
 
 // bestSeconds is the shortest run on the fastest engines, in seconds.
--- a/internal/scheduler/deadlines_test.go
+++ b/internal/scheduler/deadlines_test.go
@@ -99,6 +99,38 @@
 	assert.Equal(t, refusals[0].Code, CodeDeadlineInfeasible)
 }
 
+// TestOutputMargin guards against a long answer on an engine that completes it in time only if the estimate of its length
+// is exact, and against a margin that no engine of the pool can keep.
+func TestOutputMargin(t *testing.T) {
+	cases := []struct {
+		name    string
+		engines []EngineInfo
+		want    string
+	}{
+		{"fast one there", []EngineInfo{{Name: "fast", TokensPerSec: 40}, {Name: "slow", TokensPerSec: 20}}, "fast"},
+		{"none fast enough for the margin", []EngineInfo{{Name: "medium", TokensPerSec: 25}, {Name: "slow", TokensPerSec: 18}}, "medium"},
+	}
+	for _, k := range cases {
+		c := newCell(0, 0, func(s *Settings) { s.OutputMargin = 2 })
+		for i := range k.engines {
+			// The slow engine has the shorter way to the first token.
+			k.engines[i].Slots, k.engines[i].PrefillPerSec = 1, float64(4000*(i+1))
+		}
+		c.SetEngines(c.now, k.engines)
+		ticket := c.ticket(0, "a")
+		ticket.DeadlineMs = 6000
+		c.Submit(c.now, "h", ticket)
+		grants, _ := c.step()
+		assert.Equal(t, len(grants), 1, k.name)
+		assert.Equal(t, grants[0].Engine, k.want, k.name)
+		waiting := c.ticket(0, "a")
+		waiting.DeadlineMs = 6000
+		c.Submit(c.now, "h", waiting)
+		grants, _ = c.step()
+		assert.Equal(t, len(grants), 0, "%s: waits for the engine that is fast enough", k.name)
+	}
+}
+
 // TestLateTicketHoldsUpNobody guards against lower tiers that take the engines while the oldest ticket of a higher
 // tier is too late for the open ones, and against losing the ticket that was passed over.
 func TestLateTicketHoldsUpNobody(t *testing.T) {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -164,7 +164,7 @@
 	e.granted[r.ticket.GetRequestId()] = r
 	e.tokens += r.tokens()
 	r.prefillAhead = e.prefillAhead(now)
-	r.expectedRun = e.runSeconds(r, now)
+	r.expectedRun = e.runSeconds(r, r.output, now)
 	r.alone = r.class == classAlone && e.foreign == 0
 	r.prefillWork, r.decodeWork = e.prefillTime(r), e.decodeTime(r)
 	if e.prefillUntil.Before(now) {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -43,7 +43,9 @@
 	// declared is the output length that the ticket or the catalogue states.
 	declared float64
 	output   float64
-	seconds  float64
+	// safeOutput is the output that must fit before the deadline.
+	safeOutput float64
+	seconds    float64
 
 	account       *account
 	lane          *lane
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -41,6 +41,9 @@
 	// PrefillSample is the smallest uncached prompt, in tokens, from which a prefill speed is learnt; below it other times
 	// dominate.
 	PrefillSample int
+	// OutputMargin times the expected output must fit before the deadline on the engine of a grant, or as much of it as
+	// the fastest engine generates by then. Estimates of outputs are off by a factor.
+	OutputMargin float64
 	// StragglerRatio of an engine's own baseline speed is the speed below which it is excluded.
 	StragglerRatio float64
 	// StragglerCap bounds the share of the pool's engines that are excluded or returning.
@@ -97,6 +100,7 @@
 			Ratio: 0.2, PerSecond: 0.5, Burst: 20, Memory: time.Minute, Entries: 4096,
 		},
 		PrefillSample:   64,
+		OutputMargin:    1,
 		StragglerRatio:  0.5,
 		StragglerCap:    0.34,
 		ProbeAfter:      5 * time.Second,
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -63,6 +63,7 @@
 	if ticket.GetDeadlineMs() > 0 {
 		r.deadline = now.Add(time.Duration(ticket.GetDeadlineMs()) * time.Millisecond)
 		r.latestStart = r.deadline.Add(-seconds(s.engines.bestSeconds(r)))
+		r.safeOutput = s.engines.safeOutput(r, r.deadline.Sub(now))
 	}
 	r.stall = stallShare * float64(ticket.GetPauseMs()) / 1000
 	r.fastestPrefill = s.engines.bestFirst(r)
