Learn output speeds from long answers only

Cause: an event holds several tokens, and those of the first one come without the time that they took: an answer of one event of 11 tokens seemed to be generated at 11,000 tokens a second, and raised the speed of its engine. Test: scheduler.TestOutputSample, red with the constant (22,000 tokens a second).

--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -28,6 +28,7 @@
 			DefaultTokensPerSecond:  40,
 			DefaultOutputTokens:     128,
 			PrefillSample:           64,
+			OutputSample:            8,
 			OutputMargin:            1,
 			RetryAfterMin:           200 * time.Millisecond,
 			RetryAfterMax:           60 * time.Second,
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -34,6 +34,8 @@
 	DefaultTokensPerSecond float64 `yaml:"default_tokens_per_second" unit:"tokens per second" min:"0.1" max:"100000" help:"output speed of one stream on an engine that the catalogue states none for"`
 	// PrefillSample is the smallest prompt that teaches a prefill speed.
 	PrefillSample int `yaml:"prefill_sample" unit:"tokens" min:"1" max:"1000000" help:"smallest uncached prompt from which an engine's prefill speed is learnt"`
+	// OutputSample is the smallest output that teaches an output speed.
+	OutputSample int `yaml:"output_sample" unit:"tokens" min:"1" max:"1000000" help:"smallest output from which an engine's output speed is learnt"`
 	// OutputMargin covers the error of output estimates.
 	OutputMargin float64 `yaml:"output_margin" unit:"factor" min:"1" max:"10" help:"multiple of the expected output that the engine of a grant must generate by the deadline, if any engine does"`
 	// DefaultOutputTokens stands in for work without an expected length.
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -10,10 +10,6 @@
 // failuresToExclude is the number of failed polls after which an engine is down. One poll may be lost.
 const failuresToExclude = 2
 
-// minOutputSample is the smallest output, in tokens, from which a speed is learnt; below it latencies of the network
-// dominate.
-const minOutputSample = 8
-
 // ObserveLoad takes an engine's load report, or the error of the poll.
 func (s *Scheduler) ObserveLoad(now time.Time, engine string, report kernel.LoadReport, err error) {
 	s.at(now)
@@ -103,7 +99,7 @@
 		e.prefill.Observe(uncached/max(first-r.prefillAhead, first/4), s.settings.StragglerRatio)
 	}
 	decode := float64(release.GetTotalMs()-release.GetFirstTokenMs()) / 1000
-	if output := float64(release.GetOutputTokens()); output >= minOutputSample && decode > 0 {
+	if output := float64(release.GetOutputTokens()); output >= float64(s.settings.OutputSample) && decode > 0 {
 		e.decode.Observe(output/decode, s.settings.StragglerRatio)
 		s.engines.judge(e, r, now, output/decode)
 	} else {
--- a/internal/scheduler/observe_test.go
+++ b/internal/scheduler/observe_test.go
@@ -17,6 +17,24 @@
 		FirstTokenMs: 25, TotalMs: 25 + 100_000/speed})
 }
 
+// TestOutputSample guards against an output speed learnt from answers so short that all their tokens came with the first
+// event: an engine would seem to complete any answer in time.
+func TestOutputSample(t *testing.T) {
+	c := newCell(1, 1, func(s *Settings) { s.OutputSample = 128 })
+	for _, k := range []struct {
+		tokens uint32
+		ms     int64
+		want   float64
+	}{{22, 1, 40}, {128, 6400, 20}} {
+		c.submit(1, 0, "a")
+		grants, _ := c.step()
+		c.Release(c.now, "h", &protocol.Release{RequestId: grants[0].RequestId, Engine: grants[0].Engine,
+			Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED, PromptTokens: 100, OutputTokens: k.tokens,
+			FirstTokenMs: 25, TotalMs: 25 + k.ms})
+		assert.Equal(t, c.engines.list[0].tokenSpeed(), k.want, "%d tokens", k.tokens)
+	}
+}
+
 // TestStraggler guards against work on an engine that became slow, against excluding more than the cap, against
 // excluding engines when load slows the whole pool, and against a return at full load.
 func TestStraggler(t *testing.T) {
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -41,6 +41,9 @@
 	// PrefillSample is the smallest uncached prompt, in tokens, from which a prefill speed is learnt; below it other times
 	// dominate.
 	PrefillSample int
+	// OutputSample is the smallest output, in tokens, from which an output speed is learnt; below it latencies of the network
+	// dominate. Where an event holds several tokens, those of the first one come without the time that they took.
+	OutputSample int
 	// OutputMargin times the expected output must fit before the deadline on the engine of a grant, or as much of it as
 	// the fastest engine generates by then. Estimates of outputs are off by a factor.
 	OutputMargin float64
@@ -100,6 +103,7 @@
 			Ratio: 0.2, PerSecond: 0.5, Burst: 20, Memory: time.Minute, Entries: 4096,
 		},
 		PrefillSample:   64,
+		OutputSample:    8,
 		OutputMargin:    1,
 		StragglerRatio:  0.5,
 		StragglerCap:    0.34,
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -35,6 +35,7 @@
 	result.DefaultTokensPerSec = float64(settings.DefaultTokensPerSecond)
 	result.DefaultOutputTokens = settings.DefaultOutputTokens
 	result.PrefillSample = settings.PrefillSample
+	result.OutputSample = settings.OutputSample
 	result.OutputMargin = settings.OutputMargin
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
