Follow a reader of the directory from the first read on

Change: a new router looks for a reader for 120 ms before it reads, follows it without a publication too, and records its address within 2 s. Ruled out: a longer look, which holds up the first answers after a kill of all routers. Test: subscriber.TestStart, which counts all reads now and also starts without a publication; red before.

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -26,6 +26,9 @@
 	// readerWait is how long a router that has read all waits for another one to follow before it reads on by itself. It
 	// is well below the time in which a change must be in force.
 	readerWait = 1200 * time.Millisecond
+	// firstReaderWait is how long a router that has just started and has read nothing waits for another one to follow. The
+	// others answer within some milliseconds; a start without others is held up by this time.
+	firstReaderWait = 120 * time.Millisecond
 )
 
 // Sources of a change, for the log.
@@ -167,6 +170,7 @@
 	apply func(page kernel.DirectoryPage, whole bool),
 ) error {
 	next, backoff := int64(-1), backoffMin
+	s.awaitReader(ctx, firstReaderWait)
 	for ctx.Err() == nil {
 		if s.awaitDirect(ctx) {
 			next = -1
@@ -196,7 +200,7 @@
 		apply(page, whole)
 		next = page.Next
 		if whole {
-			s.awaitReader(ctx)
+			s.awaitReader(ctx, readerWait)
 			continue
 		}
 		sleep(ctx, pause)
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -19,6 +19,8 @@
 	updateInterval = 400 * time.Millisecond
 	// followInterval is the time between tries to follow a reader.
 	followInterval = 500 * time.Millisecond
+	// lookInterval is the time between looks for a reader while none is known, as at the start.
+	lookInterval = 20 * time.Millisecond
 )
 
 // Serve tells a follower of all that changes, and from time to time that nothing has, until ctx ends or send fails.
@@ -119,10 +121,12 @@
 // follow takes what changes from another router that reads the directory, as long as there is one and it can read.
 func (s *Subscriber) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if leader := s.options.Leader(); leader != "" && s.Plan() != nil {
+		pause := lookInterval
+		if leader := s.options.Leader(); leader != "" {
 			s.watch(ctx, leader)
+			pause = followInterval
 		}
-		sleep(ctx, followInterval)
+		sleep(ctx, pause)
 	}
 	return ctx.Err()
 }
@@ -163,7 +167,7 @@
 }
 
 // awaitReader waits for a moment until another router is followed, if there is one to follow.
-func (s *Subscriber) awaitReader(ctx context.Context) {
+func (s *Subscriber) awaitReader(ctx context.Context, wait time.Duration) {
 	s.mu.Lock()
 	switched, following := s.switched, s.following != ""
 	s.mu.Unlock()
@@ -172,7 +176,7 @@
 	if following || !joining && s.options.Leader() == "" {
 		return
 	}
-	timer := time.NewTimer(readerWait)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -151,20 +151,35 @@
 	})
 }
 
-// countingStore counts one router's reads of changes.
+// countingStore counts one router's reads.
 type countingStore struct {
 	*store
-	changes atomic.Int64
+	reads atomic.Int64
 }
 
 func (c *countingStore) Changes(ctx context.Context, topic kernel.Topic, from int64, wait time.Duration) (kernel.DirectoryPage, error) {
-	c.changes.Add(1)
+	c.reads.Add(1)
 	return c.store.Changes(ctx, topic, from, wait)
 }
 
-// TestStart guards against a router that reads on by itself at its start, although it will follow another one at once.
+func (c *countingStore) Newest(ctx context.Context, topic kernel.Topic) (kernel.DirectoryPage, error) {
+	c.reads.Add(1)
+	return c.store.Newest(ctx, topic)
+}
+
+// TestStart guards against a router that reads by itself at its start, although it can follow another one at once, and
+// against one that doesn't follow before there is a publication.
 func TestStart(t *testing.T) {
+	for _, published := range []bool{true, false} {
+		testStart(t, published)
+	}
+}
+
+func testStart(t *testing.T, published bool) {
 	runPair(t, func(t *testing.T, p *pair) {
+		if !published {
+			p.reader.plan.Store(nil)
+		}
 		own := &countingStore{store: p.shared}
 		options := p.follower.options
 		options.Directory = own
@@ -173,8 +188,10 @@
 		var group errgroup.Group
 		group.Go(func() error { return fresh.Run(ctx) })
 		time.Sleep(3 * time.Second)
-		assert.Equal(t, own.changes.Load(), int64(0))
-		assert.Equal(t, fresh.Plan().Version, int64(1))
+		assert.Equal(t, own.reads.Load(), int64(0))
+		if published {
+			assert.Equal(t, fresh.Plan().Version, int64(1))
+		}
 		cancel()
 		assert.ErrorIs(t, group.Wait(), context.Canceled)
 	})
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -26,6 +27,9 @@
 	announceTimeout = 2 * time.Second
 	// announceRetry is the pause between tries.
 	announceRetry = time.Second
+	// announceSpread is the time over which routers that start together record their addresses. The store takes 4 ms for
+	// each, one after another.
+	announceSpread = 2 * time.Second
 )
 
 // gateway is the form of a router that serves the routes published in the platform's directory.
@@ -112,6 +116,11 @@
 
 // announce records this router's address in the directory, by which routers without a live seed find each other.
 func (g *gateway) announce(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(rand.N(announceSpread)):
+	}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, announceTimeout)
 		err := g.directory.Announce(callCtx, g.settings.Name, g.settings.Peers.Advertise)
