Exchange whole member tables in the first seconds of a router

Cause: after a common kill a router knew half of the listed ones only after 2.5 s, with one candidate and one member a second. Change: a router that has just started asks a candidate for its whole table each 100 ms, for 3 s or until none is left. Ruled out: larger deltas, which cost each probe; a larger part while few routers are known, which risks the allowance. Test: detector.TestCommonStart, red before (57 of 100 routers known after a second).

--- a/internal/detector/network_test.go
+++ b/internal/detector/network_test.go
@@ -104,20 +104,26 @@
 	return d
 }
 
+// newNetwork returns a network without routers and a function that stops those started on it.
+func newNetwork() (*network, func()) {
+	n := &network{
+		members: make(map[string]*Detector), stopped: make(map[string]bool), cuts: make(map[[2]string]bool),
+		random: rand.New(rand.NewPCG(1, 2)), cancels: make(map[string]context.CancelFunc),
+	}
+	return n, func() {
+		for _, cancel := range n.cancels {
+			cancel()
+		}
+		_ = n.group.Wait()
+	}
+}
+
 // simulate runs a test on virtual time with count routers m0, m1 and so on that know each other.
 func simulate(t *testing.T, count int, test func(t *testing.T, n *network)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		n := &network{
-			members: make(map[string]*Detector), stopped: make(map[string]bool), cuts: make(map[[2]string]bool),
-			random: rand.New(rand.NewPCG(1, 2)), cancels: make(map[string]context.CancelFunc),
-		}
-		defer func() {
-			for _, cancel := range n.cancels {
-				cancel()
-			}
-			_ = n.group.Wait()
-		}()
+		n, stop := newNetwork()
+		defer stop()
 		for i := range count {
 			n.start(fmt.Sprintf("m%d", i), Settings{Seeds: []string{"m0"}})
 		}
@@ -151,3 +157,23 @@
 	}
 	return counts
 }
+
+// TestCommonStart guards against routers that all start together, as after a common kill, and know few others for seconds:
+// until then each grants only its own part of what all may use.
+func TestCommonStart(t *testing.T) {
+	const count, wait = 100, time.Second
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := newNetwork()
+		defer stop()
+		for i := range count {
+			n.vms = append(n.vms, kernel.VM{Address: fmt.Sprintf("m%d", i), Role: RoleRouter, State: kernel.VMLive})
+		}
+		for _, vm := range n.vms {
+			n.start(vm.Address, Settings{VMList: port{n, vm.Address}})
+		}
+		time.Sleep(wait)
+		for name := range n.members {
+			assert.Assert(t, n.alive(name) >= count*9/10, "%s knows %d", name, n.alive(name))
+		}
+	})
+}
--- a/internal/detector/probe.go
+++ b/internal/detector/probe.go
@@ -17,8 +17,11 @@
 	indirectProbes = 2
 	// pushMembers is the number of members told directly of a planned stop.
 	pushMembers = 8
-	// joinAttempts is the number of candidates tried at once at the start.
-	joinAttempts = 4
+	// joinInterval is the time between the exchanges of a router that has just started. Each doubles what it knows, so
+	// that some hundred routers that start together know each other within a second.
+	joinInterval = 100 * time.Millisecond
+	// joinTime bounds these exchanges; members that are there answer within some milliseconds.
+	joinTime = 3 * time.Second
 )
 
 // probeLoop probes one member and one candidate each interval. The probes run in group, since one that isn't
@@ -28,9 +31,7 @@
 	defer ticker.Stop()
 	// A random part of the first interval keeps routers that start together from syncing together.
 	nextSync := time.Now().Add(rand.N(d.settings.SyncInterval))
-	for range joinAttempts {
-		d.contactCandidate(ctx)
-	}
+	group.Go(func() error { return d.join(ctx, group) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -55,10 +56,25 @@
 		if target, ok := d.nextTarget(); ok {
 			group.Go(func() error { d.probe(ctx, target, full); return nil })
 		}
-		group.Go(func() error { d.contactCandidate(ctx); return nil })
+		group.Go(func() error { d.contactCandidate(ctx, false); return nil })
 	}
 }
 
+// join exchanges whole tables with candidates until there are none left, or for joinTime.
+func (d *Detector) join(ctx context.Context, group *errgroup.Group) error {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for began := time.Now(); time.Since(began) < joinTime; {
+		group.Go(func() error { d.contactCandidate(ctx, true); return nil })
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // nextTarget goes through the members in random order, each once a round, so that the time until a member is probed
 // is bounded.
 func (d *Detector) nextTarget() (string, bool) {
@@ -176,8 +192,8 @@
 
 // contactCandidate probes one address that may be a router but isn't known as a running one: from the VM list, the
 // seeds, or a member held for dead. The latter joins the two sides after a partition. Without any known
-// member it asks for the whole table.
-func (d *Detector) contactCandidate(ctx context.Context) {
+// member, or if full is set, it asks for the whole table.
+func (d *Detector) contactCandidate(ctx context.Context, full bool) {
 	d.mu.Lock()
 	candidates, known := d.table.candidates(), len(d.table.records)
 	d.mu.Unlock()
@@ -185,7 +201,7 @@
 		return
 	}
 	candidate := candidates[rand.IntN(len(candidates))]
-	if err := d.exchange(ctx, candidate.name, candidate.address, known == 0); err != nil {
+	if err := d.exchange(ctx, candidate.name, candidate.address, full || known == 0); err != nil {
 		d.settings.Logger.Debug("candidate did not answer", zap.String("address", candidate.address), zap.Error(err))
 	}
 }
