Hold requests for a moment until a new router's first configuration

Cause: 190 ms pass between a router's start and its first configuration. Change: such a request waits 250 ms at most; the look for a reader at a start takes 80 ms instead of 120 ms. Ruled out: a listener that opens with the first configuration, which leaves callers without an answer while the store is down. Test: forwarder.TestFirstPlan, red without the wait.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -128,9 +128,21 @@
 type plans struct {
 	plan     *subscriber.Plan
 	departed string
+	// delay is how long the first plan takes.
+	delay time.Duration
+}
+
+func (p plans) AwaitPlan(ctx context.Context) *subscriber.Plan {
+	if p.plan == nil || p.delay > 0 {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(p.delay):
+		}
+	}
+	return p.plan
 }
 
-func (p plans) Plan() *subscriber.Plan         { return p.plan }
 func (p plans) Departed(name string) bool      { return name == p.departed }
 func route(kind kernel.RouteKind) kernel.Route { return kernel.Route{Kind: kind} }
 
@@ -286,7 +298,7 @@
 		header map[string]string
 		status int
 	}{
-		{"no configuration yet", plans{}, "/a/", "", caller, 503},
+		{"no configuration yet", plans{delay: time.Hour}, "/a/", "", caller, 503},
 		{"no route", known, "/b/", "", caller, 404},
 		{"no key", known, "/a/", "", map[string]string{"Id": "1"}, 401},
 		{"unknown key", known, "/a/", "", map[string]string{"Id": "1", "Key": "x"}, 401},
@@ -304,3 +316,13 @@
 		})
 	}
 }
+
+// TestFirstPlan guards against a request that is refused by a router that has its first configuration a moment later.
+func TestFirstPlan(t *testing.T) {
+	u := newUpstreams(t, ok)
+	p := planOf(route(kernel.RouteRepeatable), 1)
+	p.delay = planWait / 5
+	base, _ := serve(t, p, u)
+	status, _, _, _ := send(t, base, http.MethodPost, "/a/", "", caller)
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -19,6 +20,8 @@
 const (
 	// noPlanRetryAfter is when to come back to a router that has no configuration yet; reading it takes less.
 	noPlanRetryAfter = 300 * time.Millisecond
+	// planWait is how long a request waits for a router's first configuration: a store that is up answers sooner.
+	planWait = 250 * time.Millisecond
 	// objectiveShare is the part of the objective in which the answer has to begin by the scheduler's estimate.
 	objectiveShare = 0.92
 	// callerTrip is the way from the caller and back, which counts for the objective.
@@ -28,7 +31,7 @@
 // intake reads a request and makes one of the holder's from it. The exchange isn't nil in case of a refusal either.
 func (f *Forwarder) intake(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange, *holder.Refusal) {
 	x := &exchange{forwarder: f, w: w, method: r.Method, host: r.Host, header: r.Header}
-	plan := f.options.Plans.Plan()
+	plan := f.awaitPlan(r.Context())
 	if plan == nil {
 		return x, &holder.Refusal{
 			Outcome: holder.OutcomeNotRun, Code: holder.CodeNoUpstream, Message: "this router has no configuration yet",
@@ -62,6 +65,14 @@
 	return x, nil
 }
 
+// awaitPlan returns the newest plan. A router that has just started gets its first one within planWait, in time for the
+// callers that turned to it meanwhile; nil if it doesn't.
+func (f *Forwarder) awaitPlan(ctx context.Context) *subscriber.Plan {
+	ctx, cancel := context.WithTimeout(ctx, planWait)
+	defer cancel()
+	return f.options.Plans.AwaitPlan(ctx)
+}
+
 // target returns the path and query as the caller sent them. An absolute request line is cut to them.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -28,7 +28,7 @@
 	readerWait = 1200 * time.Millisecond
 	// firstReaderWait is how long a router that has just started and has read nothing waits for another one to follow. The
 	// others answer within some milliseconds; a start without others is held up by this time.
-	firstReaderWait = 120 * time.Millisecond
+	firstReaderWait = 80 * time.Millisecond
 )
 
 // Sources of a change, for the log.
@@ -64,6 +64,8 @@
 	logger  *zap.Logger
 	plan    atomic.Pointer[Plan]
 	current atomic.Pointer[cataloguer.Catalogue]
+	// planned is closed when there is a plan.
+	planned chan struct{}
 
 	began time.Time
 
@@ -95,7 +97,7 @@
 func New(options Options) *Subscriber {
 	s := &Subscriber{
 		options: options, logger: options.Logger, table: newTable(), subscribers: make(map[int]func(*cataloguer.Catalogue)),
-		changed: make(chan struct{}), switched: make(chan struct{}), began: time.Now(),
+		changed: make(chan struct{}), switched: make(chan struct{}), planned: make(chan struct{}), began: time.Now(),
 	}
 	s.current.Store((&cataloguer.Catalogue{Offset: -1}).Index())
 	return s
@@ -118,6 +120,18 @@
 // Plan returns the newest plan, nil before the first publication is known.
 func (s *Subscriber) Plan() *Plan { return s.plan.Load() }
 
+// AwaitPlan returns the newest plan and waits for the first one until ctx ends; nil if none has come by then.
+func (s *Subscriber) AwaitPlan(ctx context.Context) *Plan {
+	if plan := s.plan.Load(); plan != nil {
+		return plan
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.planned:
+	}
+	return s.plan.Load()
+}
+
 // Current returns the newest catalogue; it is never nil.
 func (s *Subscriber) Current() *cataloguer.Catalogue { return s.current.Load() }
 
@@ -271,7 +285,9 @@
 		return
 	}
 	s.publication, s.packed = record, nil
-	s.plan.Store(NewPlan(publication))
+	if s.plan.Swap(NewPlan(publication)) == nil {
+		close(s.planned)
+	}
 	s.logger.Info("publication in force", zap.Int64("version", publication.Version), zap.Int("routes", len(publication.Routes)),
 		zap.Int("workspaces", len(publication.Workspaces)), zap.String("source", source))
 	s.rebuild(source)
