Read the VM list once at a start

Change: whether the router is alone is looked at when the next read is due. Ruled out: reads of the registrations and of the configuration, which are the readers' own. Measured: detector.TestVMListReads, red before (2 reads).

--- a/internal/detector/grounded_test.go
+++ b/internal/detector/grounded_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/internal/kernel"
@@ -34,6 +35,40 @@
 	return vms, nil
 }
 
+// countedList counts the reads of a VM list without routers.
+type countedList struct{ reads *int }
+
+func (l countedList) VMs(context.Context) ([]kernel.VM, error) {
+	*l.reads++
+	return nil, nil
+}
+
+// TestVMListReads guards against reads of the list, which the store charges for, by a router that knows others, and against a
+// router that stays alone because it doesn't look again.
+func TestVMListReads(t *testing.T) {
+	for _, k := range []struct {
+		members, want int
+	}{{1, 1}, {0, 5}} {
+		synctest.Test(t, func(t *testing.T) {
+			reads := 0
+			d := New(Settings{Name: "r", Address: "10.0.0.1:1", VMListInterval: time.Hour, VMList: countedList{&reads}}, nil)
+			d.Ready()
+			ctx, cancel := context.WithTimeout(t.Context(), 22*time.Second)
+			defer cancel()
+			var group errgroup.Group
+			group.Go(func() error { return d.pollVMList(ctx) })
+			time.Sleep(time.Second)
+			for i := range k.members {
+				row := &protocol.Member{Name: fmt.Sprint("m", i), Address: "10.0.1.1:1", Incarnation: 1, State: alive}
+				_, err := d.Handle(t.Context(), &protocol.GossipRequest{From: row})
+				assert.NilError(t, err)
+			}
+			assert.ErrorIs(t, group.Wait(), context.DeadlineExceeded)
+			assert.Equal(t, reads, k.want)
+		})
+	}
+}
+
 // TestGrounded guards against routers that have all just started, each knowing only itself, and that together grant many
 // times what all may use.
 func TestGrounded(t *testing.T) {
--- a/internal/detector/vmlist.go
+++ b/internal/detector/vmlist.go
@@ -69,20 +69,23 @@
 func (d *Detector) pollVMList(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var read time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timer.C:
 		}
-		pause := vmPollInterval
-		if d.readVMList(ctx) {
-			pause = d.settings.VMListInterval
+		lonely := len(d.View().Ranked()) <= 1
+		if read.IsZero() || lonely || time.Since(read) >= d.settings.VMListInterval {
+			if !d.readVMList(ctx) {
+				timer.Reset(vmPollInterval)
+				continue
+			}
+			read = time.Now()
 		}
-		if len(d.View().Ranked()) <= 1 {
-			pause = min(pause, lonelyInterval)
-		}
-		timer.Reset(pause)
+		// A router that has just started knows no other yet, but soon does.
+		timer.Reset(min(lonelyInterval, d.settings.VMListInterval))
 	}
 }
 
