Allow workspaces their rate and burst in each window of the contract

Cause: the allowance was a token bucket that gains the rate only. The platform's contract allows rate times 8 s plus the burst in each 8 s. Change: scheduling.allowance_window (off; the platform's window there). Three quarters of the burst come back in each window, a sliding window bounds the sum, and in the first window of a scheduler only the rate counts, since another one may have granted before it. A lowered limit starts a new window. Tests: limiter.TestAllowance, over all windows of 40 s and with one and two takeovers; TestAllowanceLowered; assembler.TestTemplateWithoutAllowances.

--- a/internal/limiter/allowance_test.go
+++ b/internal/limiter/allowance_test.go
@@ -10,45 +10,75 @@
 )
 
 // TestAllowance guards against a workspace that uses more than its allowance in a window, also across the change of the
-// scheduler, and against waits that aren't long enough.
+// scheduler, against one that gets less than the contract's window allows, and against waits that aren't long enough.
 func TestAllowance(t *testing.T) {
 	limit := cataloguer.Allowance{Rate: 1000, Burst: 2000}
-	const window, charge = 8, 150
+	const window, charge, length = 8, 150, 40
+	allowed := limit.Rate*window + limit.Burst
 	cases := []struct {
-		name string
+		name   string
+		window time.Duration
 		// changes are the seconds at which another scheduler takes over.
 		changes []int
 		bound   float64
+		// least is what has to be granted in each full window after the first two.
+		least float64
 	}{
-		{"one scheduler", nil, limit.Rate*window + limit.Burst},
-		{"taken over once", []int{4}, (limit.Rate*window + limit.Burst) * 1.1},
+		{"one scheduler", 0, nil, allowed, limit.Rate * window * 0.9},
+		{"taken over once", 0, []int{20}, allowed * 1.1, limit.Rate * window * 0.9},
+		{"window", window * time.Second, nil, allowed, limit.Rate*window + limit.Burst/2},
+		{"window, taken over once", window * time.Second, []int{20}, allowed * 1.1, limit.Rate * window * 0.9},
+		{"window, taken over twice", window * time.Second, []int{20, 23}, allowed * 1.1, limit.Rate * window * 0.9},
 	}
 	for _, c := range cases {
-		a := NewAllowances(start)
-		used := 0.0
-		for ms := range window * 1000 {
+		a := NewAllowances(start, c.window)
+		var used [length * 10]float64
+		for ms := range length * 1000 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
 			for _, second := range c.changes {
 				if ms == second*1000 {
-					a = NewAllowances(now)
+					a = NewAllowances(now, c.window)
 				}
 			}
 			wait, ok := a.Take(now, "w", limit, charge)
 			if ok {
-				used += charge
+				used[ms/100] += charge
 				continue
 			}
-			assert.Assert(t, wait > 0 && wait <= time.Second)
+			assert.Assert(t, wait > 0 && wait <= time.Second, "%s: %v", c.name, wait)
+		}
+		for from := 0; from+window*10 <= len(used); from++ {
+			sum := 0.0
+			for _, units := range used[from : from+window*10] {
+				sum += units
+			}
+			assert.Assert(t, sum <= c.bound, "%s, from %d: %v", c.name, from, sum)
+			assert.Assert(t, from < 2*window*10 || sum >= c.least, "%s, from %d: %v", c.name, from, sum)
+		}
+	}
+}
+
+// TestAllowanceLowered guards against a workspace that gets nothing for a window after its limit was lowered.
+func TestAllowanceLowered(t *testing.T) {
+	const window = 8 * time.Second
+	a := NewAllowances(start, window)
+	high, low := cataloguer.Allowance{Rate: 10_000, Burst: 10_000}, cataloguer.Allowance{Rate: 1000, Burst: 3000}
+	for ms := range 20_000 {
+		a.Take(start.Add(time.Duration(ms)*time.Millisecond), "w", high, 100)
+	}
+	granted := 0
+	for ms := range 2000 {
+		if _, ok := a.Take(start.Add(20*time.Second+time.Duration(ms)*time.Millisecond), "w", low, 100); ok {
+			granted++
 		}
-		assert.Assert(t, used <= c.bound, "%s: %v", c.name, used)
-		assert.Assert(t, used >= limit.Rate*window, "%s: %v", c.name, used)
 	}
+	assert.Assert(t, granted >= 20, "%d granted", granted)
 }
 
 // TestAllowanceRefund guards against requests that didn't run using up the allowance, and against a limit for workspaces
 // without one.
 func TestAllowanceRefund(t *testing.T) {
-	a := NewAllowances(start)
+	a := NewAllowances(start, 0)
 	limit := cataloguer.Allowance{Rate: 1, Burst: 1000}
 	for range 5 {
 		_, ok := a.Take(start, "w", limit, 300)
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -38,6 +38,8 @@
 	OutputSample int `yaml:"output_sample" unit:"tokens" min:"1" max:"1000000" help:"smallest output from which an engine's output speed is learnt"`
 	// OutputMargin covers the error of output estimates.
 	OutputMargin float64 `yaml:"output_margin" unit:"factor" min:"1" max:"10" help:"multiple of the expected output that the engine of a grant must generate by the deadline, if any engine does"`
+	// AllowanceWindow is the time in which a workspace may use its rate and its burst.
+	AllowanceWindow time.Duration `yaml:"allowance_window" unit:"duration" min:"0s" max:"10m" help:"time in which a workspace may use the rate and the burst that operators published; 0s means that the burst comes back at the rate only"`
 	// DefaultOutputTokens stands in for work without an expected length.
 	DefaultOutputTokens int `yaml:"default_output_tokens" unit:"tokens" min:"1" max:"1000000" help:"expected output of work that the catalogue states none for"`
 	// RetryAfterMin and RetryAfterMax bound the Retry-After of refusals.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -73,7 +73,7 @@
 	s.lengths = estimator.NewLengths()
 	s.engines.noneSince = now
 	s.limiter = limiter.New()
-	s.allowed = limiter.NewAllowances(now)
+	s.allowed = limiter.NewAllowances(now, settings.AllowanceWindow)
 	s.isolator = isolator.New(settings.Isolation)
 	s.retries = limiter.NewRetries(settings.Retries)
 	s.parked = newIndexedHeap(func(a, b *lane) bool { return a.wakeAt.Before(b.wakeAt) },
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -47,6 +47,9 @@
 	// OutputMargin times the expected output must fit before the deadline on the engine of a grant, or as much of it as
 	// the fastest engine generates by then. Estimates of outputs are off by a factor.
 	OutputMargin float64
+	// AllowanceWindow is the time in which a workspace may use its rate and its burst; 0 means that the burst comes back at
+	// the rate only.
+	AllowanceWindow time.Duration
 	// StragglerRatio of an engine's own baseline speed is the speed below which it is excluded.
 	StragglerRatio float64
 	// StragglerCap bounds the share of the pool's engines that are excluded or returning.
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -37,6 +37,7 @@
 	result.PrefillSample = settings.PrefillSample
 	result.OutputSample = settings.OutputSample
 	result.OutputMargin = settings.OutputMargin
+	result.AllowanceWindow = settings.AllowanceWindow
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
 	result.ProbeAfter = settings.ProbeAfter
--- a/router/internal/assembler/template_test.go
+++ b/router/internal/assembler/template_test.go
@@ -28,8 +28,15 @@
 	t.Helper()
 	template = sectionPattern.ReplaceAllStringFunc(template, func(section string) string {
 		parts := sectionPattern.FindStringSubmatch(section)
+		values, list := fields[parts[1]].([]string)
+		switch {
+		case fields[parts[1]] == nil:
+			return ""
+		case !list:
+			return parts[2]
+		}
 		var items []string
-		for _, value := range fields[parts[1]].([]string) {
+		for _, value := range values {
 			item := strings.ReplaceAll(parts[2], "{{.|json}}", fmt.Sprintf("%q", value))
 			items = append(items, strings.TrimSpace(strings.ReplaceAll(item, "{{,}}", "")))
 		}
@@ -48,6 +55,28 @@
 	})
 }
 
+// platformFields are those that the template uses.
+func platformFields() map[string]any {
+	return map[string]any{
+		"node_name": "frontend-a-1", "zone": "a", "ip": "10.0.0.1", "internal_ports.0": 7600,
+		"listen.frontend": "10.0.0.1:8221", "listen.readiness": "10.0.0.1:8224", "listen.control_plane": "10.0.0.1:8229",
+		"seed_nodes": []string{"10.0.0.1:8229", "10.0.0.2:8229"}, "platform.address": "10.0.1.1:8225",
+		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 129, "bounds.quota_window_s": 8,
+		"limits.cpu_share": 0.272,
+	}
+}
+
+// TestTemplateWithoutAllowances guards against a router that doesn't start where the platform states no window.
+func TestTemplateWithoutAllowances(t *testing.T) {
+	template, err := os.ReadFile(templatePath)
+	assert.NilError(t, err)
+	fields := platformFields()
+	delete(fields, "bounds.quota_window_s")
+	settings, err := loader.Parse("router.yaml", []byte(render(t, string(template), fields)))
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Scheduling.AllowanceWindow, time.Duration(0))
+}
+
 // TestTemplate guards against a deployment whose rendered settings the router refuses, and against a planned stop that takes
 // longer than the platform's grace period or takes requests that can't end within it.
 func TestTemplate(t *testing.T) {
@@ -60,16 +89,12 @@
 	)
 	template, err := os.ReadFile(templatePath)
 	assert.NilError(t, err)
-	text := render(t, string(template), map[string]any{
-		"node_name": "frontend-a-1", "zone": "a", "ip": "10.0.0.1", "internal_ports.0": 7600,
-		"listen.frontend": "10.0.0.1:8221", "listen.readiness": "10.0.0.1:8224", "listen.control_plane": "10.0.0.1:8229",
-		"seed_nodes": []string{"10.0.0.1:8229", "10.0.0.2:8229"}, "platform.address": "10.0.1.1:8225",
-		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 129, "limits.cpu_share": 0.272,
-	})
+	text := render(t, string(template), platformFields())
 	settings, err := loader.Parse("router.yaml", []byte(text))
 	assert.NilError(t, err)
 	assert.Assert(t, settings.Gateway.Enabled())
 	assert.DeepEqual(t, settings.Peers.Seeds, []string{"10.0.0.1:8229", "10.0.0.2:8229"})
+	assert.Equal(t, settings.Scheduling.AllowanceWindow, 8*time.Second)
 	assert.Assert(t, settings.Drain.Delay > listed && settings.Drain.Delay < lastTaken)
 	assert.Assert(t, settings.Drain.Delay+settings.Drain.Timeout < gracePeriod)
 	assert.NilError(t, schedulerSettings(settings.Scheduling, cataloguer.Pool{}).Check())
