--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -30,6 +30,7 @@
 			PrefillSample:           64,
 			OutputSample:            8,
 			OutputMargin:            1,
+			ConnectionIdle:          8 * time.Second,
 			RetryAfterMin:           200 * time.Millisecond,
 			RetryAfterMax:           60 * time.Second,
 			StragglerRatio:          0.5,
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -40,6 +40,10 @@
 	OutputMargin float64 `yaml:"output_margin" unit:"factor" min:"1" max:"10" help:"multiple of the expected output that the engine of a grant must generate by the deadline, if any engine does"`
 	// AllowanceWindow is the time in which a workspace may use its rate and its burst.
 	AllowanceWindow time.Duration `yaml:"allowance_window" unit:"duration" min:"0s" max:"10m" help:"time in which a workspace may use the rate and the burst that operators published; 0s means that the burst comes back at the rate only"`
+	// ConnectionCost spreads a router's requests over fewer engines.
+	ConnectionCost time.Duration `yaml:"connection_cost" unit:"duration" min:"0s" max:"10s" help:"what a new connection of a router to an engine counts in the choice of an engine; 0s means nothing"`
+	// ConnectionIdle is how long idle connections to engines are kept.
+	ConnectionIdle time.Duration `yaml:"connection_idle" unit:"duration" min:"100ms" max:"10m" help:"time for which the scheduler counts on a router's idle connection to an engine"`
 	// DefaultOutputTokens stands in for work without an expected length.
 	DefaultOutputTokens int `yaml:"default_output_tokens" unit:"tokens" min:"1" max:"1000000" help:"expected output of work that the catalogue states none for"`
 	// RetryAfterMin and RetryAfterMax bound the Retry-After of refusals.
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -29,7 +29,8 @@
 // work ahead, so the best engine is nearly always among the first few.
 const visitLimit = 16
 
-// chooseExpectedFirstToken takes the engine with the smallest expected time to first token.
+// chooseExpectedFirstToken takes the engine with the smallest expected time to first token, the cost of a new connection
+// included.
 func chooseExpectedFirstToken(engines *engineSet, r *request) *engine {
 	var best *engine
 	var bestTime float64
@@ -37,7 +38,8 @@
 		if e.admits(r) != blockNone {
 			return
 		}
-		if t := e.expectedFirstToken(r, engines.now); best == nil || t < bestTime {
+		t := e.expectedFirstToken(r, engines.now) + engines.connections.cost(r.holder, e, engines.now)
+		if best == nil || t < bestTime || t == bestTime && e.info.Name < best.info.Name {
 			best, bestTime = e, t
 		}
 	}
@@ -52,6 +54,7 @@
 		}
 	}
 	engines.prefixes.candidates(r, consider)
+	engines.connections.candidates(r.holder, engines.now, consider)
 	return best
 }
 
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -26,6 +26,8 @@
 	reserved *engine
 	speeds   speedSurvey
 	prefixes *prefixIndex
+	// connections are those that the holders keep.
+	connections *connectionIndex
 	// out holds the excluded engines that wait for a probe.
 	out []*engine
 	// noneSince is when the last usable engine was lost.
@@ -48,7 +50,7 @@
 	return &engineSet{
 		roomiest: newIndexedHeap(func(a, b *engine) bool { return a.roomLeft() > b.roomLeft() },
 			func(e *engine) *int { return &e.roomPos }),
-		settings: settings, random: random, share: 1, prefixes: newPrefixIndex(settings),
+		settings: settings, random: random, share: 1, prefixes: newPrefixIndex(settings), connections: newConnectionIndex(settings),
 		byName: make(map[string]*engine), classes: make(map[string]*engineClass),
 	}
 }
@@ -223,6 +225,7 @@
 	s.unreserve(r)
 	e.start(r, now)
 	s.prefixes.dispatched(e, r, now)
+	s.connections.granted(r.holder, e, now)
 	s.granted++
 	s.reindex(e)
 }
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -50,6 +50,10 @@
 	// AllowanceWindow is the time in which a workspace may use its rate and its burst; 0 means that the burst comes back at
 	// the rate only.
 	AllowanceWindow time.Duration
+	// ConnectionCost is what a new connection of a holder to an engine counts in the choice of an engine; 0 means nothing.
+	ConnectionCost time.Duration
+	// ConnectionIdle is how long a holder keeps an idle connection.
+	ConnectionIdle time.Duration
 	// StragglerRatio of an engine's own baseline speed is the speed below which it is excluded.
 	StragglerRatio float64
 	// StragglerCap bounds the share of the pool's engines that are excluded or returning.
@@ -108,6 +112,7 @@
 		PrefillSample:   64,
 		OutputSample:    8,
 		OutputMargin:    1,
+		ConnectionIdle:  8 * time.Second,
 		StragglerRatio:  0.5,
 		StragglerCap:    0.34,
 		ProbeAfter:      5 * time.Second,
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -156,7 +156,7 @@
 	if r != nil && (r.engine == nil || r.holder != holder || r.engine.info.Name != release.GetEngine()) {
 		r = nil
 	}
-	s.observeRelease(now, r, release)
+	s.observeRelease(now, holder, r, release)
 	if r == nil {
 		return
 	}
@@ -177,13 +177,14 @@
 }
 
 // observeRelease feeds what a release says about its engine. r is nil if another scheduler made the grant.
-func (s *Scheduler) observeRelease(now time.Time, r *request, release *protocol.Release) {
+func (s *Scheduler) observeRelease(now time.Time, holder string, r *request, release *protocol.Release) {
 	e := s.engines.byName[release.GetEngine()]
 	if e == nil {
 		return
 	}
 	switch release.GetKind() {
 	case protocol.ReleaseKind_RELEASE_KIND_ANSWERED:
+		s.engines.connections.released(holder, e, now)
 		s.observeRun(now, e, r, release)
 		if r != nil && r.alone {
 			s.isolator.Acquit(r.ticket.GetFingerprint())
@@ -212,6 +213,7 @@
 // DropHolder frees the tickets and grants of a holder that died.
 func (s *Scheduler) DropHolder(now time.Time, holder string) {
 	s.at(now)
+	s.engines.connections.drop(holder)
 	for _, r := range s.holders[holder] {
 		s.forgetRequest(r)
 	}
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -38,6 +38,7 @@
 	result.OutputSample = settings.OutputSample
 	result.OutputMargin = settings.OutputMargin
 	result.AllowanceWindow = settings.AllowanceWindow
+	result.ConnectionCost, result.ConnectionIdle = settings.ConnectionCost, settings.ConnectionIdle
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
 	result.ProbeAfter = settings.ProbeAfter
