Keep first tickets until a new scheduler knows enough routers

Change: a new cell of a pool whose workspaces have allowances keeps tickets for 400 ms at most; a new router's first requests wait for the registrations too. Ruled out: a larger part while few are known, which risks the allowance; the same time for all new schedulers (one that takes over knows the others). Tests: runner.TestEarlyTickets, red without the wait (1 ms); subscriber.TestAwaitPlan.

--- a/internal/runner/catalogue.go
+++ b/internal/runner/catalogue.go
@@ -69,10 +69,12 @@
 	}
 	weights := make(map[string]float64, len(catalogue.Workspaces))
 	allowances := make(map[string]cataloguer.Allowance, len(catalogue.Workspaces))
+	c.limited = false
 	share := allowanceShare(catalogue, part) / float64(cells)
 	for _, w := range catalogue.Workspaces {
 		weights[w.Name] = w.Weight
 		allowances[w.Name] = w.Allowance.Part(share)
+		c.limited = c.limited || w.Allowance.Rate > 0
 	}
 	works := make(map[string]cataloguer.Work)
 	for _, w := range catalogue.Works {
--- a/internal/runner/cell.go
+++ b/internal/runner/cell.go
@@ -52,6 +52,11 @@
 	firstSeen   firstCheck
 	// resigned is set once the holders were told that this router is leaving.
 	resigned bool
+	// limited says that workspaces have allowances. waiting are the tickets that came before groundBy, until when they wait
+	// for this router to know enough others.
+	limited  bool
+	waiting  []earlyTicket
+	groundBy time.Time
 	// settledAt is when the holders have told of their running requests.
 	settledAt time.Time
 }
@@ -70,6 +75,7 @@
 		holders:   make(map[string]*holder),
 		engines:   make(map[string]*engine),
 		readyAt:   now.Add(firstReports),
+		groundBy:  now.Add(groundWait),
 		idleSince: now,
 	}
 }
@@ -123,6 +129,7 @@
 			call(now)
 		}
 		c.expire(now)
+		c.admitEarly(now)
 		if c.ready(now) {
 			c.decide(now)
 		}
@@ -141,6 +148,9 @@
 // latest.
 func (c *cell) nextWake(now time.Time) time.Time {
 	next := now.Add(reviewInterval)
+	if len(c.waiting) > 0 {
+		next = c.groundBy
+	}
 	if now.Before(c.settledAt) {
 		return c.settledAt
 	}
--- a/internal/runner/cell_test.go
+++ b/internal/runner/cell_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/detector"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
 )
@@ -77,6 +78,49 @@
 	})
 }
 
+// TestEarlyTickets guards against tickets that meet the allowances of one router although the others of a common start are
+// known a moment later, and against tickets that wait for routers that don't come.
+func TestEarlyTickets(t *testing.T) {
+	for _, k := range []struct {
+		name    string
+		limited bool
+		known   bool
+		most    time.Duration
+		least   time.Duration
+	}{
+		{"no allowances", false, false, 50 * time.Millisecond, 0},
+		{"others known soon", true, true, groundWait - 10*time.Millisecond, 100 * time.Millisecond},
+		{"others don't come", true, false, groundWait + 20*time.Millisecond, groundWait},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			catalogue := catalogueOf(8, "chat")
+			if k.limited {
+				catalogue.current.Workspaces = []cataloguer.Workspace{{Name: "w", Allowance: cataloguer.Allowance{Rate: 1, Burst: 1}}}
+			}
+			var vms []kernel.VM
+			for _, address := range []string{"a", "b", "c"} {
+				vms = append(vms, kernel.VM{Address: address, Role: detector.RoleRouter, State: kernel.VMLive})
+			}
+			f := newFabric(t, len(vms), catalogue, vms...)
+			const fresh = "fresh"
+			f.isolate(fresh, true)
+			started := f.start(fresh, catalogue)
+			time.Sleep(5 * time.Millisecond)
+			if k.known {
+				time.AfterFunc(100*time.Millisecond, func() { f.isolate(fresh, false) })
+			}
+			requests := started.submit("chat", 0, 1)
+			began := time.Now()
+			for requests[0].granted() == 0 && time.Since(began) < time.Second {
+				time.Sleep(time.Millisecond)
+			}
+			grantedOnce(t, requests)
+			waited := time.Since(began)
+			assert.Assert(t, waited >= k.least && waited <= k.most, "%s: %v", k.name, waited)
+		})
+	}
+}
+
 // inspect calls look in the goroutine of the router's only cell.
 func (n *node) inspect(look func(f *fifo)) {
 	done := make(chan struct{})
--- a/internal/runner/holder.go
+++ b/internal/runner/holder.go
@@ -114,6 +114,10 @@
 			c.forget(now, s.holder, h, id)
 		}
 		h.records[id] = &record{attempt: ticket.GetAttempt()}
+		if c.early(now) {
+			c.waiting = append(c.waiting, earlyTicket{s.holder, ticket, now})
+			continue
+		}
 		c.scheduler.Submit(now, s.holder, ticket)
 	}
 }
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -47,5 +47,7 @@
 	if s.applyRecords(state.Upstreams, time.Now()) {
 		s.rebuild(sourcePeer)
 	}
+	s.listed = true
+	s.notePlanned()
 	return nil
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -64,13 +64,16 @@
 	logger  *zap.Logger
 	plan    atomic.Pointer[Plan]
 	current atomic.Pointer[cataloguer.Catalogue]
-	// planned is closed when there is a plan.
+	// planned is closed when there is a plan and the registrations are known.
 	planned chan struct{}
 
 	began time.Time
 
 	mu          sync.Mutex
 	publication kernel.DirectoryRecord
+	// listed says that the registrations were read or taken over, complete that there is a plan too.
+	listed   bool
+	complete bool
 	// packed is the publication as followers get it, nil until one needs it.
 	packed      []byte
 	table       *table
@@ -120,11 +123,9 @@
 // Plan returns the newest plan, nil before the first publication is known.
 func (s *Subscriber) Plan() *Plan { return s.plan.Load() }
 
-// AwaitPlan returns the newest plan and waits for the first one until ctx ends; nil if none has come by then.
+// AwaitPlan returns the newest plan. It waits for the first one, and for the registrations, until ctx ends; nil if there is
+// no plan by then.
 func (s *Subscriber) AwaitPlan(ctx context.Context) *Plan {
-	if plan := s.plan.Load(); plan != nil {
-		return plan
-	}
 	select {
 	case <-ctx.Done():
 	case <-s.planned:
@@ -132,6 +133,15 @@
 	return s.plan.Load()
 }
 
+// notePlanned wakes those that wait for the first plan once the registrations are known too.
+func (s *Subscriber) notePlanned() {
+	if s.complete || !s.listed || s.plan.Load() == nil {
+		return
+	}
+	s.complete = true
+	close(s.planned)
+}
+
 // Current returns the newest catalogue; it is never nil.
 func (s *Subscriber) Current() *cataloguer.Catalogue { return s.current.Load() }
 
@@ -250,10 +260,12 @@
 	changed := s.applyRecords(page.Records, dropAt)
 	if whole {
 		changed = s.table.dropMissing(page, dropAt) || changed
+		s.listed = true
 	}
 	if changed || whole && s.plan.Load() != nil {
 		s.rebuild(sourceDirectory)
 	}
+	s.notePlanned()
 }
 
 // applyRecords applies registrations and returns whether the usable upstreams may have changed.
@@ -285,9 +297,8 @@
 		return
 	}
 	s.publication, s.packed = record, nil
-	if s.plan.Swap(NewPlan(publication)) == nil {
-		close(s.planned)
-	}
+	s.plan.Store(NewPlan(publication))
+	s.notePlanned()
 	s.logger.Info("publication in force", zap.Int64("version", publication.Version), zap.Int("routes", len(publication.Routes)),
 		zap.Int("workspaces", len(publication.Workspaces)), zap.String("source", source))
 	s.rebuild(source)
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -101,6 +101,26 @@
 	})
 }
 
+// TestAwaitPlan guards against a router that takes requests when it knows the configuration but no upstream yet, and against
+// one that holds them although it knows both.
+func TestAwaitPlan(t *testing.T) {
+	runPair(t, func(t *testing.T, p *pair) {
+		data, _, _ := p.reader.Snapshot()
+		var state snapshot
+		assert.NilError(t, json.Unmarshal(data, &state))
+		fresh := New(p.follower.options)
+		fresh.publish(state.Publication, sourceDirectory)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() {
+			assert.NilError(t, fresh.Adopt(data))
+		})
+		assert.Assert(t, fresh.AwaitPlan(ctx) != nil)
+		assert.Equal(t, time.Since(began), 100*time.Millisecond)
+	})
+}
+
 // TestPack guards against large configurations that fill the reader's link: hundreds of routes for fifty followers.
 func TestPack(t *testing.T) {
 	const routes, followers, linkBytes = 500, 50, 10_000_000 / 8
