Split the reads of the directory from the subscriber's state

No change of behaviour but one: a router that departs within its first three seconds ends its exchanges of member tables.

--- a/internal/detector/probe.go
+++ b/internal/detector/probe.go
@@ -60,11 +60,11 @@
 	}
 }
 
-// join exchanges whole tables with candidates until there are none left, or for joinTime.
+// join exchanges whole tables with candidates for joinTime.
 func (d *Detector) join(ctx context.Context, group *errgroup.Group) error {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	for began := time.Now(); time.Since(began) < joinTime; {
+	for began := time.Now(); time.Since(began) < joinTime && !d.departed.Load(); {
 		group.Go(func() error { d.contactCandidate(ctx, true); return nil })
 		select {
 		case <-ctx.Done():
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,20 +14,8 @@
 	"coltsfootplank/internal/protocol"
 )
 
-const (
-	// backoffMin and backoffMax bound the pause between failed reads. The upper bound keeps the recovery after an outage
-	// well within the time in which a change must be in force.
-	backoffMin = 150 * time.Millisecond
-	backoffMax = 1200 * time.Millisecond
-	// peerInterval is the time between requests for a peer's snapshot.
-	peerInterval = 500 * time.Millisecond
-	// readerWait is how long a router that has read all waits for another one to follow before it reads on by itself. It
-	// is well below the time in which a change must be in force.
-	readerWait = 1200 * time.Millisecond
-	// firstReaderWait is how long a router that has just started and has read nothing waits for another one to follow. The
-	// others answer within some milliseconds; a start without others is held up by this time.
-	firstReaderWait = 80 * time.Millisecond
-)
+// peerInterval is the time between requests for a peer's snapshot.
+const peerInterval = 500 * time.Millisecond
 
 // Sources of a change, for the log.
 const (
@@ -89,13 +75,6 @@
 	following string
 }
 
-// health says since when the reads of a topic succeed or fail.
-type health struct {
-	known   bool
-	failing bool
-	since   time.Time
-}
-
 // New returns a subscriber without a plan; Run fills it.
 func New(options Options) *Subscriber {
 	s := &Subscriber{
@@ -173,74 +152,6 @@
 	return s.following != "" || s.reads()
 }
 
-// reads says whether this router's own last reads succeeded.
-func (s *Subscriber) reads() bool {
-	for _, h := range s.health {
-		if !h.known || h.failing {
-			return false
-		}
-	}
-	return true
-}
-
-func (s *Subscriber) publicationFails() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.health[kernel.TopicPublication].failing
-}
-
-// tail reads a topic until ctx ends: first the newest record of each key, then the changes.
-func (s *Subscriber) tail(ctx context.Context, topic kernel.Topic, wait, pause time.Duration,
-	apply func(page kernel.DirectoryPage, whole bool),
-) error {
-	next, backoff := int64(-1), backoffMin
-	s.awaitReader(ctx, firstReaderWait)
-	for ctx.Err() == nil {
-		if s.awaitDirect(ctx) {
-			next = -1
-			continue
-		}
-		if topic != kernel.TopicPublication && s.publicationFails() {
-			// One topic is enough to find out when the directory is back; its calls are paid for.
-			sleep(ctx, backoffMin)
-			continue
-		}
-		page, whole, err := s.read(ctx, topic, next, wait)
-		var trimmed *kernel.TrimmedError
-		if errors.As(err, &trimmed) {
-			s.logger.Warn("directory records dropped unread", zap.Stringer("topic", topic), zap.Int64("next", next),
-				zap.Int64("first", trimmed.First))
-			next = -1
-			continue
-		}
-		if err != nil {
-			s.failed(topic, err)
-			sleep(ctx, backoff/2+rand.N(backoff/2))
-			backoff = min(2*backoff, backoffMax)
-			continue
-		}
-		backoff = backoffMin
-		s.succeeded(topic)
-		apply(page, whole)
-		next = page.Next
-		if whole {
-			s.awaitReader(ctx, readerWait)
-			continue
-		}
-		sleep(ctx, pause)
-	}
-	return ctx.Err()
-}
-
-func (s *Subscriber) read(ctx context.Context, topic kernel.Topic, next int64, wait time.Duration) (page kernel.DirectoryPage, whole bool, err error) {
-	if next < 0 {
-		page, err = s.options.Directory.Newest(ctx, topic)
-		return page, true, err
-	}
-	page, err = s.options.Directory.Changes(ctx, topic, next, wait)
-	return page, false, err
-}
-
 func (s *Subscriber) applyPublications(page kernel.DirectoryPage, _ bool) {
 	for _, record := range page.Records {
 		s.publish(record, sourceDirectory)
@@ -351,33 +262,6 @@
 	s.rebuild(sourceClock)
 }
 
-func (s *Subscriber) failed(topic kernel.Topic, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h := &s.health[topic]
-	if h.known && !h.failing {
-		s.logger.Warn("directory lost", zap.Stringer("topic", topic), zap.Error(err))
-	}
-	if !h.failing {
-		*h = health{known: true, failing: true, since: time.Now()}
-		s.announceChange()
-	}
-}
-
-func (s *Subscriber) succeeded(topic kernel.Topic) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h := &s.health[topic]
-	switch {
-	case !h.known:
-		s.logger.Info("directory reached", zap.Stringer("topic", topic))
-		*h = health{known: true}
-	case h.failing:
-		s.logger.Info("directory regained", zap.Stringer("topic", topic), zap.Duration("after", time.Since(h.since)))
-		*h = health{known: true, since: time.Now()}
-	}
-}
-
 // followPeers takes over a peer's snapshot while the directory can't be read.
 func (s *Subscriber) followPeers(ctx context.Context) error {
 	for {
@@ -397,16 +281,3 @@
 		}
 	}
 }
-
-// sleep waits, or until ctx ends.
-func sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
