Serve starved tiers a part of their tickets, and call refused callers back sooner again

Tiers above take all slots, and callers that are called back late in the overload come before lower tiers with answers that count for little. Retry-After is the time that the queue takes to drain again, not the age of the overload.

--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -38,6 +38,8 @@
 	OutputSample int `yaml:"output_sample" unit:"tokens" min:"1" max:"1000000" help:"smallest output from which an engine's output speed is learnt"`
 	// OutputMargin covers the error of output estimates.
 	OutputMargin float64 `yaml:"output_margin" unit:"factor" min:"1" max:"10" help:"multiple of the expected output that the engine of a grant must generate by the deadline, if any engine does"`
+	// TierFloor keeps a tier from being starved by those above it.
+	TierFloor float64 `yaml:"tier_floor" unit:"share of 1" min:"0" max:"0.9" help:"part of each tier's tickets that is served before those of higher tiers; 0 means a strict order"`
 	// AllowanceWindow is the time in which a workspace may use its rate and its burst.
 	AllowanceWindow time.Duration `yaml:"allowance_window" unit:"duration" min:"0s" max:"10m" help:"time in which a workspace may use the rate and the burst that operators published; 0s means that the burst comes back at the rate only"`
 	// ConnectionCost spreads a router's requests over fewer engines.
--- a/internal/scheduler/overload.go
+++ b/internal/scheduler/overload.go
@@ -15,42 +15,49 @@
 	// paceCaution is the part of the wait by the pace of grants that counts: the pace of lower tiers varies, and a queue that
 	// is too short leaves slots free when it rises.
 	paceCaution = 0.6
-	// calmAfter is how long no ticket has to be refused until an overload is over.
-	calmAfter = time.Second
 	// returnShare is the part of its time left for which a refused caller is asked to wait at most: it needs the rest for
 	// the answer.
 	returnShare = 1.0 / 3
 )
 
-// pressure tells how fast the tickets of a bucket are granted, and since when some are refused.
+// decaying is a sum with exponential decay over paceMemory, as of at.
+type decaying struct {
+	sum float64
+	at  time.Time
+}
+
+// value returns the sum at now.
+func (d *decaying) value(now time.Time) float64 {
+	if passed := now.Sub(d.at); passed > 0 {
+		d.sum *= math.Exp(-passed.Seconds() / paceMemory.Seconds())
+		d.at = now
+	}
+	return d.sum
+}
+
+func (d *decaying) add(now time.Time, amount float64) { d.sum = d.value(now) + amount }
+
+// pressure tells how fast the tickets of a bucket are granted, and which part of them is refused.
 type pressure struct {
-	// grants is a count with exponential decay, as of at.
-	grants float64
-	at     time.Time
+	grants   decaying
+	refusals decaying
 	// waitingSince is since when there are waiting tickets all the time; zero if there are none.
 	waitingSince time.Time
-	// overloadedSince is the first refusal of the present overload, refusedAt the last one.
-	overloadedSince time.Time
-	refusedAt       time.Time
 }
 
 // granted counts a grant.
-func (p *pressure) granted(now time.Time) {
-	p.decay(now)
-	p.grants++
-}
+func (p *pressure) granted(now time.Time) { p.grants.add(now, 1) }
 
-func (p *pressure) decay(now time.Time) {
-	if passed := now.Sub(p.at); passed > 0 {
-		p.grants *= math.Exp(-passed.Seconds() / paceMemory.Seconds())
-		p.at = now
-	}
-}
+// refused counts a ticket that was refused for lack of capacity.
+func (p *pressure) refused(now time.Time) { p.refusals.add(now, 1) }
 
 // pace is in grants a second.
-func (p *pressure) pace(now time.Time) float64 {
-	p.decay(now)
-	return p.grants / paceMemory.Seconds()
+func (p *pressure) pace(now time.Time) float64 { return p.grants.value(now) / paceMemory.Seconds() }
+
+// owed is the number of grants until a part of the bucket's tickets has been served.
+func (p *pressure) owed(now time.Time, floor float64) int {
+	grants := p.grants.value(now)
+	return int((floor*(grants+p.refusals.value(now)) - grants) / (1 - floor))
 }
 
 // noteQueue notes whether tickets wait after the grants of a step.
@@ -63,20 +70,26 @@
 	}
 }
 
-// noteRefusal notes that a ticket was refused for lack of capacity.
-func (p *pressure) noteRefusal(now time.Time) {
-	if now.Sub(p.refusedAt) > calmAfter {
-		p.overloadedSince = now
-	}
-	p.refusedAt = now
-}
+// owedShare is the part of the pool that grants to starved tiers may take from the tiers above them: much for short requests,
+// little for the many long ones of a workspace that sends more than it usually does.
+const owedShare = 0.04
 
-// overloadAge is how long the present overload has lasted, 0 without one.
-func (p *pressure) overloadAge(now time.Time) time.Duration {
-	if p.refusedAt.IsZero() || now.Sub(p.refusedAt) > calmAfter {
-		return 0
+// fillOwed grants what starved tiers are owed, within owedShare.
+func (s *Scheduler) fillOwed(now time.Time) {
+	if s.settings.TierFloor <= 0 {
+		return
+	}
+	for _, b := range s.buckets {
+		for b.queued > 0 && s.engines.anyOpen() && b.pressure.owed(now, s.settings.TierFloor) > 0 &&
+			s.owed.value(now) < owedShare*float64(s.engines.slots)*paceMemory.Seconds() {
+			before, seconds := b.queued, b.seconds
+			s.fillBucket(b, now, 1)
+			if b.queued == before {
+				break
+			}
+			s.owed.add(now, seconds-b.seconds)
+		}
 	}
-	return now.Sub(p.overloadedSince)
 }
 
 // pacedWait is how long the ticket would wait behind those of its bucket at the pace at which these are granted, in seconds.
@@ -94,15 +107,14 @@
 // refuseOverloaded refuses a ticket that can't be served in time, and tells its caller when to come back.
 func (s *Scheduler) refuseOverloaded(r *request, code, message string) {
 	now := s.engines.now
-	s.buckets[r.bucket].pressure.noteRefusal(now)
+	s.buckets[r.bucket].pressure.refused(now)
 	s.refuse(r, code, message, s.retryAfter(r, now))
 }
 
-// retryAfter is the expected time until the queue of the ticket's tier and those above it has drained, and at least as long as
-// the overload has lasted, since it is likely to last as long again. Jitter keeps refused callers from returning together.
+// retryAfter is the expected time until the queue of the ticket's tier and those above it has drained, with jitter so that
+// refused callers don't return together.
 func (s *Scheduler) retryAfter(r *request, now time.Time) time.Duration {
-	age := s.buckets[r.bucket].pressure.overloadAge(now)
-	wait := s.jitter(max(seconds(s.drainSeconds(r.bucket)), age))
+	wait := s.jitter(seconds(s.drainSeconds(r.bucket)))
 	if r.deadline.IsZero() {
 		return wait
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,8 @@
 	// parked orders the lanes that wait for a limit by their next look.
 	parked     *indexedHeap[*lane]
 	limitShare float64
+	// owed is the work in seconds that was granted to starved tiers.
+	owed decaying
 
 	// recheck is when tickets that wait for the prefills of others are looked at again.
 	recheck   time.Time
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -47,6 +47,8 @@
 	// OutputMargin times the expected output must fit before the deadline on the engine of a grant, or as much of it as
 	// the fastest engine generates by then. Estimates of outputs are off by a factor.
 	OutputMargin float64
+	// TierFloor is the part of each tier's tickets that is served before those of higher tiers; 0 means a strict order.
+	TierFloor float64
 	// AllowanceWindow is the time in which a workspace may use its rate and its burst; 0 means that the burst comes back at
 	// the rate only.
 	AllowanceWindow time.Duration
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 )
 
@@ -68,8 +69,9 @@
 	}
 }
 
-// fill grants queued tickets, bucket by bucket, as long as engines have room.
+// fill grants queued tickets, bucket by bucket, as long as engines have room; first what lower tiers are owed.
 func (s *Scheduler) fill(now time.Time) {
+	s.fillOwed(now)
 	for _, b := range s.buckets {
 		if b.queued == 0 {
 			continue
@@ -77,7 +79,7 @@
 		if !s.engines.anyOpen() {
 			return
 		}
-		s.fillBucket(b, now)
+		s.fillBucket(b, now, math.MaxInt)
 	}
 }
 
@@ -88,13 +90,13 @@
 // hundreds of backlogged workspaces and full engines, each step would otherwise look at all of them.
 const skipLimit = 16
 
-// fillBucket grants the tickets of one bucket. A length class whose first ticket finds no slot is left out for the
+// fillBucket grants at most limit tickets of one bucket. A length class whose first ticket finds no slot is left out for the
 // rest of the step. A ticket that only lacks room holds up its own flow and gets an engine reserved.
-func (s *Scheduler) fillBucket(b *bucket, now time.Time) {
+func (s *Scheduler) fillBucket(b *bucket, now time.Time, limit int) {
 	var blocked [classCount]bool
 	var skipped []*flow
 	var late aside
-	for s.engines.spare() > 0 {
+	for limit > 0 && s.engines.spare() > 0 {
 		f := s.next(b, &blocked)
 		if f == nil {
 			break
@@ -114,6 +116,7 @@
 		if e := s.choose(s.engines, r); e != nil {
 			if e = s.inTime(r, e, now); e != nil {
 				s.grant(r, e, now)
+				limit--
 				continue
 			}
 			// Only busy engines are fast enough; the ticket waits for one until its latest start.
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -37,6 +37,7 @@
 	result.PrefillSample = settings.PrefillSample
 	result.OutputSample = settings.OutputSample
 	result.OutputMargin = settings.OutputMargin
+	result.TierFloor = settings.TierFloor
 	result.AllowanceWindow = settings.AllowanceWindow
 	result.ConnectionCost, result.ConnectionIdle = settings.ConnectionCost, settings.ConnectionIdle
 	result.StragglerRatio = settings.StragglerRatio
