Send new followers the first record of the directory too

A router that follows a reader from its start reported 0 as its last offset, and the reader sent it what changed after that: the registration at offset 0, one of three order engines, was known to the readers only. When the two others left, the pool had no engine in the eyes of its scheduler. Change: -1 stands for no offset, in the table and for what a follower was told. Test: subscriber.TestStart, red before (no upstream known).

--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -9,6 +9,9 @@
 	"coltsfootplank/internal/kernel"
 )
 
+// noOffset is below the offset of each record; the first one has 0.
+const noOffset = -1
+
 // table holds the newest known record of each upstream. Records are ordered by their offset, wherever they come from.
 type table struct {
 	entries map[string]*entry
@@ -33,7 +36,7 @@
 // forgetAfter is how long it is remembered that an upstream is gone, so that no grant of another router revives it.
 const forgetAfter = time.Minute
 
-func newTable() *table { return &table{entries: make(map[string]*entry)} }
+func newTable() *table { return &table{entries: make(map[string]*entry), changed: noOffset} }
 
 // apply takes a record. A dropped record counts from dropAt on. It returns whether the usable upstreams may have changed.
 func (t *table) apply(record kernel.DirectoryRecord, decode func(kernel.DirectoryRecord) (kernel.Registration, error), dropAt time.Time) (bool, error) {
@@ -42,7 +45,7 @@
 		return false, nil
 	}
 	if known == nil {
-		known = &entry{}
+		known = &entry{changed: noOffset}
 		t.entries[record.Key] = known
 	}
 	if record.Value == nil {
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -63,7 +63,11 @@
 	}
 	now := time.Now()
 	for key, known := range s.table.entries {
-		if known.changed <= max(offset, sent[key]) || !known.dropAt.IsZero() && now.Before(known.dropAt) {
+		last, told := sent[key]
+		if !told {
+			last = offset
+		}
+		if known.changed <= last || !known.dropAt.IsZero() && now.Before(known.dropAt) {
 			continue
 		}
 		sent[key] = known.changed
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -188,7 +188,7 @@
 }
 
 // TestStart guards against a router that reads by itself at its start, although it can follow another one at once, and
-// against one that doesn't follow before there is a publication.
+// against one that doesn't follow before there is a publication or that misses the first record of the directory.
 func TestStart(t *testing.T) {
 	for _, published := range []bool{true, false} {
 		testStart(t, published)
@@ -211,6 +211,7 @@
 		assert.Equal(t, own.reads.Load(), int64(0))
 		if published {
 			assert.Equal(t, fresh.Plan().Version, int64(1))
+			assert.DeepEqual(t, names(fresh), []string{"a"})
 		}
 		cancel()
 		assert.ErrorIs(t, group.Wait(), context.Canceled)
