Lose the answers of requests that run, at each step of the fault matrix

Change: three faults: all upstreams run requests and lose their answers by a reset, by silence and half-way; 42 cells. Ruled out: answers lost at one upstream, which few bookings meet.

--- a/internal/prover/faults_test.go
+++ b/internal/prover/faults_test.go
@@ -78,6 +78,11 @@
 	}
 }
 
+// answers decides what becomes of the answers of all upstreams, which run the requests all the same.
+func answers(fate answerFate) func(*cluster, target) {
+	return eachUpstream(func(u *upstream) { u.answers = fate })
+}
+
 // upstream returns the upstream of the step, or the first engine.
 func (c *cluster) upstream(at target) *upstream {
 	for _, u := range append(append([]*upstream{}, c.engines...), c.desks...) {
@@ -104,6 +109,9 @@
 	{name: "engine_crash", lasts: 4 * time.Second,
 		on:  func(c *cluster, at target) { c.upstream(at).crash() },
 		off: func(c *cluster, at target) { c.upstream(at).restart() }},
+	{name: "answers_reset", lasts: 4 * time.Second, on: answers(answersReset), off: answers(answersArrive)},
+	{name: "answers_silent", lasts: 4 * time.Second, on: answers(answersSilent), off: answers(answersArrive)},
+	{name: "answers_half", lasts: 4 * time.Second, on: answers(answersHalf), off: answers(answersArrive)},
 	{name: "log_slow", lasts: 10 * time.Second,
 		on:  func(c *cluster, _ target) { c.log.SetDelay(2 * time.Second) },
 		off: func(c *cluster, _ target) { c.log.SetDelay(0) }},
--- a/internal/prover/matrix_test.go
+++ b/internal/prover/matrix_test.go
@@ -68,6 +68,11 @@
 	"read_back/stale_load": reportsOnly, "read_back/cache_events_missing": reportsOnly, "read_back/vm_list_late": reportsOnly,
 	"apply/stale_load": reportsOnly, "apply/cache_events_missing": reportsOnly, "apply/vm_list_late": reportsOnly,
 	"snapshot/stale_load": reportsOnly, "snapshot/cache_events_missing": reportsOnly, "snapshot/vm_list_late": reportsOnly,
+	"catalogue_append/answers_reset": engineOnly, "catalogue_append/answers_silent": engineOnly, "catalogue_append/answers_half": engineOnly,
+	"read_back/answers_reset": engineOnly, "read_back/answers_silent": engineOnly, "read_back/answers_half": engineOnly,
+	"apply/answers_reset": engineOnly, "apply/answers_silent": engineOnly, "apply/answers_half": engineOnly,
+	"snapshot/answers_reset": engineOnly, "snapshot/answers_silent": engineOnly, "snapshot/answers_half": engineOnly,
+
 	"lease/cache_events_missing": reportsOnly, "order/cache_events_missing": reportsOnly,
 }
 
--- a/internal/prover/upstreams_test.go
+++ b/internal/prover/upstreams_test.go
@@ -44,6 +44,19 @@
 	})
 }
 
+// answerFate says what becomes of the answers to requests that the upstream runs.
+type answerFate int
+
+const (
+	answersArrive answerFate = iota
+	// answersReset end with a reset before their first byte.
+	answersReset
+	// answersSilent never come; the connection stays open.
+	answersSilent
+	// answersHalf break off in the middle.
+	answersHalf
+)
+
 // upstream is an engine or an order desk. Every request is named "<router>-<number>", so that what a frozen or dead
 // router sends and receives can be held back.
 type upstream struct {
@@ -60,6 +73,7 @@
 	stale     *kernel.LoadReport
 	draining  bool
 	events    bool
+	answers   answerFate
 	streams   map[string]int // totals of the streams that this instance knows
 	running   int
 	runs      []checker.Run
@@ -130,9 +144,26 @@
 	if err := u.gate(ctx, id); err != nil {
 		return &kernel.LostError{Address: u.name, Cause: err}
 	}
+	switch u.fate() {
+	case answersReset:
+		return &kernel.LostError{Address: u.name, Cause: errCut}
+	case answersSilent:
+		select {
+		case <-ctx.Done():
+			return &kernel.LostError{Address: u.name, Cause: ctx.Err()}
+		case <-crashed:
+			return &kernel.LostError{Address: u.name, Cause: errCrash}
+		}
+	}
 	return nil
 }
 
+func (u *upstream) fate() answerFate {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.answers
+}
+
 func (u *upstream) load(context.Context) (kernel.LoadReport, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -165,6 +196,9 @@
 	if err := d.work(ctx, request.RequestID, crashed, deskTime); err != nil {
 		return kernel.ServiceResponse{}, err
 	}
+	if d.fate() == answersHalf {
+		return kernel.ServiceResponse{}, &kernel.LostError{Address: d.name, Cause: errCut}
+	}
 	return kernel.ServiceResponse{Status: 200, Body: []byte(request.RequestID)}, nil
 }
 
@@ -291,6 +325,9 @@
 	if index != s.total/2 {
 		return frame, nil
 	}
+	if s.engine.fate() == answersHalf {
+		return kernel.Frame{}, &kernel.LostError{Address: s.engine.name, Cause: errCut}
+	}
 	switch s.flaw {
 	case flawDuplicate:
 		s.queue = []kernel.Frame{{StreamID: s.id, Index: index - 1}, frame}
