Wait for the first plan without a timer where there is one

Cause: each request made a context with a timer for the wait for a router's first configuration, also when there is one; and two constants of the name joinTime stood for two different times. Change: AwaitPlan takes the wait and looks at its channel first; the runner's time is startTime. Test: subscriber.TestAwaitPlan also waits in vain for a plan that doesn't come.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -22,8 +22,8 @@
 
 // Plans gives the newest plan, nil before the first, and says which upstreams are known to leave.
 type Plans interface {
-	// AwaitPlan waits for the first plan until ctx ends.
-	AwaitPlan(ctx context.Context) *subscriber.Plan
+	// AwaitPlan waits for the first plan for a time at most, or until ctx ends.
+	AwaitPlan(ctx context.Context, wait time.Duration) *subscriber.Plan
 	Departed(upstream string) bool
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -132,11 +132,13 @@
 	delay time.Duration
 }
 
-func (p plans) AwaitPlan(ctx context.Context) *subscriber.Plan {
+func (p plans) AwaitPlan(ctx context.Context, wait time.Duration) *subscriber.Plan {
 	if p.plan == nil || p.delay > 0 {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-time.After(wait):
+			return nil
 		case <-time.After(p.delay):
 		}
 	}
--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -31,7 +30,8 @@
 // intake reads a request and makes one of the holder's from it. The exchange isn't nil in case of a refusal either.
 func (f *Forwarder) intake(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange, *holder.Refusal) {
 	x := &exchange{forwarder: f, w: w, method: r.Method, host: r.Host, header: r.Header}
-	plan := f.awaitPlan(r.Context())
+	// A router that has just started gets its first plan within planWait, in time for the callers that turned to it meanwhile.
+	plan := f.options.Plans.AwaitPlan(r.Context(), planWait)
 	if plan == nil {
 		return x, &holder.Refusal{
 			Outcome: holder.OutcomeNotRun, Code: holder.CodeNoUpstream, Message: "this router has no configuration yet",
@@ -65,14 +65,6 @@
 	return x, nil
 }
 
-// awaitPlan returns the newest plan. A router that has just started gets its first one within planWait, in time for the
-// callers that turned to it meanwhile; nil if it doesn't.
-func (f *Forwarder) awaitPlan(ctx context.Context) *subscriber.Plan {
-	ctx, cancel := context.WithTimeout(ctx, planWait)
-	defer cancel()
-	return f.options.Plans.AwaitPlan(ctx)
-}
-
 // target returns the path and query as the caller sent them. An absolute request line is cut to them.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/runner/cell_test.go
+++ b/internal/runner/cell_test.go
@@ -72,7 +72,7 @@
 		f.cut(lone, "a", true)
 		started := f.start(lone, catalogue)
 		grantedOnce(t, waitGranted(t, started.submit("chat", 0, 1)))
-		time.Sleep(joinTime - time.Second)
+		time.Sleep(startTime - time.Second)
 		started.inspect(func(f *fifo) { assert.Equal(t, f.loads["chat-engine"], 0) })
 		f.nodes["a"].inspect(func(f *fifo) { assert.Assert(t, f.loads["chat-engine"] > 0, "the first rank polls") })
 	})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,8 +18,8 @@
 	"coltsfootplank/internal/ranker"
 )
 
-// joinTime is how long a router takes at most to learn of some others after its start.
-const joinTime = 5 * time.Second
+// startTime is how long after its start a router may still know few others.
+const startTime = 5 * time.Second
 
 // reviewInterval is the time between looks at which cells this router should host.
 const reviewInterval = time.Second
@@ -103,7 +103,7 @@
 }
 
 // joining says that this router has just started and may know few others: it would host what others are ranked first for.
-func (r *Runner) joining() bool { return time.Since(r.started) < joinTime }
+func (r *Runner) joining() bool { return time.Since(r.started) < startTime }
 
 // all returns the running cells, sorted by role.
 func (r *Runner) all() []*cell {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -102,11 +102,19 @@
 // Plan returns the newest plan, nil before the first publication is known.
 func (s *Subscriber) Plan() *Plan { return s.plan.Load() }
 
-// AwaitPlan returns the newest plan. It waits for the first one, and for the registrations, until ctx ends; nil if there is
-// no plan by then.
-func (s *Subscriber) AwaitPlan(ctx context.Context) *Plan {
+// AwaitPlan returns the newest plan. It waits for the first one, and for the registrations, for a time at most, or until ctx
+// ends; nil if there is no plan by then.
+func (s *Subscriber) AwaitPlan(ctx context.Context, wait time.Duration) *Plan {
+	select {
+	case <-s.planned:
+		return s.plan.Load()
+	default:
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-timer.C:
 	case <-s.planned:
 	}
 	return s.plan.Load()
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -110,14 +110,16 @@
 		assert.NilError(t, json.Unmarshal(data, &state))
 		fresh := New(p.follower.options)
 		fresh.publish(state.Publication, sourceDirectory)
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
 		began := time.Now()
 		time.AfterFunc(100*time.Millisecond, func() {
 			assert.NilError(t, fresh.Adopt(data))
 		})
-		assert.Assert(t, fresh.AwaitPlan(ctx) != nil)
+		assert.Assert(t, fresh.AwaitPlan(t.Context(), time.Second) != nil)
 		assert.Equal(t, time.Since(began), 100*time.Millisecond)
+
+		unread := New(p.follower.options)
+		assert.Assert(t, unread.AwaitPlan(t.Context(), time.Second) == nil)
+		assert.Equal(t, time.Since(began), 1100*time.Millisecond)
 	})
 }
 
