Let the readers of the directory read first at a start that no request waits for

Cause: 125 routers that start together each read the whole directory after 80 ms, before they know which of them reads for the others: 322 of the 960 calls to the store until a second of traffic (counted in a trial build that prints each call). Change: a router that has just started waits for a reader to follow for up to 1.2 s; one that finds itself to be the reader after 300 ms reads. As soon as a request waits for the first plan, the wait is 80 ms as before. Ruled out: the reads of the routers' records and their announcements, one each; a setting from the platform that marks first starts, which the need of a request tells better. Test: subscriber.TestCommonStart (4 whole reads instead of 2 without the change).

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -50,8 +50,10 @@
 	logger  *zap.Logger
 	plan    atomic.Pointer[Plan]
 	current atomic.Pointer[cataloguer.Catalogue]
-	// planned is closed when there is a plan and the registrations are known.
+	// planned is closed when there is a plan and the registrations are known, wanted when a request waits for that.
 	planned chan struct{}
+	wanted  chan struct{}
+	want    func()
 
 	began time.Time
 
@@ -79,8 +81,9 @@
 func New(options Options) *Subscriber {
 	s := &Subscriber{
 		options: options, logger: options.Logger, table: newTable(), subscribers: make(map[int]func(*cataloguer.Catalogue)),
-		changed: make(chan struct{}), switched: make(chan struct{}), planned: make(chan struct{}), began: time.Now(),
+		changed: make(chan struct{}), switched: make(chan struct{}), planned: make(chan struct{}), wanted: make(chan struct{}), began: time.Now(),
 	}
+	s.want = sync.OnceFunc(func() { close(s.wanted) })
 	s.current.Store((&cataloguer.Catalogue{Offset: -1}).Index())
 	return s
 }
@@ -110,6 +113,7 @@
 		return s.plan.Load()
 	default:
 	}
+	s.want()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -27,6 +27,8 @@
 	records [2][]kernel.DirectoryRecord
 	changed chan struct{}
 	calls   int
+	// lists counts the reads of all records.
+	lists int
 }
 
 func newStore() *store { return &store{changed: make(chan struct{})} }
@@ -110,6 +112,7 @@
 func (s *store) Newest(_ context.Context, topic kernel.Topic) (kernel.DirectoryPage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists++
 	page := kernel.DirectoryPage{Next: s.first[topic] + int64(len(s.records[topic]))}
 	if s.down {
 		return page, &kernel.LogUnavailableError{Operation: "list", Cause: downError{}}
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -19,9 +19,11 @@
 	// readerWait is how long a router that has read all waits for another one to follow before it reads on by itself. It
 	// is well below the time in which a change must be in force.
 	readerWait = 1200 * time.Millisecond
-	// firstReaderWait is how long a router that has just started and has read nothing waits for another one to follow. The
-	// others answer within some milliseconds; a start without others is held up by this time.
+	// firstReaderWait is how long a router that has just started waits for another one to follow while requests wait for the
+	// first plan. The others answer within some milliseconds; a start without others is held up by this time.
 	firstReaderWait = 80 * time.Millisecond
+	// meetTime is how long routers that start together need to know most of each other, and so which of them reads.
+	meetTime = 300 * time.Millisecond
 )
 
 // health says since when the reads of a topic succeed or fail.
@@ -36,7 +38,7 @@
 	apply func(page kernel.DirectoryPage, whole bool),
 ) error {
 	next, backoff := int64(-1), backoffMin
-	s.awaitReader(ctx, firstReaderWait)
+	s.awaitFirstReader(ctx)
 	for ctx.Err() == nil {
 		if s.awaitDirect(ctx) {
 			next = -1
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -189,6 +189,29 @@
 	}
 }
 
+// awaitFirstReader waits after a start for another router to follow. Without requests that wait for the first plan there is time
+// to find out which router reads: each of hundreds that start together would otherwise read everything.
+func (s *Subscriber) awaitFirstReader(ctx context.Context) {
+	s.awaitReader(ctx, firstReaderWait)
+	for ctx.Err() == nil && time.Since(s.began) < readerWait {
+		select {
+		case <-s.wanted:
+			return
+		default:
+		}
+		if s.isFollowing() || time.Since(s.began) >= meetTime && s.options.Leader() == "" {
+			return
+		}
+		sleep(ctx, lookInterval)
+	}
+}
+
+func (s *Subscriber) isFollowing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.following != ""
+}
+
 // awaitDirect waits until this router has to read the directory itself. It returns whether it had to wait.
 func (s *Subscriber) awaitDirect(ctx context.Context) bool {
 	waited := false
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -123,6 +123,35 @@
 	})
 }
 
+// TestCommonStart guards against routers that all read the whole directory when they start together, and against requests that
+// wait for a reader that doesn't answer.
+func TestCommonStart(t *testing.T) {
+	runPair(t, func(t *testing.T, p *pair) {
+		p.shared.mu.Lock()
+		defer p.shared.mu.Unlock()
+		assert.Equal(t, p.shared.lists, 2, "only the reader has read")
+	})
+	synctest.Test(t, func(t *testing.T) {
+		shared := newStore()
+		shared.put(kernel.TopicPublication, "config", version(1))
+		shared.put(kernel.TopicUpstreams, "a", engine("a"))
+		s := New(Options{
+			Directory: shared, FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
+			Leader: func() string { return "silent" }, WatchWait: time.Second, PollInterval: time.Second, Logger: zap.NewNop(),
+			Watch: func(ctx context.Context, _ string, _ *protocol.WatchRequest, _ func(*protocol.WatchUpdate) bool) error {
+				<-ctx.Done()
+				return ctx.Err()
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return s.Run(ctx) })
+		assert.Assert(t, s.AwaitPlan(t.Context(), 2*firstReaderWait) != nil)
+		cancel()
+		assert.ErrorIs(t, group.Wait(), context.Canceled)
+	})
+}
+
 // TestPack guards against large configurations that fill the reader's link: hundreds of routes for fifty followers.
 func TestPack(t *testing.T) {
 	const routes, followers, linkBytes = 500, 50, 10_000_000 / 8
