Let the next candidate read the directory where the first one can't

Change: the three first-ranked hosts of a data centre are candidates; a router follows the first of them that can read, looks for the next one for 250 ms after it lost one, and backs off twice as long as the candidates while it fails itself. Ruled out: longer pauses for all, since the candidates have to find out in time when the store is back; four times longer pauses, which could pass the 3 s after an outage where two candidates are cut off too. Test: subscriber.TestNextReader (150 reads of ten followers with one candidate, at most 10 now).

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -29,8 +29,8 @@
 	Directory kernel.DirectoryProtocol
 	// FetchSnapshot returns the snapshot of a peer that knows more, or nil.
 	FetchSnapshot func(ctx context.Context) ([]byte, error)
-	// Leader returns the address of the router that reads the directory for this one; empty if this one reads itself.
-	Leader func() string
+	// Readers returns the routers that read the directory for this one.
+	Readers func() Readers
 	// Watch follows a router until its stream breaks or receive returns false.
 	Watch func(ctx context.Context, address string, request *protocol.WatchRequest, receive func(*protocol.WatchUpdate) bool) error
 	// WatchWait is how long a read for a new publication waits in the directory. A connection that went silent is
@@ -44,6 +44,14 @@
 	Logger     *zap.Logger
 }
 
+// Readers are routers that read the directory for others: the first one, or the first of the rest that can read.
+type Readers struct {
+	// Addresses are those to follow, the preferred one first; empty if this router reads itself.
+	Addresses []string
+	// Candidate says that this router reads for others if those to follow can't.
+	Candidate bool
+}
+
 // Subscriber keeps the newest publication and registrations. Its methods may be called concurrently.
 type Subscriber struct {
 	options Options
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -173,7 +173,7 @@
 		directory, defaults := newStore(), loader.Defaults().Gateway
 		s := New(Options{
 			Directory: directory, FetchSnapshot: func(context.Context) ([]byte, error) { return peer(), nil },
-			Leader: func() string { return "" }, WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval,
+			Readers: func() Readers { return Readers{} }, WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval,
 			LapseGrace: defaults.LapseGrace, Logger: zap.NewNop(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -16,6 +16,12 @@
 	// well within the time in which a change must be in force.
 	backoffMin = 150 * time.Millisecond
 	backoffMax = 1200 * time.Millisecond
+	// followerBackoff is how many times longer the pauses of a router are that others read for: those find out when the
+	// directory is back. Where they can't, the longest pause is still below the time after an outage in which bounds don't hold.
+	followerBackoff = 2
+	// readerSwitch is how long a router that has lost its reader looks for the next one before it reads by itself. With the
+	// time until a reader counts as silent it stays well below that in which a change must be in force.
+	readerSwitch = 250 * time.Millisecond
 	// readerWait is how long a router that has read all waits for another one to follow before it reads on by itself. It
 	// is well below the time in which a change must be in force.
 	readerWait = 1200 * time.Millisecond
@@ -40,8 +46,12 @@
 	next, backoff := int64(-1), backoffMin
 	s.awaitFirstReader(ctx)
 	for ctx.Err() == nil {
+		readers := s.options.Readers()
 		if s.awaitDirect(ctx) {
 			next = -1
+			if !readers.Candidate {
+				s.awaitReader(ctx, readerSwitch)
+			}
 			continue
 		}
 		if topic != kernel.TopicPublication && s.publicationFails() {
@@ -59,7 +69,12 @@
 		}
 		if err != nil {
 			s.failed(topic, err)
-			sleep(ctx, backoff/2+rand.N(backoff/2))
+			pause := backoff/2 + rand.N(backoff/2)
+			if len(readers.Addresses) > 0 && !readers.Candidate {
+				s.awaitReader(ctx, pause*followerBackoff)
+			} else {
+				sleep(ctx, pause)
+			}
 			backoff = min(2*backoff, backoffMax)
 			continue
 		}
@@ -67,7 +82,7 @@
 		s.succeeded(topic)
 		apply(page, whole)
 		next = page.Next
-		if whole {
+		if whole && !readers.Candidate {
 			s.awaitReader(ctx, readerWait)
 			continue
 		}
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,8 @@
 	followInterval = 500 * time.Millisecond
 	// lookInterval is the time between looks for a reader while none is known, as at the start.
 	lookInterval = 20 * time.Millisecond
+	// switchInterval is the time between tries after the reader was lost, while the next one takes over.
+	switchInterval = 50 * time.Millisecond
 )
 
 // Serve tells a follower of all that changes, and from time to time that nothing has, until ctx ends or send fails.
@@ -122,49 +125,59 @@
 	s.changed = make(chan struct{})
 }
 
-// follow takes what changes from another router that reads the directory, as long as there is one and it can read.
+// follow takes what changes from another router that reads the directory, as long as there is one that can read.
 func (s *Subscriber) follow(ctx context.Context) error {
+	var lost time.Time
 	for ctx.Err() == nil {
 		pause := lookInterval
-		if leader := s.options.Leader(); leader != "" {
-			s.watch(ctx, leader)
+		for _, reader := range s.options.Readers().Addresses {
+			if s.watch(ctx, reader) {
+				lost = time.Now()
+				break
+			}
 			pause = followInterval
 		}
+		if time.Since(lost) < readerSwitch {
+			pause = switchInterval
+		}
 		sleep(ctx, pause)
 	}
 	return ctx.Err()
 }
 
-// watch follows one router until its stream breaks, it can't read, or another one is to be followed.
-func (s *Subscriber) watch(ctx context.Context, leader string) {
+// watch follows one router until its stream breaks, it can't read, or it isn't one of the readers any more. It returns whether
+// that router was followed.
+func (s *Subscriber) watch(ctx context.Context, reader string) bool {
 	version, offset := s.Revision()
-	err := s.options.Watch(ctx, leader, &protocol.WatchRequest{Revision: version, Offset: offset}, func(update *protocol.WatchUpdate) bool {
+	err := s.options.Watch(ctx, reader, &protocol.WatchRequest{Revision: version, Offset: offset}, func(update *protocol.WatchUpdate) bool {
 		if err := s.take(update); err != nil {
-			s.logger.Warn("reader's update not taken over", zap.String("reader", leader), zap.Error(err))
+			s.logger.Warn("reader's update not taken over", zap.String("reader", reader), zap.Error(err))
 			return false
 		}
-		if !update.GetReading() || s.options.Leader() != leader {
+		if !update.GetReading() || !slices.Contains(s.options.Readers().Addresses, reader) {
 			return false
 		}
-		s.setFollowing(leader)
+		s.setFollowing(reader)
 		return true
 	})
-	if s.setFollowing("") && ctx.Err() == nil {
-		s.logger.Info("reader lost", zap.String("reader", leader), zap.Error(err))
+	followed := s.setFollowing("")
+	if followed && ctx.Err() == nil {
+		s.logger.Info("reader lost", zap.String("reader", reader), zap.Error(err))
 	}
+	return followed
 }
 
 // setFollowing notes which router is followed, if any, and returns whether that is news.
-func (s *Subscriber) setFollowing(leader string) bool {
+func (s *Subscriber) setFollowing(reader string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.following == leader {
+	if s.following == reader {
 		return false
 	}
-	if leader != "" {
-		s.logger.Info("reader followed", zap.String("reader", leader))
+	if reader != "" {
+		s.logger.Info("reader followed", zap.String("reader", reader))
 	}
-	s.following = leader
+	s.following = reader
 	close(s.switched)
 	s.switched = make(chan struct{})
 	return true
@@ -177,7 +190,7 @@
 	s.mu.Unlock()
 	// A router that has just started doesn't know yet whom to follow.
 	joining := time.Since(s.began) < readerWait
-	if following || !joining && s.options.Leader() == "" {
+	if following || !joining && len(s.options.Readers().Addresses) == 0 {
 		return
 	}
 	timer := time.NewTimer(wait)
@@ -199,7 +212,7 @@
 			return
 		default:
 		}
-		if s.isFollowing() || time.Since(s.began) >= meetTime && s.options.Leader() == "" {
+		if s.isFollowing() || time.Since(s.began) >= meetTime && len(s.options.Readers().Addresses) == 0 {
 			return
 		}
 		sleep(ctx, lookInterval)
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -36,14 +36,14 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		p := &pair{shared: newStore(), cut: make(chan struct{})}
-		options := func(leader string) Options {
+		options := func(readers ...string) Options {
 			return Options{
 				Directory: p.shared, FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
-				Leader: func() string { return leader }, WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond,
+				Readers: func() Readers { return Readers{Addresses: readers} }, WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond,
 				LapseGrace: 2200 * time.Millisecond, Logger: zap.NewNop(),
 			}
 		}
-		p.reader = New(options(""))
+		p.reader = New(options())
 		following := options("reader")
 		following.Watch = func(ctx context.Context, _ string, request *protocol.WatchRequest, receive func(*protocol.WatchUpdate) bool) error {
 			return p.reader.Serve(ctx, request, func(update *protocol.WatchUpdate) error {
@@ -137,7 +137,7 @@
 		shared.put(kernel.TopicUpstreams, "a", engine("a"))
 		s := New(Options{
 			Directory: shared, FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
-			Leader: func() string { return "silent" }, WatchWait: time.Second, PollInterval: time.Second, Logger: zap.NewNop(),
+			Readers: func() Readers { return Readers{Addresses: []string{"silent"}} }, WatchWait: time.Second, PollInterval: time.Second, Logger: zap.NewNop(),
 			Watch: func(ctx context.Context, _ string, _ *protocol.WatchRequest, _ func(*protocol.WatchUpdate) bool) error {
 				<-ctx.Done()
 				return ctx.Err()
@@ -248,3 +248,95 @@
 		assert.ErrorIs(t, group.Wait(), context.Canceled)
 	})
 }
+
+// gate is one router's way to a shared store, which may turn it away.
+type gate struct {
+	*store
+	shut  atomic.Bool
+	reads atomic.Int64
+}
+
+func (g *gate) Changes(ctx context.Context, topic kernel.Topic, from int64, wait time.Duration) (kernel.DirectoryPage, error) {
+	g.reads.Add(1)
+	if g.shut.Load() {
+		return kernel.DirectoryPage{}, &kernel.LogUnavailableError{Operation: "read", Cause: downError{}}
+	}
+	return g.store.Changes(ctx, topic, from, wait)
+}
+
+func (g *gate) Newest(ctx context.Context, topic kernel.Topic) (kernel.DirectoryPage, error) {
+	g.reads.Add(1)
+	if g.shut.Load() {
+		return kernel.DirectoryPage{}, &kernel.LogUnavailableError{Operation: "list", Cause: downError{}}
+	}
+	return g.store.Newest(ctx, topic)
+}
+
+// TestNextReader guards against routers that all read the directory themselves while it turns their reader away, and against
+// changes that reach them late meanwhile.
+func TestNextReader(t *testing.T) {
+	const followers = 10
+	synctest.Test(t, func(t *testing.T) {
+		shared := newStore()
+		shared.put(kernel.TopicPublication, "config", version(1))
+		shared.put(kernel.TopicUpstreams, "a", engine("a"))
+		addresses := []string{"first", "second", "third"}
+		routers := make(map[string]*Subscriber)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		var gates []*gate
+		var all []*Subscriber
+		for i := range len(addresses) + followers {
+			rank := min(i, len(addresses))
+			gates = append(gates, &gate{store: shared})
+			s := New(Options{
+				Directory: gates[i], FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
+				Readers: func() Readers {
+					return Readers{Addresses: addresses[:rank], Candidate: rank < len(addresses)}
+				},
+				Watch: func(ctx context.Context, address string, request *protocol.WatchRequest, receive func(*protocol.WatchUpdate) bool) error {
+					return routers[address].Serve(ctx, request, func(update *protocol.WatchUpdate) error {
+						if !receive(update) {
+							return brokenError{}
+						}
+						return nil
+					})
+				},
+				WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond, Logger: zap.NewNop(),
+			})
+			if rank < len(addresses) {
+				routers[addresses[rank]] = s
+			}
+			all = append(all, s)
+		}
+		for _, s := range all {
+			group.Go(func() error { return s.Run(ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		read := func() (sum int64) {
+			for _, g := range gates[len(addresses):] {
+				sum += g.reads.Load()
+			}
+			return sum
+		}
+		before := read()
+		gates[0].shut.Store(true)
+		time.Sleep(time.Second)
+		for next := int64(2); next < 6; next++ {
+			shared.put(kernel.TopicPublication, "config", version(next))
+			time.Sleep(time.Second)
+			// The first router learns of changes by its peers' snapshots, which this test leaves out.
+			for i, s := range all[1:] {
+				assert.Equal(t, s.Plan().Version, next, "router %d", i+1)
+			}
+		}
+		assert.Assert(t, read()-before <= followers, "%d reads", read()-before)
+		gates[0].shut.Store(false)
+		time.Sleep(3 * time.Second)
+		before = gates[1].reads.Load()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, gates[1].reads.Load(), before, "the first reader reads again")
+		cancel()
+		assert.ErrorIs(t, group.Wait(), context.Canceled)
+	})
+}
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -59,7 +59,7 @@
 	closers.add(closeDirectory)
 	g.directory = directory
 	g.subscriber = subscriber.New(subscriber.Options{
-		Directory: directory, FetchSnapshot: g.fetchState, Leader: g.reader, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
+		Directory: directory, FetchSnapshot: g.fetchState, Readers: g.readers, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
 		LapseGrace: settings.LapseGrace, Logger: log,
 	})
 	r.assemble(parts{catalogue: g.subscriber, vmList: routerList{directory}, vmListInterval: settings.MemberInterval})
@@ -153,22 +153,29 @@
 	}
 }
 
-// readerRole is the role of the router that reads the directory for its data centre.
+// readerRole is the role of the routers that read the directory for their data centre.
 const readerRole = "reader/"
 
-// reader returns the address of the router that reads the directory for the data centre, empty if it is this one.
-func (g *gateway) reader() string {
+// readers returns the routers that read the directory for the data centre and are ranked before this one.
+func (g *gateway) readers() subscriber.Readers {
+	if g.leaving.Load() {
+		return subscriber.Readers{Candidate: true}
+	}
 	view := g.detector.View()
 	names := g.neighbours(view, view.Hosts())
 	if len(names) == 0 {
 		names = g.neighbours(view, view.Ranked())
 	}
-	first := ranker.First(readerRole+g.settings.DataCentre, names)
-	if first == g.settings.Name || first == "" || g.leaving.Load() {
-		return ""
+	var readers subscriber.Readers
+	for _, name := range ranker.Top(readerRole+g.settings.DataCentre, names) {
+		if name == g.settings.Name {
+			readers.Candidate = true
+			break
+		}
+		member, _ := view.Member(name)
+		readers.Addresses = append(readers.Addresses, member.Address)
 	}
-	member, _ := view.Member(first)
-	return member.Address
+	return readers
 }
 
 // neighbours returns the members of this router's data centre among some.
