Forget the records of routers that ended without a planned stop

Cause: such records stay in the store and count as listed routers. After as many of them as there are routers, routers that start together never know half of the list and grant one router's part of the allowances for ever. Change: a router's record holds its time of day and is renewed each 5 to 15 min; one that is 30 min older than the newest isn't listed. The records and the list made of them are in a file of their own. Ruled out: dropping records of dead members, which a partition or a restart under the same name would make wrong; the age by the reader's clock, which an outage of the store would make wrong. Test: assembler.TestRecords (the record of a router that ended is listed without the change).

--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -182,8 +182,8 @@
 	Changes(ctx context.Context, topic Topic, from int64, wait time.Duration) (DirectoryPage, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic Topic) (DirectoryPage, error)
-	// Announce records the address of a router under its name; an empty address drops it.
-	Announce(ctx context.Context, router, address string) error
+	// Announce writes the record of a router under its name; nil drops it.
+	Announce(ctx context.Context, router string, record []byte) error
 	// Publication decodes a record of TopicPublication; nil if the record is of another kind. Errors:
 	// *MalformedRecordError.
 	Publication(record DirectoryRecord) (*Publication, error)
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -129,7 +129,7 @@
 	return page, nil
 }
 
-func (s *store) Announce(context.Context, string, string) error { return nil }
+func (s *store) Announce(context.Context, string, []byte) error { return nil }
 
 func (s *store) Publication(record kernel.DirectoryRecord) (*kernel.Publication, error) {
 	publication := &kernel.Publication{}
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -22,16 +21,6 @@
 	"coltsfootplank/internal/subscriber"
 )
 
-const (
-	// announceTimeout bounds one try to record this router's address in the directory.
-	announceTimeout = 2 * time.Second
-	// announceRetry is the pause between tries.
-	announceRetry = time.Second
-	// announceSpread is the time over which routers that start together record their addresses. The store takes 4 ms for
-	// each, one after another.
-	announceSpread = 2 * time.Second
-)
-
 // gateway is the form of a router that serves the routes published in the platform's directory.
 type gateway struct {
 	*Router
@@ -62,7 +51,7 @@
 		Directory: directory, FetchSnapshot: g.fetchState, Readers: g.readers, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
 		LapseGrace: settings.LapseGrace, Logger: log,
 	})
-	r.assemble(parts{catalogue: g.subscriber, vmList: routerList{directory}, vmListInterval: settings.MemberInterval})
+	r.assemble(parts{catalogue: g.subscriber, vmList: routerList{directory, log}, vmListInterval: settings.MemberInterval})
 	r.holder = r.newHolder(g.subscriber, nil, nil)
 	opened := metrics.GetOrRegisterCounter("upstream.connections_opened", r.metrics)
 	upstreams, closeConnector := connector.New(connector.Settings{
@@ -109,36 +98,11 @@
 func (g *gateway) Stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	if err := g.directory.Announce(ctx, g.settings.Name, ""); err != nil {
+	if err := g.directory.Announce(ctx, g.settings.Name, nil); err != nil {
 		g.logger.Warn("router's record not dropped", zap.Error(err))
 	}
 }
 
-// announce records this router's address in the directory, by which routers without a live seed find each other.
-func (g *gateway) announce(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(rand.N(announceSpread)):
-	}
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, announceTimeout)
-		err := g.directory.Announce(callCtx, g.settings.Name, g.settings.Peers.Advertise)
-		cancel()
-		if err == nil {
-			break
-		}
-		g.logger.Warn("router's address not recorded", zap.Error(err))
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(announceRetry):
-		}
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
-
 // spread tells the other routers what this one knows of the directory.
 func (g *gateway) spread(ctx context.Context) error {
 	ticker := time.NewTicker(controlInterval)
@@ -226,26 +190,6 @@
 	}}}
 }
 
-// routerList is the VM list made of the routers' own records in the directory.
-type routerList struct {
-	directory kernel.DirectoryProtocol
-}
-
-// VMs implements kernel.VMListProtocol.
-func (l routerList) VMs(ctx context.Context) ([]kernel.VM, error) {
-	page, err := l.directory.Newest(ctx, kernel.TopicRouters)
-	if err != nil {
-		return nil, err
-	}
-	vms := make([]kernel.VM, 0, len(page.Records))
-	for _, record := range page.Records {
-		if len(record.Value) > 0 {
-			vms = append(vms, kernel.VM{Address: string(record.Value), Role: detector.RoleRouter, State: kernel.VMLive})
-		}
-	}
-	return vms, nil
-}
-
 // readOnly is the catalogue of the administration API where operators publish in the directory.
 type readOnly struct {
 	*subscriber.Subscriber
--- /dev/null
+++ b/router/internal/assembler/records_test.go
@@ -0,0 +1,70 @@
+package assembler
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/loader"
+	"coltsfootplank/internal/logger"
+)
+
+// recordStore keeps the newest record of each router.
+type recordStore struct {
+	kernel.DirectoryProtocol
+	records map[string][]byte
+	writes  int
+}
+
+func (s *recordStore) Announce(_ context.Context, router string, data []byte) error {
+	s.records[router] = data
+	s.writes++
+	return nil
+}
+
+func (s *recordStore) Newest(context.Context, kernel.Topic) (kernel.DirectoryPage, error) {
+	var page kernel.DirectoryPage
+	for key, value := range s.records {
+		page.Records = append(page.Records, kernel.DirectoryRecord{Key: key, Value: value})
+	}
+	return page, nil
+}
+
+// TestRecords guards against routers that ended without a planned stop and count as listed for ever: after as many as there are
+// routers, those that start together would never know half of the list, and would grant a small part of the allowances.
+func TestRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &recordStore{records: map[string][]byte{"foreign": []byte("not a record")}}
+		gatewayOf := func(name string) *gateway {
+			settings := &loader.Settings{Name: name}
+			settings.Peers.Advertise = name + ":1"
+			return &gateway{Router: &Router{settings: settings, logger: &logger.Logger{Logger: zap.NewNop()}}, directory: store}
+		}
+		list := routerList{directory: store, logger: zap.NewNop()}
+		count := func() int {
+			vms, err := list.VMs(t.Context())
+			assert.NilError(t, err)
+			return len(vms)
+		}
+		for _, name := range []string{"ended", "stopped"} {
+			assert.NilError(t, gatewayOf(name).record(t.Context()))
+		}
+		gatewayOf("stopped").Stop(t.Context())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		lives := gatewayOf("lives")
+		time.AfterFunc(0, func() { ended <- lives.announce(ctx) })
+		time.Sleep(announceSpread)
+		assert.Equal(t, count(), 2)
+		time.Sleep(recordLifetime + 2*announceInterval)
+		assert.Equal(t, count(), 1)
+		assert.Assert(t, store.writes <= 3+1+int((recordLifetime+2*announceInterval)/(announceInterval/2)), "%d writes", store.writes)
+		cancel()
+		assert.ErrorIs(t, <-ended, context.Canceled)
+	})
+}
