Look at the readers after the wait for them

Cause: a router that had followed another one for long decided by the ranking from before; found on reading the change. Change: the ranking is taken after the wait, and the pause after a failed read is a function of its own. Test: subscriber.TestNextReader.

--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -46,8 +46,9 @@
 	next, backoff := int64(-1), backoffMin
 	s.awaitFirstReader(ctx)
 	for ctx.Err() == nil {
+		waited := s.awaitDirect(ctx)
 		readers := s.options.Readers()
-		if s.awaitDirect(ctx) {
+		if waited {
 			next = -1
 			if !readers.Candidate {
 				s.awaitReader(ctx, readerSwitch)
@@ -69,12 +70,7 @@
 		}
 		if err != nil {
 			s.failed(topic, err)
-			pause := backoff/2 + rand.N(backoff/2)
-			if len(readers.Addresses) > 0 && !readers.Candidate {
-				s.awaitReader(ctx, pause*followerBackoff)
-			} else {
-				sleep(ctx, pause)
-			}
+			s.backOff(ctx, readers, backoff)
 			backoff = min(2*backoff, backoffMax)
 			continue
 		}
@@ -91,6 +87,16 @@
 	return ctx.Err()
 }
 
+// backOff waits after a failed read; a router that others read for waits longer, or until it follows one of them.
+func (s *Subscriber) backOff(ctx context.Context, readers Readers, backoff time.Duration) {
+	wait := backoff/2 + rand.N(backoff/2)
+	if len(readers.Addresses) == 0 || readers.Candidate {
+		sleep(ctx, wait)
+		return
+	}
+	s.awaitReader(ctx, wait*followerBackoff)
+}
+
 func (s *Subscriber) read(ctx context.Context, topic kernel.Topic, next int64, wait time.Duration) (page kernel.DirectoryPage, whole bool, err error) {
 	if next < 0 {
 		page, err = s.options.Directory.Newest(ctx, topic)
