--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -59,7 +59,7 @@
 			Retention: 24 * time.Hour,
 		},
 		Drain:  Drain{Delay: 3 * time.Second, Timeout: 15 * time.Minute},
-		Limits: Limits{MaxWaiting: 20_000, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, GarbagePercent: 100},
+		Limits: Limits{MaxWaiting: 20_000, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10},
 		Log:    Log{Level: "info", Format: "json"},
 	}
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -105,8 +105,6 @@
 	ProcessorShare float64 `yaml:"processor_share" unit:"cores" min:"0" max:"1024" help:"share of a core that the VM gives this router; schedulers run on the strongest VMs; 0 means that it isn't known"`
 	// MemoryMB bounds the memory that the garbage collector lets grow; 0 means no bound.
 	MemoryMB int `yaml:"memory_mb" unit:"MB" min:"0" max:"1048576" help:"memory that garbage collection keeps to; 0 means no bound"`
-	// GarbagePercent is how much the heap grows between two collections, in percent of what is in use.
-	GarbagePercent int `yaml:"garbage_percent" unit:"percent" min:"10" max:"1000" help:"growth of the heap between two garbage collections; less costs processor time and saves memory"`
 	// MaxHeaderBytes bounds the headers of one request.
 	MaxHeaderBytes int `yaml:"max_header_bytes" unit:"bytes" min:"1024" max:"1048576" help:"longest request headers"`
 }
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -111,9 +111,8 @@
 	})
 }
 
-// limitMemory makes the garbage collector keep to the settings' bounds.
+// limitMemory makes the garbage collector keep to the settings' bound.
 func limitMemory(limits loader.Limits) {
-	debug.SetGCPercent(limits.GarbagePercent)
 	if limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(limits.MemoryMB) << 20)
 	}
@@ -188,14 +187,13 @@
 	return !r.leaving.Load() && r.form.Ready()
 }
 
-// Reload takes over the settings that may change while the router runs: the log level and the memory bounds.
+// Reload takes over the settings that may change while the router runs: the log level and the memory bound.
 func (r *Router) Reload(settings *loader.Settings) {
 	if err := r.logger.SetLevel(settings.Log.Level); err != nil {
 		r.logger.Warn("log level not changed", zap.Error(err))
 	}
 	limitMemory(settings.Limits)
-	r.logger.Info("settings reloaded", zap.String("log_level", settings.Log.Level), zap.Int("memory_mb", settings.Limits.MemoryMB),
-		zap.Int("garbage_percent", settings.Limits.GarbagePercent))
+	r.logger.Info("settings reloaded", zap.String("log_level", settings.Log.Level), zap.Int("memory_mb", settings.Limits.MemoryMB))
 }
 
 // Drain starts the planned stop; calling it again does nothing.
