Take engines out that lose answers in a row

Cause: an engine that resets its connections ends requests at once, always has free slots, and gets request after request; a request that may run again goes to it again. Change: after three answers in a row that were lost with their connections an engine is excluded until its probe, as one that can't be connected to is, with the same back-off and one request at a time at its return. It stays in use where half of the pool is out already. Ruled out: the retry's choice of the same engine as the cause by itself (most of these requests may run once only); health checks and load reports, which are good meanwhile.

--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -68,6 +68,8 @@
 	foreign   int
 	ended     []time.Time
 	endedNext int
+	// losses counts the answers in a row that were lost with their connections.
+	losses int
 	// lost holds recent broken connections without evidence of a crash.
 	lost       []lostRun
 	evidenceAt time.Time
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -74,6 +74,24 @@
 	s.exclude(e, now, reason)
 }
 
+const (
+	// lossesToExclude is the number of answers lost in a row after which an engine is excluded. Single losses are common.
+	lossesToExclude = 3
+	// lossCap bounds the share of the pool's engines that are out when one is excluded for its losses: where most lose answers,
+	// the cause is elsewhere, and the rest can't take the load.
+	lossCap = 0.5
+)
+
+// noteLoss counts a lost answer. An engine that resets its connections ends requests so fast that it always has free slots,
+// and would get most of those to come.
+func (s *engineSet) noteLoss(e *engine, now time.Time) {
+	e.losses++
+	if e.losses < lossesToExclude || e.excluded || e.allowance == 0 && float64(s.stragglers()+1) > lossCap*float64(len(s.list)) {
+		return
+	}
+	s.exclude(e, now, "answers were lost in a row")
+}
+
 // exclude takes an engine out until its next probe.
 func (s *engineSet) exclude(e *engine, now time.Time, reason string) {
 	e.backoff = min(max(2*e.backoff, s.settings.ProbeAfter), s.settings.ProbeAfterMax)
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -183,7 +183,10 @@
 		return
 	}
 	switch release.GetKind() {
+	case protocol.ReleaseKind_RELEASE_KIND_FAILED:
+		e.losses = 0
 	case protocol.ReleaseKind_RELEASE_KIND_ANSWERED:
+		e.losses = 0
 		s.engines.connections.released(holder, e, now)
 		s.observeRun(now, e, r, release)
 		if r != nil && r.alone {
@@ -191,6 +194,7 @@
 		}
 	case protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.observeLoss(now, e, r, release.GetFingerprint())
+		s.engines.noteLoss(e, now)
 	case protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
 		s.unreachableEvidence(e, now)
 		if !e.excluded {
