Log how each attempt of a request ended

Cause: a stream that an attempt broke or completed wrongly left the same lines as one that was resumed well, so the three hypotheses of the incident could not be told apart. Change: one line for each attempt that failed or wasn't the first: its status, the ids of its events, the bytes after its last complete event, the error of its end, and whether the caller already had a part of the answer; a counter for attempts after a part was relayed. No decision changes.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -54,6 +54,7 @@
 	// upstream is the last upstream that the request was sent to, waitTime the time from arrival until then.
 	upstream string
 	waitTime time.Duration
+	attempt  attempt
 	// lastRelayed is the time of the last relayed event, longestPause the longest time between two events.
 	lastRelayed  time.Time
 	longestPause time.Duration
@@ -61,6 +62,14 @@
 
 // Send implements holder.Exchange.
 func (x *exchange) Send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
+	x.attempt = attempt{begun: x.headWritten, after: x.lastEventID}
+	result := x.send(ctx, upstream)
+	x.logAttempt(upstream.Name, result)
+	return result
+}
+
+// send sends the request to one upstream and relays its answer.
+func (x *exchange) send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
 	options := &x.forwarder.options
 	if options.RoutingConfigSource.Departed(upstream.Name) {
 		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE}
@@ -84,8 +93,10 @@
 	}
 	x.sends++
 	if err != nil {
+		x.attempt.end = err
 		return x.lostResult(ctx, err, dispatcher.Observation{})
 	}
+	x.attempt.status, x.attempt.length = answer.Status, answer.Length
 	metadata := options.Dialect.ParseAnswer(answer.Status, answer.Header)
 	switch {
 	case metadata.NotRun:
@@ -162,6 +173,7 @@
 		if err == nil {
 			err = io.ErrUnexpectedEOF
 		}
+		x.attempt.end = err
 		return x.lostResult(ctx, err, observation)
 	}
 	answer.Done()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -47,6 +47,7 @@
 			completeBytes = 0
 		}
 		if errors.Is(err, io.EOF) {
+			x.attempt.incompleteBytes = len(buffer) - completeBytes
 			completeBytes = len(buffer)
 		}
 		if completeBytes > 0 {
@@ -78,6 +79,7 @@
 		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED, Observation: observation}
 	}
 	answer.Abort()
+	x.attempt.incompleteBytes, x.attempt.end = len(buffer), err
 	return x.lostResult(ctx, err, observation)
 }
 
@@ -125,7 +127,9 @@
 		if end >= 0 {
 			size = end + len(eventEnd)
 		}
-		if id, ok := eventID(rest[:size]); ok {
+		id, ok := eventID(rest[:size])
+		x.attempt.observe(id)
+		if ok {
 			if x.events > 0 && !isLater(id, x.lastEventID) {
 				if len(events) == len(rest) {
 					events = events[size:]
