--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -20,3 +20,12 @@
 func (e *EventTooLargeError) Error() string {
 	return fmt.Sprintf("stream event exceeds %d bytes", e.Limit)
 }
+
+// ResumeFailedError reports an answer that isn't a stream, to an attempt that should have continued one.
+type ResumeFailedError struct {
+	Status int
+}
+
+func (e *ResumeFailedError) Error() string {
+	return fmt.Sprintf("resume the stream: answer with status %d isn't the rest of it", e.Status)
+}
