Resume a stream that ends within an event, and never relay a part of one

Callers saw: with an upstream that ends its body in the regular way in the middle of an event, the beginning of that event and an answer that is framed as complete. Cause: at the end of the body the relay passed on all that was left in its buffer, and any regular end counted as the end of the stream. Change: events are split by an event buffer (empty lines, LF or CR LF), only complete ones are written, and a body that ends within an event is an IncompleteEventError: lost, so that it is resumed where it may be and aborted otherwise. A success with another content type than event streams is relayed as a whole, and only if nothing was relayed before. Measured: TestStreamCompleteWithinEvent failed in all six cases before, and TestSuccessThatIsNoStreamRelayedAsEvents failed; both pass.

--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -29,3 +29,22 @@
 func (e *ResumeFailedError) Error() string {
 	return fmt.Sprintf("resume the stream: answer with status %d isn't the rest of it", e.Status)
 }
+
+// IncompleteEventError reports the body of a stream that ended in the regular way in the middle of an event.
+type IncompleteEventError struct {
+	// Bytes is the number of bytes after the last complete event.
+	Bytes int
+}
+
+func (e *IncompleteEventError) Error() string {
+	return fmt.Sprintf("stream ended %d bytes into an event", e.Bytes)
+}
+
+// CallerWriteError reports that an answer could not be written to its caller.
+type CallerWriteError struct {
+	Cause error
+}
+
+func (e *CallerWriteError) Error() string { return "write to the caller: " + e.Cause.Error() }
+
+func (e *CallerWriteError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/forwarder/events.go
@@ -0,0 +1,67 @@
+package forwarder
+
+import (
+	"bytes"
+	"io"
+)
+
+const (
+	// eventBufferBytes is the initial size of an event buffer; it holds a few events.
+	eventBufferBytes = 2 << 10
+	// maxEventBytes is the size limit of one event.
+	maxEventBytes = 4 << 20
+)
+
+// eventBuffer splits the body of a stream into events. An event ends with an empty line; lines end with LF or CR LF.
+type eventBuffer struct {
+	data []byte
+	// next is the offset of the next event. No event ends before the line end at offset scanned.
+	next, scanned int
+}
+
+func newEventBuffer() *eventBuffer { return &eventBuffer{data: make([]byte, 0, eventBufferBytes)} }
+
+// fill reads once from the body. The events returned before become invalid. Errors: those of the reader.
+func (b *eventBuffer) fill(reader io.Reader) error {
+	b.data = b.data[:copy(b.data, b.data[b.next:])]
+	b.scanned -= b.next
+	b.next = 0
+	if len(b.data) == cap(b.data) {
+		b.data = append(b.data, 0)[:len(b.data)]
+	}
+	n, err := reader.Read(b.data[len(b.data):cap(b.data)])
+	b.data = b.data[:len(b.data)+n]
+	return err
+}
+
+// event returns the next complete event with its line ends, or nil if the rest of it hasn't been read yet.
+func (b *eventBuffer) event() []byte {
+	for {
+		i := bytes.IndexByte(b.data[b.scanned:], '\n')
+		if i < 0 {
+			b.scanned = len(b.data)
+			return nil
+		}
+		lineEnd := b.scanned + i
+		rest := b.data[lineEnd+1:]
+		size := 1
+		if len(rest) > 0 && rest[0] == '\r' {
+			size = 2
+		}
+		if len(rest) < size {
+			b.scanned = lineEnd
+			return nil
+		}
+		if rest[size-1] != '\n' {
+			b.scanned = lineEnd + 1
+			continue
+		}
+		event := b.data[b.next : lineEnd+1+size]
+		b.next += len(event)
+		b.scanned = b.next
+		return event
+	}
+}
+
+// rest returns the bytes after the last complete event.
+func (b *eventBuffer) rest() []byte { return b.data[b.next:] }
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -104,7 +104,7 @@
 	case metadata.ContentEncoded, !metadata.Signed && answer.Status < http.StatusMultipleChoices:
 		answer.Abort()
 		return x.lostResult(ctx, &UntrustedAnswerError{Status: answer.Status}, dispatcher.Observation{})
-	case x.route.Kind == kernel.RouteStream && answer.Status == http.StatusOK:
+	case x.route.Kind == kernel.RouteStream && answer.Status == http.StatusOK && isEventStream(answer.Header):
 		return x.relayStream(ctx, answer, start)
 	case x.headWritten:
 		return x.rejectRest(answer, start)
@@ -221,10 +221,11 @@
 }
 
 // writeHead relays the status and header of an answer. A length of -1 means that the length of the body isn't known.
+// Errors: *CallerWriteError.
 func (x *exchange) writeHead(answer *connector.Answer, length int64) error {
 	// Without a write deadline a caller that doesn't read would block the request forever.
 	if err := http.NewResponseController(x.w).SetWriteDeadline(x.holderRequest.Deadline.Add(writeDeadlineGrace)); err != nil {
-		return err
+		return &CallerWriteError{Cause: err}
 	}
 	header := x.w.Header()
 	connector.StripHopByHopHeaders(answer.Header)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -48,7 +48,7 @@
 }
 
 // scriptedUpstream answers each request with the next of its texts. After a text that ends with "RESET" it resets the
-// connection.
+// connection, and after one that ends with "CLOSE" it closes it.
 type scriptedUpstream struct {
 	address string
 	mu      sync.Mutex
@@ -93,7 +93,11 @@
 		}
 		u.mu.Unlock()
 		text, broken := strings.CutSuffix(answer, "RESET")
+		text, closed := strings.CutSuffix(text, "CLOSE")
 		_, _ = io.WriteString(conn, text)
+		if closed {
+			return
+		}
 		if broken {
 			time.Sleep(30 * time.Millisecond)
 			_ = conn.(*net.TCPConn).SetLinger(0)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"coltsfootplank/internal/connector"
@@ -15,72 +16,71 @@
 	"coltsfootplank/internal/protocol"
 )
 
-const (
-	// streamBufferBytes is the initial size of the relay buffer; it holds a few events.
-	streamBufferBytes = 2 << 10
-	// maxEventBytes is the size limit of one event.
-	maxEventBytes = 4 << 20
-)
+var idField = []byte("id:")
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+// eventStreamType is the content type of event streams.
+const eventStreamType = "text/event-stream"
+
+// isEventStream reports whether an answer is a stream of events. An answer without a content type is one.
+func isEventStream(header http.Header) bool {
+	contentType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return contentType == "" || strings.EqualFold(strings.TrimSpace(contentType), eventStreamType)
+}
 
-// relayStream relays events as they arrive. Until the stream ends it writes only complete events, so that another
-// upstream can continue the stream after the last one.
+// relayStream relays events as they arrive. It writes only complete events, so that another upstream can continue the
+// stream after the last one.
 func (x *exchange) relayStream(ctx context.Context, answer *connector.Answer, start time.Time) holder.SendResult {
-	controller := http.NewResponseController(x.w)
 	observation := dispatcher.Observation{}
-	buffer := make([]byte, 0, streamBufferBytes)
-	var err error
+	err := x.relayBody(answer, start, &observation)
+	observation.Total = time.Since(start)
+	observation.OutputTokens = x.events * x.tokensPerEvent
+	if err == nil {
+		answer.Done()
+		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED, Observation: observation}
+	}
+	answer.Abort()
+	x.attempt.end = err
+	var writeFailed *CallerWriteError
+	if errors.As(err, &writeFailed) {
+		return x.callerGoneResult(ctx, err, observation)
+	}
+	return x.lostResult(ctx, err, observation)
+}
+
+// relayBody relays the events of one answer. It returns nil if the body ended in the regular way after a complete event.
+// Errors: *CallerWriteError, *EventTooLargeError, *IncompleteEventError, and those of the connection.
+func (x *exchange) relayBody(answer *connector.Answer, start time.Time, observation *dispatcher.Observation) error {
+	controller := http.NewResponseController(x.w)
+	buffer := newEventBuffer()
 	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		var n int
-		n, err = answer.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		end := bytes.LastIndex(buffer, eventEnd)
-		completeBytes := end + len(eventEnd)
-		if end < 0 {
-			completeBytes = 0
-		}
-		if errors.Is(err, io.EOF) {
-			x.attempt.incompleteBytes = len(buffer) - completeBytes
-			completeBytes = len(buffer)
-		}
-		if completeBytes > 0 {
-			if observation.FirstToken == 0 {
-				observation.FirstToken = time.Since(start)
-			}
-			if writeErr := x.relayEvents(controller, answer, buffer[:completeBytes]); writeErr != nil {
-				answer.Abort()
-				x.completeObservation(&observation, start)
-				return x.callerGoneResult(ctx, writeErr, observation)
-			}
-			buffer = buffer[:copy(buffer, buffer[completeBytes:])]
+		readErr := buffer.fill(answer)
+		if err := x.relayEvents(controller, answer, buffer); err != nil {
+			return err
 		}
-		if err == nil && len(buffer) > maxEventBytes {
-			err = &EventTooLargeError{Limit: maxEventBytes}
+		if observation.FirstToken == 0 && x.attempt.events > 0 {
+			observation.FirstToken = time.Since(start)
 		}
-		if err != nil {
-			break
+		x.attempt.incompleteBytes = len(buffer.rest())
+		switch {
+		case errors.Is(readErr, io.EOF) && answer.Whole():
+			return x.endStream(answer, buffer.rest())
+		case readErr != nil:
+			return readErr
+		case len(buffer.rest()) > maxEventBytes:
+			return &EventTooLargeError{Limit: maxEventBytes}
 		}
 	}
-	x.completeObservation(&observation, start)
-	if errors.Is(err, io.EOF) && answer.Whole() {
-		answer.Done()
-		if !x.headWritten {
-			if err := x.writeHead(answer, 0); err != nil {
-				return x.callerGoneResult(ctx, err, observation)
-			}
-		}
-		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED, Observation: observation}
+}
+
+// endStream handles the regular end of an answer's body. rest is what follows its last complete event.
+func (x *exchange) endStream(answer *connector.Answer, rest []byte) error {
+	if len(bytes.Trim(rest, "\r\n")) > 0 {
+		return &IncompleteEventError{Bytes: len(rest)}
 	}
-	answer.Abort()
-	x.attempt.incompleteBytes, x.attempt.end = len(buffer), err
-	return x.lostResult(ctx, err, observation)
+	if x.headWritten {
+		return nil
+	}
+	return x.writeHead(answer, 0)
 }
 
 // callerGoneResult returns the result of a stream that could not be written to its caller.
@@ -94,54 +94,61 @@
 	}
 }
 
-// relayEvents writes complete events to the caller, preceded by the status and header if they aren't written yet.
-func (x *exchange) relayEvents(controller *http.ResponseController, answer *connector.Answer, events []byte) error {
-	if !x.headWritten {
-		x.timeToFirstByte = time.Since(x.holderRequest.Arrived)
-		if err := x.writeHead(answer, -1); err != nil {
+// relayEvents writes the complete events of a buffer to the caller, preceded by the status and header if they aren't
+// written yet.
+func (x *exchange) relayEvents(controller *http.ResponseController, answer *connector.Answer, buffer *eventBuffer) error {
+	written := false
+	for event := buffer.event(); event != nil; event = buffer.event() {
+		if !x.isNew(event) {
+			continue
+		}
+		if err := x.writeEvent(answer, event); err != nil {
 			return err
 		}
+		written = true
+	}
+	if !written {
+		return nil
 	}
 	now := time.Now()
 	if !x.lastRelayed.IsZero() {
 		x.longestPause = max(x.longestPause, now.Sub(x.lastRelayed))
 	}
 	x.lastRelayed = now
-	events = x.dropKnownEvents(events)
-	if len(events) == 0 {
-		return nil
+	if err := controller.Flush(); err != nil {
+		return &CallerWriteError{Cause: err}
 	}
-	if _, err := x.w.Write(events); err != nil {
-		return err
-	}
-	return controller.Flush()
+	return nil
 }
 
-// dropKnownEvents records the ids of events and removes those that the caller has already received; an upstream may
-// repeat them at the start of a resumed stream.
-func (x *exchange) dropKnownEvents(events []byte) []byte {
-	rest := events
-	for len(rest) > 0 {
-		end := bytes.Index(rest, eventEnd)
-		size := len(rest)
-		if end >= 0 {
-			size = end + len(eventEnd)
-		}
-		id, ok := eventID(rest[:size])
-		x.attempt.observe(id)
-		if ok {
-			if x.events > 0 && !isLater(id, x.lastEventID) {
-				if len(events) == len(rest) {
-					events = events[size:]
-				}
-			} else {
-				x.lastEventID = id
-				x.events++
-			}
+// writeEvent writes one event. Errors: *CallerWriteError.
+func (x *exchange) writeEvent(answer *connector.Answer, event []byte) error {
+	if !x.headWritten {
+		x.timeToFirstByte = time.Since(x.holderRequest.Arrived)
+		if err := x.writeHead(answer, -1); err != nil {
+			return err
 		}
-		rest = rest[size:]
 	}
-	return events
+	if _, err := x.w.Write(event); err != nil {
+		return &CallerWriteError{Cause: err}
+	}
+	return nil
+}
+
+// isNew records the id of an event and reports whether the caller hasn't received it yet; an upstream may repeat events
+// at the start of a resumed stream.
+func (x *exchange) isNew(event []byte) bool {
+	id, ok := eventID(event)
+	x.attempt.observe(id)
+	if !ok {
+		return true
+	}
+	if x.events > 0 && !isLater(id, x.lastEventID) {
+		return false
+	}
+	x.lastEventID = id
+	x.events++
+	return true
 }
 
 // eventID returns the id of an event, and whether it has one.
@@ -160,9 +167,3 @@
 	b, errB := strconv.ParseInt(last, 10, 64)
 	return errA != nil || errB != nil || a > b
 }
-
-// completeObservation sets the total time and the number of output tokens of a stream that has ended.
-func (x *exchange) completeObservation(observation *dispatcher.Observation, start time.Time) {
-	observation.Total = time.Since(start)
-	observation.OutputTokens = x.events * x.tokensPerEvent
-}
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -48,3 +49,81 @@
 		})
 	}
 }
+
+// TestStreamCompleteWithinEvent guards against a stream that ends in the regular way in the middle of an event being
+// relayed as complete, with a part of an event as its end.
+func TestStreamCompleteWithinEvent(t *testing.T) {
+	unframedHead := strings.Replace(streamHead, "Transfer-Encoding: chunked\r\n", "", 1)
+	rest := streamHead + event("2") + lastChunk
+	cases := []struct {
+		name   string
+		route  kernel.Route
+		answer string
+		status int
+		body   string
+		whole  bool
+	}{
+		{"last chunk", route(kernel.RouteStream), streamHead + event("1") + chunk("id: 2") + lastChunk, 200, "id: 1\n\n", false},
+		{"last chunk after a line", route(kernel.RouteStream), streamHead + event("1") + chunk("id: 2\n") + lastChunk, 200, "id: 1\n\n", false},
+		{"last chunk, resumed", resumableRoute(), streamHead + event("1") + chunk("id: 2") + lastChunk, 200, "id: 1\n\nid: 2\n\n", true},
+		{"first event", route(kernel.RouteStream), streamHead + chunk("id: 1") + lastChunk, 502, "upstream_lost\n", true},
+		{"closed", route(kernel.RouteStream), unframedHead + "id: 1\n\nid: 2CLOSE", 200, "id: 1\n\n", false},
+		{"closed, resumed", resumableRoute(), unframedHead + "id: 1\n\nid: 2CLOSE", 200, "id: 1\n\nid: 2\n\n", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u := newScriptedUpstream(t, c.answer, rest)
+			base, _ := startTestForwarder(t, configWithRoute(c.route, 2), u)
+			status, body, whole, _ := send(t, base, http.MethodPost, "/a/", "", callerHeader)
+			assert.Equal(t, status, c.status)
+			assert.Equal(t, body, c.body)
+			assert.Equal(t, whole, c.whole)
+		})
+	}
+}
+
+// TestSuccessThatIsNoStreamRelayedAsEvents guards against the body of another success than a stream ending up in a stream
+// that has begun, and against refusing it where nothing has been relayed.
+func TestSuccessThatIsNoStreamRelayedAsEvents(t *testing.T) {
+	jsonAnswer := "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	u := newScriptedUpstream(t, streamHead+event("1")+"RESET", jsonAnswer, jsonAnswer)
+	base, _ := startTestForwarder(t, configWithRoute(resumableRoute(), 2), u)
+	_, body, whole, _ := send(t, base, http.MethodPost, "/a/", "", callerHeader)
+	assert.Equal(t, body, "id: 1\n\n")
+	assert.Assert(t, !whole)
+	_, body, whole, _ = send(t, base, http.MethodPost, "/a/", "", callerHeader)
+	assert.Equal(t, body, "{}")
+	assert.Assert(t, whole)
+}
+
+// TestEventBuffer guards against events that are split at the wrong place or held back, with the line ends of the format
+// and at each boundary between two reads.
+func TestEventBuffer(t *testing.T) {
+	cases := []struct {
+		name   string
+		body   string
+		events []string
+		rest   string
+	}{
+		{"LF", "id: 1\n\nid: 2\ndata: x\n\nid", []string{"id: 1\n\n", "id: 2\ndata: x\n\n"}, "id"},
+		{"CR LF", "id: 1\r\n\r\nid: 2\r\n\r\nid: 3\r\n", []string{"id: 1\r\n\r\n", "id: 2\r\n\r\n"}, "id: 3\r\n"},
+		{"CR within a line", "a\n\rb\n\n", []string{"a\n\rb\n\n"}, ""},
+	}
+	for _, c := range cases {
+		for size := 1; size <= len(c.body); size++ {
+			buffer, reader := newEventBuffer(), strings.NewReader(c.body)
+			var events []string
+			for {
+				err := buffer.fill(io.LimitReader(reader, int64(size)))
+				for event := buffer.event(); event != nil; event = buffer.event() {
+					events = append(events, string(event))
+				}
+				if err != nil {
+					break
+				}
+			}
+			assert.DeepEqual(t, events, c.events)
+			assert.Equal(t, string(buffer.rest()), c.rest, "%s, %d bytes a read", c.name, size)
+		}
+	}
+}
