Break off an attempt whose event ids go back

Change: a sequence decides for each event, over all attempts: known events are dropped only before the first new one of an attempt; later, they end the attempt with an EventOrderError, and the stream is resumed where it may be.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -28,7 +28,8 @@
 }
 
 // observe records the id of a complete event.
-func (a *attempt) observe(id string) {
+func (a *attempt) observe(event []byte) {
+	id, _ := eventID(event)
 	if a.events == 0 {
 		a.firstID = id
 	}
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -48,3 +48,12 @@
 func (e *CallerWriteError) Error() string { return "write to the caller: " + e.Cause.Error() }
 
 func (e *CallerWriteError) Unwrap() error { return e.Cause }
+
+// EventOrderError reports an event whose id isn't greater than that of an event before it in the same attempt.
+type EventOrderError struct {
+	ID, Last string
+}
+
+func (e *EventOrderError) Error() string {
+	return fmt.Sprintf("event %s follows event %s of the stream", e.ID, e.Last)
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -46,10 +46,8 @@
 	// sends counts the attempts in which the request may have reached an upstream.
 	sends int
 	// headWritten is set when the status and header of the answer were written to the caller.
-	headWritten bool
-	// lastEventID is the id of the last relayed event, events the number of relayed events.
-	lastEventID     string
-	events          int
+	headWritten     bool
+	sequence        sequence
 	timeToFirstByte time.Duration
 	// upstream is the last upstream that the request was sent to, waitTime the time from arrival until then.
 	upstream string
@@ -62,7 +60,7 @@
 
 // Send implements holder.Exchange.
 func (x *exchange) Send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
-	x.attempt = attempt{begun: x.headWritten, after: x.lastEventID}
+	x.attempt = attempt{begun: x.headWritten, after: x.sequence.lastID}
 	result := x.send(ctx, upstream)
 	x.logAttempt(upstream.Name, result)
 	return result
@@ -78,7 +76,7 @@
 	defer cancel()
 	header := x.header.Clone()
 	options.Dialect.RewriteRequest(header, kernel.ForwardMetadata{
-		Upstream: upstream.Name, Workspace: x.holderRequest.Workspace, Remaining: time.Until(x.holderRequest.Deadline), ResumeAfter: x.lastEventID,
+		Upstream: upstream.Name, Workspace: x.holderRequest.Workspace, Remaining: time.Until(x.holderRequest.Deadline), ResumeAfter: x.sequence.lastID,
 	})
 	start := time.Now()
 	x.upstream, x.waitTime = upstream.Name, start.Sub(x.holderRequest.Arrived)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -102,7 +102,7 @@
 		f.options.Logger.Info("answer passed on", zap.String("request_id", x.holderRequest.ID), zap.String("work", x.route.Name),
 			zap.String("upstream", x.upstream), zap.Int("sends", x.sends), zap.Int("prompt_tokens", x.metadata.PromptTokens),
 			zap.Int("max_output_tokens", x.metadata.OutputTokens), zap.Int("estimated_output_tokens", x.metadata.OutputEstimate),
-			zap.Int("events", x.events), zap.Int64("wait_ms", x.waitTime.Milliseconds()),
+			zap.Int("events", x.sequence.events), zap.Int64("wait_ms", x.waitTime.Milliseconds()),
 			zap.Int64("first_byte_ms", x.timeToFirstByte.Milliseconds()), zap.Int64("objective_ms", x.route.Objective.Milliseconds()),
 			zap.Int64("longest_pause_ms", x.longestPause.Milliseconds()), zap.Int64("total_ms", total.Milliseconds()),
 			zap.Bool("whole", refusal == nil))
--- /dev/null
+++ b/internal/forwarder/sequence.go
@@ -0,0 +1,52 @@
+package forwarder
+
+import (
+	"bytes"
+	"strconv"
+)
+
+var idField = []byte("id:")
+
+// sequence decides by their ids which events of a stream's attempts the caller gets. Ids are numbers that
+// increase.
+type sequence struct {
+	// lastID is the id of the last event that the caller has, last its number. numbered is false as long as there is none.
+	lastID   string
+	last     uint64
+	numbered bool
+	// events is the number of relayed events with an id.
+	events int
+	// advanced is set once the current attempt has had an event that the caller did not have.
+	advanced bool
+}
+
+// beginAttempt prepares for the events of another attempt, which may repeat some that the caller has.
+func (s *sequence) beginAttempt() { s.advanced = false }
+
+// accept reports whether the caller gets an event. Errors: *EventOrderError.
+func (s *sequence) accept(event []byte) (bool, error) {
+	id, _ := eventID(event)
+	number, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true, nil
+	}
+	if s.numbered && number <= s.last {
+		if s.advanced {
+			return false, &EventOrderError{ID: id, Last: s.lastID}
+		}
+		return false, nil
+	}
+	s.lastID, s.last, s.numbered, s.advanced = id, number, true, true
+	s.events++
+	return true, nil
+}
+
+// eventID returns the id of an event, and whether it has one.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/forwarder/sequence_test.go
@@ -0,0 +1,50 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// sequenceCase is a stream whose attempts send events that don't all continue those before.
+type sequenceCase struct {
+	name string
+	// after is the caller's position, "" if it has none.
+	after   string
+	answers []string
+	body    string
+	whole   bool
+	sends   int
+}
+
+// checkSequences sends one request for each case to a resumable route with two attempts.
+func checkSequences(t *testing.T, cases []sequenceCase) {
+	t.Helper()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u := newScriptedUpstream(t, c.answers...)
+			base, server := startTestForwarder(t, configWithRoute(resumableRoute(), 2), u)
+			header := map[string]string{"Id": "1", "Key": "k"}
+			if c.after != "" {
+				header["After"] = c.after
+			}
+			_, body, whole, _ := send(t, base, http.MethodPost, "/a/", "", header)
+			assert.Equal(t, body, c.body)
+			assert.Equal(t, whole, c.whole)
+			assert.Equal(t, server.sends, c.sends)
+		})
+	}
+}
+
+// TestEventsOutOfOrder guards against relaying an event again after a newer one of the same attempt.
+func TestEventsOutOfOrder(t *testing.T) {
+	rest := streamHead + event("3") + lastChunk
+	checkSequences(t, []sequenceCase{
+		{"back by one", "", []string{streamHead + event("1") + event("2") + event("1") + lastChunk, rest}, "id: 1\n\nid: 2\n\nid: 3\n\n", true, 2},
+		{"in one read", "", []string{streamHead + chunk("id: 1\n\nid: 2\n\n") + event("2") + lastChunk, rest}, "id: 1\n\nid: 2\n\nid: 3\n\n", true, 2},
+		{"no attempt left", "", []string{
+			streamHead + event("1") + "RESET", streamHead + event("1") + event("2") + event("1") + event("3") + lastChunk,
+		}, "id: 1\n\nid: 2\n\n", false, 2},
+	})
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -16,8 +15,6 @@
 	"coltsfootplank/internal/protocol"
 )
 
-var idField = []byte("id:")
-
 // eventStreamType is the content type of event streams.
 const eventStreamType = "text/event-stream"
 
@@ -33,7 +30,7 @@
 	observation := dispatcher.Observation{}
 	err := x.relayBody(answer, start, &observation)
 	observation.Total = time.Since(start)
-	observation.OutputTokens = x.events * x.tokensPerEvent
+	observation.OutputTokens = x.sequence.events * x.tokensPerEvent
 	if err == nil {
 		answer.Done()
 		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED, Observation: observation}
@@ -48,10 +45,11 @@
 }
 
 // relayBody relays the events of one answer. It returns nil if the body ended in the regular way after a complete event.
-// Errors: *CallerWriteError, *EventTooLargeError, *IncompleteEventError, and those of the connection.
+// Errors: those of relayEvents, *EventTooLargeError, *IncompleteEventError, and those of the connection.
 func (x *exchange) relayBody(answer *connector.Answer, start time.Time, observation *dispatcher.Observation) error {
 	controller := http.NewResponseController(x.w)
 	buffer := newEventBuffer()
+	x.sequence.beginAttempt()
 	for {
 		readErr := buffer.fill(answer)
 		if err := x.relayEvents(controller, answer, buffer); err != nil {
@@ -95,11 +93,17 @@
 }
 
 // relayEvents writes the complete events of a buffer to the caller, preceded by the status and header if they aren't
-// written yet.
+// written yet. Errors: *CallerWriteError and those of sequence.accept, before which all accepted events are written.
 func (x *exchange) relayEvents(controller *http.ResponseController, answer *connector.Answer, buffer *eventBuffer) error {
 	written := false
+	var faulty error
 	for event := buffer.event(); event != nil; event = buffer.event() {
-		if !x.isNew(event) {
+		x.attempt.observe(event)
+		var accepted bool
+		if accepted, faulty = x.sequence.accept(event); faulty != nil {
+			break
+		}
+		if !accepted {
 			continue
 		}
 		if err := x.writeEvent(answer, event); err != nil {
@@ -108,7 +112,7 @@
 		written = true
 	}
 	if !written {
-		return nil
+		return faulty
 	}
 	now := time.Now()
 	if !x.lastRelayed.IsZero() {
@@ -118,7 +122,7 @@
 	if err := controller.Flush(); err != nil {
 		return &CallerWriteError{Cause: err}
 	}
-	return nil
+	return faulty
 }
 
 // writeEvent writes one event. Errors: *CallerWriteError.
@@ -134,36 +138,3 @@
 	}
 	return nil
 }
-
-// isNew records the id of an event and reports whether the caller hasn't received it yet; an upstream may repeat events
-// at the start of a resumed stream.
-func (x *exchange) isNew(event []byte) bool {
-	id, ok := eventID(event)
-	x.attempt.observe(id)
-	if !ok {
-		return true
-	}
-	if x.events > 0 && !isLater(id, x.lastEventID) {
-		return false
-	}
-	x.lastEventID = id
-	x.events++
-	return true
-}
-
-// eventID returns the id of an event, and whether it has one.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(value)), true
-		}
-	}
-	return "", false
-}
-
-// isLater reports whether an event id is greater than the last one. If one of them isn't a number, it returns true.
-func isLater(id, last string) bool {
-	a, errA := strconv.ParseInt(id, 10, 64)
-	b, errB := strconv.ParseInt(last, 10, 64)
-	return errA != nil || errB != nil || a > b
-}
