Drop events that a caller has when it resumes a stream itself

Callers saw: with an upstream that repeats events or starts over, events again that they had before their connection broke. Cause: the position that a caller states was passed on to the upstream, but the router compared events only with those that it had relayed itself. Change: on resumable routes the sequence begins at the caller's position.

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -146,6 +146,9 @@
 		Pool: pickTarget(route.Targets), Idempotent: route.Kind == kernel.RouteIdempotent || route.Resumable,
 	}
 	request.Fingerprint = isolator.Fingerprint(x.body, request.Workspace, x.method, x.target)
+	if route.Resumable {
+		x.sequence = newSequence(metadata.ResumeAfter)
+	}
 	x.service = request.Work.Pool
 	x.tokensPerEvent = config.TokensPerEvent(x.service)
 	return request
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -20,6 +20,15 @@
 	advanced bool
 }
 
+// newSequence returns the sequence of a caller that already has the event with the given id; "" stands for none.
+func newSequence(callerHas string) sequence {
+	s := sequence{}
+	if number, err := strconv.ParseUint(callerHas, 10, 64); err == nil {
+		s.lastID, s.last, s.numbered = callerHas, number, true
+	}
+	return s
+}
+
 // beginAttempt prepares for the events of another attempt, which may repeat some that the caller has.
 func (s *sequence) beginAttempt() { s.advanced = false }
 
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -48,3 +48,14 @@
 		}, "id: 1\n\nid: 2\n\n", false, 2},
 	})
 }
+
+// TestKnownEventsAtCallersResume guards against relaying events that a caller already has when it resumes a stream itself.
+func TestKnownEventsAtCallersResume(t *testing.T) {
+	checkSequences(t, []sequenceCase{
+		{"last event repeated", "7", []string{streamHead + event("7") + event("8") + lastChunk}, "id: 8\n\n", true, 1},
+		{"started over", "2", []string{streamHead + event("1") + event("2") + event("3") + lastChunk}, "id: 3\n\n", true, 1},
+		{"started over by the next attempt", "2", []string{
+			streamHead + "RESET", streamHead + event("1") + event("2") + event("3") + lastChunk,
+		}, "id: 3\n\n", true, 2},
+	})
+}
