Break off an attempt that skips events of a stream

Callers saw: with an upstream that continues after the wrong event, a stream with a gap that was framed as complete. Cause: any greater id was taken for the next event. Change: if the first event of an answer has the id after the caller's position, ids are consecutive, and a jump ends the attempt with a MissingEventsError. Upstreams owe only increasing ids, so in other streams a gap can't be told and only the order is checked. Measured: TestMissingEvents failed in two of three cases before; the third, ids that only increase, passed before and passes now.

--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -57,3 +57,12 @@
 func (e *EventOrderError) Error() string {
 	return fmt.Sprintf("event %s follows event %s of the stream", e.ID, e.Last)
 }
+
+// MissingEventsError reports an event that isn't the next one of a stream whose ids are consecutive.
+type MissingEventsError struct {
+	ID, Last string
+}
+
+func (e *MissingEventsError) Error() string {
+	return fmt.Sprintf("events between %s and %s of the stream are missing", e.Last, e.ID)
+}
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -7,13 +7,15 @@
 
 var idField = []byte("id:")
 
-// sequence decides by their ids which events of a stream's attempts the caller gets. Ids are numbers that
-// increase.
+// sequence decides by their ids which events of a stream's attempts the caller gets. Ids are numbers that increase. They
+// are consecutive if the first event has the id after the caller's position.
 type sequence struct {
 	// lastID is the id of the last event that the caller has, last its number. numbered is false as long as there is none.
 	lastID   string
 	last     uint64
 	numbered bool
+	// consecutive is set if a jump of the ids means that events are missing.
+	consecutive bool
 	// events is the number of relayed events with an id.
 	events int
 	// advanced is set once the current attempt has had an event that the caller did not have.
@@ -32,7 +34,7 @@
 // beginAttempt prepares for the events of another attempt, which may repeat some that the caller has.
 func (s *sequence) beginAttempt() { s.advanced = false }
 
-// accept reports whether the caller gets an event. Errors: *EventOrderError.
+// accept reports whether the caller gets an event. Errors: *EventOrderError, *MissingEventsError.
 func (s *sequence) accept(event []byte) (bool, error) {
 	id, _ := eventID(event)
 	number, err := strconv.ParseUint(id, 10, 64)
@@ -45,6 +47,11 @@
 		}
 		return false, nil
 	}
+	if s.events == 0 {
+		s.consecutive = number == s.last+1
+	} else if s.consecutive && number != s.last+1 {
+		return false, &MissingEventsError{ID: id, Last: s.lastID}
+	}
 	s.lastID, s.last, s.numbered, s.advanced = id, number, true, true
 	s.events++
 	return true, nil
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -59,3 +59,15 @@
 		}, "id: 3\n\n", true, 2},
 	})
 }
+
+// TestMissingEvents guards against a stream that goes on after a gap, which its caller takes for complete.
+func TestMissingEvents(t *testing.T) {
+	begun := streamHead + event("1") + "RESET"
+	checkSequences(t, []sequenceCase{
+		{"at a resume", "", []string{begun, streamHead + event("3") + lastChunk}, "id: 1\n\n", false, 2},
+		{"within an attempt", "", []string{streamHead + event("1") + event("3") + lastChunk, streamHead + event("2") + lastChunk},
+			"id: 1\n\nid: 2\n\n", true, 2},
+		{"ids that only increase", "", []string{streamHead + event("5") + event("8") + "RESET", streamHead + event("9") + lastChunk},
+			"id: 5\n\nid: 8\n\nid: 9\n\n", true, 2},
+	})
+}
