Don't resume a stream after events without a number

Callers saw: with an upstream that sends events without a numeric id, the events before a break twice, since the next attempt starts from the first; within a numbered stream, such an event at an unknown place. Cause: an event without a number was relayed and not counted as a position. Change: in a stream with numbers such an event ends the attempt with an UnnumberedEventError, comments excepted. A stream without numbers is relayed, and isn't sent again after its first event.

--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -66,3 +66,12 @@
 func (e *MissingEventsError) Error() string {
 	return fmt.Sprintf("events between %s and %s of the stream are missing", e.Last, e.ID)
 }
+
+// UnnumberedEventError reports an event whose id isn't a number, in a stream whose other events have numbers.
+type UnnumberedEventError struct {
+	ID, Last string
+}
+
+func (e *UnnumberedEventError) Error() string {
+	return fmt.Sprintf("event after event %s of the stream has the id %q, which isn't a number", e.Last, e.ID)
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -110,9 +110,10 @@
 	return x.relayUnary(ctx, answer, start)
 }
 
-// mayRepeat reports whether the request may be sent to another upstream. If so, it takes one from the repeat budget.
+// mayRepeat reports whether the request may be sent to another upstream. If so, it takes one from the repeat budget. A
+// stream of which events without a number were relayed can't be continued.
 func (x *exchange) mayRepeat() bool {
-	return x.sends < x.route.Attempts && x.forwarder.options.RepeatBudget.Take(x.service)
+	return !x.sequence.unnumbered && x.sends < x.route.Attempts && x.forwarder.options.RepeatBudget.Take(x.service)
 }
 
 // repeatable reports whether the request may run more than once.
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -5,7 +5,10 @@
 	"strconv"
 )
 
-var idField = []byte("id:")
+var (
+	idField     = []byte("id:")
+	commentMark = []byte(":")
+)
 
 // sequence decides by their ids which events of a stream's attempts the caller gets. Ids are numbers that increase. They
 // are consecutive if the first event has the id after the caller's position.
@@ -18,6 +21,8 @@
 	consecutive bool
 	// events is the number of relayed events with an id.
 	events int
+	// unnumbered is set once an event without a number was relayed, after which the stream can't be resumed.
+	unnumbered bool
 	// advanced is set once the current attempt has had an event that the caller did not have.
 	advanced bool
 }
@@ -34,12 +39,12 @@
 // beginAttempt prepares for the events of another attempt, which may repeat some that the caller has.
 func (s *sequence) beginAttempt() { s.advanced = false }
 
-// accept reports whether the caller gets an event. Errors: *EventOrderError, *MissingEventsError.
+// accept reports whether the caller gets an event. Errors: *UnnumberedEventError, *EventOrderError, *MissingEventsError.
 func (s *sequence) accept(event []byte) (bool, error) {
 	id, _ := eventID(event)
 	number, err := strconv.ParseUint(id, 10, 64)
 	if err != nil {
-		return true, nil
+		return s.acceptUnnumbered(event, id)
 	}
 	if s.numbered && number <= s.last {
 		if s.advanced {
@@ -57,6 +62,18 @@
 	return true, nil
 }
 
+// acceptUnnumbered accepts comments, and events of streams that have no numbers at all.
+func (s *sequence) acceptUnnumbered(event []byte, id string) (bool, error) {
+	if isComment(event) {
+		return true, nil
+	}
+	if s.numbered {
+		return false, &UnnumberedEventError{ID: id, Last: s.lastID}
+	}
+	s.unnumbered = true
+	return true, nil
+}
+
 // eventID returns the id of an event, and whether it has one.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
@@ -66,3 +83,13 @@
 	}
 	return "", false
 }
+
+// isComment reports whether an event consists of comment lines and empty lines.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(bytes.TrimRight(line, "\r")) > 0 && !bytes.HasPrefix(line, commentMark) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -71,3 +71,18 @@
 			"id: 5\n\nid: 8\n\nid: 9\n\n", true, 2},
 	})
 }
+
+// TestEventsWithoutNumber guards against events whose place in the stream isn't known, and against resuming after them,
+// which would start over.
+func TestEventsWithoutNumber(t *testing.T) {
+	rest := streamHead + event("2") + lastChunk
+	checkSequences(t, []sequenceCase{
+		{"no id", "", []string{streamHead + event("1") + chunk("data: x\n\n") + lastChunk, rest}, "id: 1\n\nid: 2\n\n", true, 2},
+		{"not a number", "", []string{streamHead + event("1") + event("x2") + lastChunk, rest}, "id: 1\n\nid: 2\n\n", true, 2},
+		{"negative", "", []string{streamHead + event("1") + event("-1") + lastChunk, rest}, "id: 1\n\nid: 2\n\n", true, 2},
+		{"caller's position", "1", []string{streamHead + chunk("data: x\n\n") + lastChunk, rest}, "id: 2\n\n", true, 2},
+		{"no ids at all", "", []string{streamHead + chunk("data: x\n\n") + lastChunk}, "data: x\n\n", true, 1},
+		{"broken without ids", "", []string{streamHead + chunk("data: x\n\n") + "RESET", rest}, "data: x\n\n", false, 1},
+		{"comment", "", []string{streamHead + event("1") + chunk(": wait\n\n") + lastChunk}, "id: 1\n\n: wait\n\n", true, 1},
+	})
+}
