Don't relay failures without the upstream's signature

Callers saw: a 404 or a redirect that no upstream vouches for, which counts as the router's own, or a 503 or 429 without the statement that the request did not run, a promise that may be false. Cause: only successes had to be signed. Change: an answer of any status that isn't signed and doesn't state that the request did not run is an UntrustedAnswerError: the request may have run, so it is sent again where it may be, and otherwise answered with 502. Measured: the three new cases of TestExchanges failed before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -29,7 +29,7 @@
 
 // observe records the id of a complete event.
 func (a *attempt) observe(event []byte) {
-	id, _ := eventID(event)
+	id := eventID(event)
 	if a.events == 0 {
 		a.firstID = id
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -99,7 +99,7 @@
 	switch {
 	case metadata.NotRun:
 		return x.notRunResult(answer)
-	case metadata.ContentEncoded, !metadata.Signed && answer.Status < http.StatusMultipleChoices:
+	case metadata.ContentEncoded, !metadata.Signed:
 		answer.Abort()
 		return x.lostResult(ctx, &UntrustedAnswerError{Status: answer.Status}, dispatcher.Observation{})
 	case x.route.Kind == kernel.RouteStream && answer.Status == http.StatusOK && isEventStream(answer.Header):
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -163,6 +163,12 @@
 	streamHead      = "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
+// unsigned returns an answer with another status and without its signature.
+func unsigned(answer, status string) string {
+	answer = strings.Replace(answer, "500 Internal Server Error", status, 1)
+	return strings.Replace(answer, "Signature: s\r\n", "", 1)
+}
+
 func chunk(text string) string { return string("0123456789abcdef"[len(text)]) + "\r\n" + text + "\r\n" }
 
 func event(id string) string { return chunk("id: " + id + "\n\n") }
@@ -241,6 +247,10 @@
 		{"full", route(kernel.RouteAtMostOnce), 1, []string{shedAnswer, okAnswer}, 503, "overloaded\n", true, 1},
 		{"full, another attempt", route(kernel.RouteAtMostOnce), 2, []string{shedAnswer, okAnswer}, 200, "ab", true, 2},
 		{"unsigned success", route(kernel.RouteAtMostOnce), 1, []string{unsignedAnswer}, 502, "upstream_lost\n", true, 1},
+		{"unsigned failure", route(kernel.RouteAtMostOnce), 1, []string{unsigned(failedAnswer, "404 Not Found")}, 502, "upstream_lost\n", true, 1},
+		{"unsigned promise", route(kernel.RouteAtMostOnce), 1, []string{unsigned(failedAnswer, "503 Service Unavailable")}, 502, "upstream_lost\n", true, 1},
+		{"unsigned failure of an idempotent request", route(kernel.RouteIdempotent), 2,
+			[]string{unsigned(failedAnswer, "404 Not Found"), okAnswer}, 200, "ab", true, 2},
 		{"encoded", route(kernel.RouteAtMostOnce), 1, []string{encodedAnswer}, 502, "upstream_lost\n", true, 1},
 		{"truncated answer", route(kernel.RouteAtMostOnce), 1, []string{truncatedAnswer}, 502, "upstream_lost\n", true, 1},
 		{"stream", route(kernel.RouteStream), 1, []string{streamHead + event("1") + event("2") + lastChunk}, 200, "id: 1\n\nid: 2\n\n", true, 1},
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -41,7 +41,7 @@
 
 // accept reports whether the caller gets an event. Errors: *UnnumberedEventError, *EventOrderError, *MissingEventsError.
 func (s *sequence) accept(event []byte) (bool, error) {
-	id, _ := eventID(event)
+	id := eventID(event)
 	number, err := strconv.ParseUint(id, 10, 64)
 	if err != nil {
 		return s.acceptUnnumbered(event, id)
@@ -74,14 +74,14 @@
 	return true, nil
 }
 
-// eventID returns the id of an event, and whether it has one.
-func eventID(event []byte) (string, bool) {
+// eventID returns the id of an event, or "" if it has none.
+func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
 		if value, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(value)), true
+			return string(bytes.TrimSpace(value))
 		}
 	}
-	return "", false
+	return ""
 }
 
 // isComment reports whether an event consists of comment lines and empty lines.
