Reset the connection of an HTTP/1.0 caller whose stream broke

Callers saw: over HTTP/1.0, a broken stream that looks complete, since such an answer ends with its connection and the server closes it regularly. Cause: the abort of an answer relies on chunked encoding. Change: the connection of such a caller is taken over and reset. Measured: TestBrokenStreamOverHTTP10 failed before for the broken stream.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -91,12 +91,15 @@
 // reset closes the connection with a TCP reset, which cancels a request. Bytes of the request that haven't been delivered
 // yet, for example because of a slow link, are discarded. A plain close would deliver them later, when the upstream may
 // be leaving or the caller may have disconnected.
-func (c *connection) reset() {
-	if tcp, ok := c.conn.(*net.TCPConn); ok {
+func (c *connection) reset() { Reset(c.conn) }
+
+// Reset closes a connection with a TCP reset.
+func Reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
 		// An error means that the connection is closed already.
 		_ = tcp.SetLinger(0)
 	}
-	c.close()
+	_ = conn.Close()
 }
 
 // discard reads and drops the body of an answer to another request, up to maxSkippedBodyBytes.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -70,11 +70,26 @@
 		return
 	}
 	if x.headWritten || refusal.Code == holder.CodeCallerGone {
-		panic(http.ErrAbortHandler)
+		f.abort(w, r)
+		return
 	}
 	writeRefusal(w, refusal)
 }
 
+// abort ends an answer so that the caller doesn't take it for a complete one. A caller of HTTP/1.0 takes the regular end
+// of the connection for the end of the answer, so its connection is reset.
+func (f *Forwarder) abort(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		f.options.Logger.Warn("connection not reset; its caller may take the answer for complete", zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	connector.Reset(conn)
+}
+
 // refuseRequest writes the refusal of a request that wasn't handed to the holder.
 func (f *Forwarder) refuseRequest(w http.ResponseWriter, r *http.Request, x *exchange, refusal *holder.Refusal) {
 	f.options.Logger.Info("request turned away", zap.String("request_id", x.metadata.RequestID),
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -1,9 +1,12 @@
 package forwarder
 
 import (
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -96,6 +99,26 @@
 	assert.Assert(t, whole)
 }
 
+// TestBrokenStreamOverHTTP10 guards against a broken stream that a caller of HTTP/1.0 takes for complete.
+func TestBrokenStreamOverHTTP10(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		end := lastChunk
+		if broken {
+			end = "RESET"
+		}
+		u := newScriptedUpstream(t, streamHead+event("1")+end)
+		base, _ := startTestForwarder(t, configWithRoute(route(kernel.RouteStream), 1), u)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "GET /a/ HTTP/1.0\r\nHost: h\r\nId: 1\r\nKey: k\r\n\r\n")
+		assert.NilError(t, err)
+		data, err := io.ReadAll(conn)
+		assert.Equal(t, errors.Is(err, syscall.ECONNRESET), broken, "%v", err)
+		assert.Assert(t, strings.Contains(string(data), "id: 1\n\n"))
+		assert.NilError(t, conn.Close())
+	}
+}
+
 // TestEventBuffer guards against events that are split at the wrong place or held back, with the line ends of the format
 // and at each boundary between two reads.
 func TestEventBuffer(t *testing.T) {
