Limit the head of an upstream's answer to 64 KiB

An upstream in trouble may send a head without end. http.ReadResponse has no limit, so that the router kept all of it in memory until the request's deadline. Interim answers (1xx) counted among the answers to other requests: the third one lost a sound answer after it.

The head of an answer and the interim answers before it may now have 64 KiB together. Beyond that, the request is lost with *HeadTooLargeError and its connection is reset. The number of interim answers doesn't matter any more.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -18,6 +18,7 @@
 type connection struct {
 	conn    net.Conn
 	reader  *bufio.Reader
+	limit   *limitedReader
 	counter *countingConn
 	// reused is set if an earlier request was answered on the connection.
 	reused bool
@@ -39,9 +40,10 @@
 }
 
 func newConnection(conn net.Conn, idleLimit time.Duration) *connection {
-	counter := &countingConn{Conn: conn}
+	limit := &limitedReader{reader: conn, left: unlimitedBytes}
 	return &connection{
-		conn: conn, counter: counter, reader: bufio.NewReaderSize(conn, readBufferBytes), idleLimit: idleLimit,
+		conn: conn, counter: &countingConn{Conn: conn}, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit,
+		idleLimit: idleLimit,
 	}
 }
 
--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -11,3 +11,13 @@
 func (e *MismatchedAnswerError) Error() string {
 	return fmt.Sprintf("the answers on the connection don't belong to request %s", e.RequestID)
 }
+
+// HeadTooLargeError reports that the head of an answer, with the interim answers before it, exceeds the size limit.
+type HeadTooLargeError struct {
+	// Limit is in bytes.
+	Limit int64
+}
+
+func (e *HeadTooLargeError) Error() string {
+	return fmt.Sprintf("read head of answer: larger than %d bytes", e.Limit)
+}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -89,14 +89,10 @@
 func (a *Answer) readHead(request Request, echoedRequestID func(*Head) string) error {
 	for range maxSkippedAnswers + 1 {
 		//nolint:bodyclose // Done and Abort handle the body together with the connection.
-		response, err := http.ReadResponse(a.connection.reader, &http.Request{Method: request.Method})
+		response, err := a.connection.readResponse(request.Method)
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
-			// Interim answers (1xx) precede the final one.
-			continue
-		}
 		head := Head{Status: response.StatusCode, Header: response.Header}
 		echoedID := echoedRequestID(&head)
 		if echoedID == request.ID || echoedID == "" && !a.connection.reused {
--- /dev/null
+++ b/internal/connector/response.go
@@ -0,0 +1,49 @@
+package connector
+
+import (
+	"io"
+	"math"
+	"net/http"
+)
+
+const (
+	// maxHeadBytes is the size limit of the head of an answer together with the interim answers before it.
+	maxHeadBytes = 64 << 10
+	// unlimitedBytes is the limit of a connection while no head is read.
+	unlimitedBytes = math.MaxInt64
+)
+
+// limitedReader reads at most left bytes. Further reads fail with *HeadTooLargeError.
+type limitedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+func (r *limitedReader) Read(buffer []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, &HeadTooLargeError{Limit: maxHeadBytes}
+	}
+	n, err := r.reader.Read(buffer[:min(int64(len(buffer)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
+// readResponse reads the head of a final answer. It skips the interim answers (1xx) before it. Errors:
+// *HeadTooLargeError, and those of the connection.
+func (c *connection) readResponse(method string) (*http.Response, error) {
+	c.limit.left = maxHeadBytes
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.limit.left <= 0 {
+			// The parser may have failed at the line that was cut at the limit.
+			err = &HeadTooLargeError{Limit: maxHeadBytes}
+		}
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			c.limit.left = unlimitedBytes
+			return response, nil
+		}
+	}
+}
