Lose a request after a long answer to another one instead of reading on in its body

The connector skips answers to other requests, up to 1 MiB of their body. Of a longer body it took the rest for the next answer: if that rest holds an answer with the request's ID, the caller gets it as the answer to its own request.

A longer body now loses the request with *ExtraAnswerTooLargeError, and the connection is reset.

Before the change, TestLongExtraAnswer: the caller of request 2 gets the body "z", a part of another answer's body. After it, the test passes in 3 of 3 runs with -race. TestEndlessExtraAnswer passes before and after: chunk extensions and trailers without end are limited by net/http.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -101,8 +101,12 @@
 	c.close()
 }
 
-// discard reads and drops the body of an answer to another request, up to maxSkippedBodyBytes.
+// discard reads and drops the body of an answer to another request. The connection is unusable after an error, since the
+// rest of the body follows on it. Errors: *ExtraAnswerTooLargeError, and those of the connection.
 func discard(body io.Reader) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
+	if err == nil && n > maxSkippedBodyBytes {
+		return &ExtraAnswerTooLargeError{Limit: maxSkippedBodyBytes}
+	}
 	return err
 }
--- a/internal/connector/endless_test.go
+++ b/internal/connector/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -83,3 +84,46 @@
 	}
 	assert.Equal(t, u.opened, 1)
 }
+
+// TestLongExtraAnswer guards against taking the body of a long answer to another request for an answer: here it holds a
+// whole answer to this request at the point up to which a body is skipped.
+func TestLongExtraAnswer(t *testing.T) {
+	long := strings.Repeat("x", maxSkippedBodyBytes) + reply("2", "z") + strings.Repeat("x", 8<<10)
+	head := "HTTP/1.1 200 OK\r\nRequest: 1\r\nContent-Length: " + strconv.Itoa(len(long)) + "\r\n\r\n"
+	u := newScriptedUpstream(t, answering(reply("1", "a"), head+long+reply("2", "b")))
+	connector := newTestConnector(t)
+	_, err := exchange(t, connector, u.address, "1")
+	assert.NilError(t, err)
+	body, err := exchange(t, connector, u.address, "2")
+	assert.Equal(t, body, "")
+	var tooLarge *ExtraAnswerTooLargeError
+	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
+}
+
+// TestEndlessExtraAnswer guards against an answer to another request whose body doesn't end using up the memory or
+// holding the request.
+func TestEndlessExtraAnswer(t *testing.T) {
+	for _, framing := range []struct {
+		name, header, unit string
+	}{
+		{"no length", "", "x"},
+		{"chunked", "Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n"},
+		{"chunk extension", "Transfer-Encoding: chunked\r\n", "5;a"},
+		{"trailer", "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	} {
+		t.Run(framing.name, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\nRequest: 0\r\n" + framing.header
+			if framing.name != "trailer" {
+				head += "\r\n"
+			}
+			u, closeUpstream, err := fakes.NewEndlessUpstream(head, framing.unit, 0)
+			assert.NilError(t, err)
+			defer closeUpstream()
+			elapsed, err := sendToEndless(t, u)
+			assert.Assert(t, u.Written() < fakes.MaxBufferedBytes, "%d bytes written", u.Written())
+			var lost *kernel.ConnectionLostError
+			assert.Assert(t, errors.As(err, &lost), "%v", err)
+			assert.Assert(t, elapsed < endlessTimeout/2, "took %s", elapsed)
+		})
+	}
+}
--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -21,3 +21,13 @@
 func (e *HeadTooLargeError) Error() string {
 	return fmt.Sprintf("read head of answer: larger than %d bytes", e.Limit)
 }
+
+// ExtraAnswerTooLargeError reports that the body of an answer to another request is too long to be skipped.
+type ExtraAnswerTooLargeError struct {
+	// Limit is in bytes.
+	Limit int64
+}
+
+func (e *ExtraAnswerTooLargeError) Error() string {
+	return fmt.Sprintf("skip answer to another request: its body is larger than %d bytes", e.Limit)
+}
