Limit an engine's load report to 64 KiB and the heads of plug-ins' answers

The clients of the engine, service, log, VM list and weight store protocols read up to 64 MiB of any answer into memory, and the library's 10 MB of a head. A VM has 120 MB, and a router reads the load reports of its engines at the same time.

A request now states the size limit of its answer. Without one it is 64 KiB, which holds for load reports, orders, cancellations and appends. Cache events, exported KV cache and answers of plain services may have 16 MiB, the VM list 1 MiB, a page of the log 64 MiB as before, and a head 64 KiB.

--- a/internal/plugins/httpengine/engine.go
+++ b/internal/plugins/httpengine/engine.go
@@ -99,7 +99,9 @@
 func (e *Engine) CacheEvents(ctx context.Context, after uint64) (kernel.CacheEvents, error) {
 	var events kernel.CacheEvents
 	path := fmt.Sprintf("/v1/cache_events?after=%d", after)
-	err := e.client.Fetch(ctx, requester.Request{Method: http.MethodGet, Path: path}, &events)
+	err := e.client.Fetch(ctx, requester.Request{
+		Method: http.MethodGet, Path: path, MaxAnswerBytes: requester.MaxBulkAnswerBytes,
+	}, &events)
 	return events, err
 }
 
@@ -122,7 +124,9 @@
 // status 404.
 func (e *Engine) ExportKV(ctx context.Context, hash uint64) ([]byte, error) {
 	var data json.RawMessage
-	err := e.client.Fetch(ctx, requester.Request{Method: http.MethodGet, Path: kvPath(hash)}, &data)
+	err := e.client.Fetch(ctx, requester.Request{
+		Method: http.MethodGet, Path: kvPath(hash), MaxAnswerBytes: requester.MaxBulkAnswerBytes,
+	}, &data)
 	return data, err
 }
 
--- a/internal/plugins/httplog/log.go
+++ b/internal/plugins/httplog/log.go
@@ -20,6 +20,9 @@
 // for long periods; callers that can't wait set a shorter deadline.
 const answerTimeout = 10 * time.Second
 
+// maxPageBytes is the size limit of the answer to a read. A page that exceeds it could never be read.
+const maxPageBytes = 64 << 20
+
 func init() {
 	kernel.Logs.Register(Name, New)
 }
@@ -95,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	path := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", streamPath(stream), from, limit, wait.Milliseconds())
-	answer, err := l.client.Do(ctx, requester.Request{Method: http.MethodGet, Path: path})
+	answer, err := l.client.Do(ctx, requester.Request{Method: http.MethodGet, Path: path, MaxAnswerBytes: maxPageBytes})
 	var page kernel.LogPage
 	if err == nil && answer.Status != http.StatusOK && answer.Status != http.StatusGone {
 		err = l.client.Rejection(answer)
--- a/internal/plugins/httpservice/service.go
+++ b/internal/plugins/httpservice/service.go
@@ -41,6 +41,7 @@
 	answer, err := s.client.Do(ctx, requester.Request{
 		Method: request.Method, Path: pathPrefix + strings.TrimPrefix(path, "/"), ContentType: request.ContentType,
 		Header: map[string]string{"X-Request-Id": request.RequestID}, Body: request.Body, NewConnection: true,
+		MaxAnswerBytes: requester.MaxBulkAnswerBytes,
 	})
 	if err != nil {
 		return kernel.ServiceResponse{}, err
--- a/internal/plugins/httpvmlist/list.go
+++ b/internal/plugins/httpvmlist/list.go
@@ -12,6 +12,9 @@
 // Name is the name of this plug-in in the registry of VM list protocols.
 const Name = "httpvmlist"
 
+// maxListBytes is the size limit of the list, which holds thousands of VMs.
+const maxListBytes = 1 << 20
+
 func init() {
 	kernel.VMLists.Register(Name, New)
 }
@@ -35,6 +38,8 @@
 	var body struct {
 		VMs []kernel.VM `json:"vms"`
 	}
-	err := l.client.Fetch(ctx, requester.Request{Method: http.MethodGet, Path: "/v1/vms"}, &body)
+	err := l.client.Fetch(ctx, requester.Request{
+		Method: http.MethodGet, Path: "/v1/vms", MaxAnswerBytes: maxListBytes,
+	}, &body)
 	return body.VMs, err
 }
--- a/internal/plugins/requester/client.go
+++ b/internal/plugins/requester/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -22,8 +23,10 @@
 const (
 	// CallTimeout is the timeout of calls that an upstream answers without delay.
 	CallTimeout = 5 * time.Second
-	// maxAnswerBytes is the size limit of an answer that is read as a whole.
-	maxAnswerBytes = 64 << 20
+	// defaultMaxAnswerBytes is the size limit of an answer to a request that states none. A load report has a few KiB.
+	defaultMaxAnswerBytes = 64 << 10
+	// MaxBulkAnswerBytes is the size limit of an answer that holds many records or the body of a caller's answer.
+	MaxBulkAnswerBytes = 16 << 20
 	// maxRejectionBytes is the number of bytes of an error answer that are included in the error.
 	maxRejectionBytes = 4 << 10
 )
@@ -44,6 +47,8 @@
 	// NewConnection opens a connection for this request alone. It can't be lost by being sent on an idle connection
 	// that the upstream closes at the same moment.
 	NewConnection bool
+	// MaxAnswerBytes is the size limit of an answer that is read as a whole; 0 means defaultMaxAnswerBytes.
+	MaxAnswerBytes int64
 }
 
 // Answer is an HTTP answer that was read completely.
@@ -91,16 +96,17 @@
 }
 
 // Do sends a request and reads the whole answer. Errors: those of Open, and *kernel.ConnectionLostError if the answer
-// can't be read or exceeds maxAnswerBytes.
+// can't be read or exceeds its size limit (*AnswerTooLargeError).
 func (c *Client) Do(ctx context.Context, request Request) (Answer, error) {
 	response, err := c.Open(ctx, request)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = &AnswerTooLargeError{Limit: maxAnswerBytes}
+	limit := cmp.Or(request.MaxAnswerBytes, defaultMaxAnswerBytes)
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = &AnswerTooLargeError{Limit: limit}
 	}
 	if err != nil {
 		return Answer{}, &kernel.ConnectionLostError{Address: c.address, Cause: err}
--- a/internal/plugins/requester/errors.go
+++ b/internal/plugins/requester/errors.go
@@ -40,7 +40,7 @@
 // AnswerTooLargeError reports an answer that exceeds the size limit.
 type AnswerTooLargeError struct {
 	// Limit is in bytes.
-	Limit int
+	Limit int64
 }
 
 func (e *AnswerTooLargeError) Error() string {
--- a/internal/plugins/requester/pool.go
+++ b/internal/plugins/requester/pool.go
@@ -21,6 +21,8 @@
 	idleConns        = 1024
 	// connsPerHost limits the connections to one upstream; further requests wait for a free one.
 	connsPerHost = 512
+	// maxHeadBytes is the size limit of the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // transportPool holds the transports that all clients share, so that the connection limits hold for the whole process.
@@ -45,12 +47,13 @@
 			}
 			return &countingConn{Conn: conn}, nil
 		},
-		DisableKeepAlives:   !keepAlive,
-		DisableCompression:  true,
-		MaxIdleConns:        idleConns,
-		MaxIdleConnsPerHost: idleConnsPerHost,
-		MaxConnsPerHost:     connsPerHost,
-		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:      !keepAlive,
+		DisableCompression:     true,
+		MaxIdleConns:           idleConns,
+		MaxIdleConnsPerHost:    idleConnsPerHost,
+		MaxConnsPerHost:        connsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
