Don't wait for the end of a body that isn't used

Callers saw: an attempt that was not run held its request until the deadline if the body of that answer went on; a stream of lines that are no events was relayed as a stream, for as long as it lasted. Cause: to keep the connection, the rest of such a body was read up to 16 MiB and without a time limit; any lines counted as an event. Change: Answer.Discard reads 64 KiB and 50 ms at most and resets the connection otherwise. An event needs an id that is a number, or data.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -18,6 +19,12 @@
 // sent in one segment.
 const writeBufferBytes = 16 << 10
 
+const (
+	// discardTimeout and maxDiscardedBytes limit what is read of a body that isn't used to keep its connection.
+	discardTimeout    = 50 * time.Millisecond
+	maxDiscardedBytes = 64 << 10
+)
+
 // Request is one request as the caller sent it.
 type Request struct {
 	Method string
@@ -137,6 +144,19 @@
 	a.connector.putIdle(a.address, a.connection)
 }
 
+// Discard ends the exchange without the rest of the body. It keeps the connection like Done if that rest is short and
+// arrives at once.
+func (a *Answer) Discard() {
+	// An error means that the connection is closed already, which the read reports as well.
+	_ = a.connection.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	if _, err := io.Copy(io.Discard, io.LimitReader(a, maxDiscardedBytes)); err != nil {
+		a.Abort()
+		return
+	}
+	_ = a.connection.conn.SetReadDeadline(time.Time{})
+	a.Done()
+}
+
 // Abort resets the connection, which cancels the request at the upstream.
 func (a *Answer) Abort() {
 	a.stopReset()
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -67,11 +67,12 @@
 	return fmt.Sprintf("events between %s and %s of the stream are missing", e.Last, e.ID)
 }
 
-// UnnumberedEventError reports an event whose id isn't a number, in a stream whose other events have numbers.
+// UnnumberedEventError reports an event whose id isn't a number, in a stream whose other events have numbers, or one that
+// has no data either.
 type UnnumberedEventError struct {
 	ID, Last string
 }
 
 func (e *UnnumberedEventError) Error() string {
-	return fmt.Sprintf("event after event %s of the stream has the id %q, which isn't a number", e.Last, e.ID)
+	return fmt.Sprintf("event after event %q of the stream has the id %q, which isn't a number", e.Last, e.ID)
 }
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -151,7 +151,7 @@
 	if answer.Status == http.StatusMisdirectedRequest {
 		result.Kind = protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE
 	}
-	discard(answer)
+	answer.Discard()
 	if !x.mayRepeat() {
 		result.Refusal = &holder.Refusal{
 			Outcome: holder.OutcomeNotRun, Code: holder.CodeOverloaded, Message: "the upstream did not run the request",
@@ -164,7 +164,7 @@
 // rejectRest returns the result of an attempt that should have continued a stream and has another answer than a stream.
 // No part of it may be relayed after the events of the attempts before.
 func (x *exchange) rejectRest(answer *connector.Answer, start time.Time) holder.SendResult {
-	discard(answer)
+	answer.Discard()
 	result := holder.SendResult{
 		Kind:        protocol.ReleaseKind_RELEASE_KIND_FAILED,
 		Observation: dispatcher.Observation{FirstToken: time.Since(start), Total: time.Since(start)},
@@ -178,15 +178,6 @@
 	return result
 }
 
-// discard reads the rest of an answer whose body isn't used, so that its connection can be reused.
-func discard(answer *connector.Answer) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxUnaryBytes)); err != nil {
-		answer.Abort()
-		return
-	}
-	answer.Done()
-}
-
 // relayUnary reads a whole answer and relays it. No part of a truncated answer reaches the caller.
 func (x *exchange) relayUnary(ctx context.Context, answer *connector.Answer, start time.Time) holder.SendResult {
 	body, err := io.ReadAll(io.LimitReader(answer, maxUnaryBytes))
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -7,6 +7,7 @@
 
 var (
 	idField     = []byte("id:")
+	dataField   = []byte("data:")
 	commentMark = []byte(":")
 )
 
@@ -62,12 +63,12 @@
 	return true, nil
 }
 
-// acceptUnnumbered accepts comments, and events of streams that have no numbers at all.
+// acceptUnnumbered accepts comments, and data in streams that have no numbers at all. Other bytes are no events.
 func (s *sequence) acceptUnnumbered(event []byte, id string) (bool, error) {
 	if isComment(event) {
 		return true, nil
 	}
-	if s.numbered {
+	if s.numbered || !hasData(event) {
 		return false, &UnnumberedEventError{ID: id, Last: s.lastID}
 	}
 	s.unnumbered = true
@@ -84,6 +85,16 @@
 	return ""
 }
 
+// hasData reports whether an event has a data field.
+func hasData(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
 // isComment reports whether an event consists of comment lines and empty lines.
 func isComment(event []byte) bool {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -83,6 +83,7 @@
 		{"caller's position", "1", []string{streamHead + chunk("data: x\n\n") + lastChunk, rest}, "id: 2\n\n", true, 2},
 		{"no ids at all", "", []string{streamHead + chunk("data: x\n\n") + lastChunk}, "data: x\n\n", true, 1},
 		{"broken without ids", "", []string{streamHead + chunk("data: x\n\n") + "RESET", rest}, "data: x\n\n", false, 1},
+		{"no field of an event", "", []string{streamHead + chunk("x\n\n") + lastChunk, streamHead + event("1") + lastChunk}, "id: 1\n\n", true, 2},
 		{"comment", "", []string{streamHead + event("1") + chunk(": wait\n\n") + lastChunk}, "id: 1\n\n: wait\n\n", true, 1},
 	})
 }
