Don't join the events of a run that starts over

Callers saw: with an upstream that ignores the position at a resume, the first events of one run and the later ones of another. Cause: events that the caller has were dropped at the start of an attempt, even if the attempt began with the first event of the stream. Such a run doesn't continue the one before; only an attempt that goes on near the position does. Change: an attempt that begins with the first event for a caller that has events ends with a StreamRestartedError, and the request is sent again where it may be. Overlaps that begin later are still dropped.

--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -58,6 +58,15 @@
 	return fmt.Sprintf("event %s follows event %s of the stream", e.ID, e.Last)
 }
 
+// StreamRestartedError reports an attempt that began with the first event of the stream instead of after the last one.
+type StreamRestartedError struct {
+	ID, Last string
+}
+
+func (e *StreamRestartedError) Error() string {
+	return fmt.Sprintf("resume the stream after event %s: it starts over with event %s", e.Last, e.ID)
+}
+
 // MissingEventsError reports an event that isn't the next one of a stream whose ids are consecutive.
 type MissingEventsError struct {
 	ID, Last string
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -3,8 +3,13 @@
 import (
 	"bytes"
 	"strconv"
+
+	"coltsfootplank/internal/kernel"
 )
 
+// firstID is the lowest id with which streams begin.
+const firstID = 1
+
 var (
 	idField     = []byte("id:")
 	dataField   = []byte("data:")
@@ -18,6 +23,8 @@
 	lastID   string
 	last     uint64
 	numbered bool
+	// first is the id that the first event of a whole stream has, as far as it is known.
+	first uint64
 	// consecutive is set if a jump of the ids means that events are missing.
 	consecutive bool
 	// events is the number of relayed events with an id.
@@ -28,11 +35,12 @@
 	advanced bool
 }
 
-// newSequence returns the sequence of a caller that already has the event with the given id; "" stands for none.
-func newSequence(callerHas string) sequence {
-	s := sequence{}
-	if number, err := strconv.ParseUint(callerHas, 10, 64); err == nil {
-		s.lastID, s.last, s.numbered = callerHas, number, true
+// newSequence returns the sequence of a caller of a route. On resumable routes, lastID is the id of the last event that the
+// caller already has; "" stands for none.
+func newSequence(route *kernel.Route, lastID string) sequence {
+	s := sequence{first: firstID}
+	if number, err := strconv.ParseUint(lastID, 10, 64); err == nil && route.Resumable {
+		s.lastID, s.last, s.numbered = lastID, number, true
 	}
 	return s
 }
@@ -40,7 +48,8 @@
 // beginAttempt prepares for the events of another attempt, which may repeat some that the caller has.
 func (s *sequence) beginAttempt() { s.advanced = false }
 
-// accept reports whether the caller gets an event. Errors: *UnnumberedEventError, *EventOrderError, *MissingEventsError.
+// accept reports whether the caller gets an event. Errors: *UnnumberedEventError, *EventOrderError,
+// *StreamRestartedError, *MissingEventsError.
 func (s *sequence) accept(event []byte) (bool, error) {
 	id := eventID(event)
 	number, err := strconv.ParseUint(id, 10, 64)
@@ -48,10 +57,10 @@
 		return s.acceptUnnumbered(event, id)
 	}
 	if s.numbered && number <= s.last {
-		if s.advanced {
-			return false, &EventOrderError{ID: id, Last: s.lastID}
-		}
-		return false, nil
+		return false, s.checkKnown(id, number)
+	}
+	if s.events == 0 && !s.numbered {
+		s.first = max(s.first, number)
 	}
 	if s.events == 0 {
 		s.consecutive = number == s.last+1
@@ -63,6 +72,18 @@
 	return true, nil
 }
 
+// checkKnown checks an event that the caller already has. An attempt may repeat events at its start, but an attempt that
+// begins with the first event of the stream is another run, and its events don't continue those of the run before.
+func (s *sequence) checkKnown(id string, number uint64) error {
+	switch {
+	case s.advanced:
+		return &EventOrderError{ID: id, Last: s.lastID}
+	case number <= s.first:
+		return &StreamRestartedError{ID: id, Last: s.lastID}
+	}
+	return nil
+}
+
 // acceptUnnumbered accepts comments, and data in streams that have no numbers at all. Other bytes are no events.
 func (s *sequence) acceptUnnumbered(event []byte, id string) (bool, error) {
 	if isComment(event) {
--- a/internal/forwarder/streamoracle_test.go
+++ b/internal/forwarder/streamoracle_test.go
@@ -70,6 +70,11 @@
 	if problem := c.checkPositions(runs); problem != "" {
 		return problem
 	}
+	for _, run := range runs {
+		if sent := c.record[run-1]; sent.reply.startsOver(sent.attempt.after) {
+			return fmt.Sprintf("events of a run that starts over: want none of run %d", run)
+		}
+	}
 	// The head is that of the first attempt that had an event, or of a last one that is complete without any.
 	if want := signature(append(runs, len(c.record))[0]); (got.whole || len(runs) > 0) && got.header.Get("Signature") != want {
 		return fmt.Sprintf("signature of another run: want %s, got %s", want, got.header.Get("Signature"))
@@ -203,9 +208,16 @@
 	return !failed && !promised
 }
 
+// startsOver reports whether a stream begins with its first event, although the caller has events: it is another run than
+// theirs and doesn't continue them.
+func (r reply) startsOver(id int) bool { return id > 0 && len(r.ids) > 0 && r.ids[0] == 1 }
+
 // follow returns the last event up to which a stream continues a caller's events, and whether it ends as complete there.
 // Events that the caller has are dropped at the start of the stream; later they spoil it, like a gap.
 func (r reply) follow(id int) (int, bool) {
+	if r.startsOver(id) {
+		return id, false
+	}
 	started := false
 	for _, next := range r.ids {
 		switch {
--- a/internal/forwarder/streamreplies_test.go
+++ b/internal/forwarder/streamreplies_test.go
@@ -153,7 +153,6 @@
 		{"continues", continues},
 		{"repeats the last event", func(a sentRequest) reply { return a.events(idRange(max(1, a.after), a.last)) }},
 		{"repeats two events", func(a sentRequest) reply { return a.events(idRange(max(1, a.after-1), a.last)) }},
-		// The events of a restart that the caller has are dropped: the others are those that it waits for.
 		{"starts over from the first event", func(a sentRequest) reply { return a.events(idRange(1, a.last)) }},
 		{"gap in the middle", func(a sentRequest) reply {
 			return a.events(append([]int{a.after + 1}, idRange(a.after+3, max(a.last, a.after+3))...))
