--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -18,6 +18,7 @@
 type connection struct {
 	conn    net.Conn
 	reader  *bufio.Reader
+	limit   *limitedReader
 	counter *countingConn
 	// reused is set if an earlier request was answered on the connection.
 	reused bool
@@ -39,9 +40,10 @@
 }
 
 func newConnection(conn net.Conn, idleLimit time.Duration) *connection {
-	counter := &countingConn{Conn: conn}
+	limit := &limitedReader{reader: conn, left: unlimitedBytes}
 	return &connection{
-		conn: conn, counter: counter, reader: bufio.NewReaderSize(conn, readBufferBytes), idleLimit: idleLimit,
+		conn: conn, counter: &countingConn{Conn: conn}, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit,
+		idleLimit: idleLimit,
 	}
 }
 
@@ -91,16 +93,23 @@
 // reset closes the connection with a TCP reset, which cancels a request. Bytes of the request that haven't been delivered
 // yet, for example because of a slow link, are discarded. A plain close would deliver them later, when the upstream may
 // be leaving or the caller may have disconnected.
-func (c *connection) reset() {
-	if tcp, ok := c.conn.(*net.TCPConn); ok {
+func (c *connection) reset() { Reset(c.conn) }
+
+// Reset closes a connection with a TCP reset.
+func Reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
 		// An error means that the connection is closed already.
 		_ = tcp.SetLinger(0)
 	}
-	c.close()
+	_ = conn.Close()
 }
 
-// discard reads and drops the body of an answer to another request, up to maxSkippedBodyBytes.
+// discard reads and drops the body of an answer to another request. The connection is unusable after an error, since the
+// rest of the body follows on it. Errors: *ExtraAnswerTooLargeError, and those of the connection.
 func discard(body io.Reader) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
+	if err == nil && n > maxSkippedBodyBytes {
+		return &ExtraAnswerTooLargeError{Limit: maxSkippedBodyBytes}
+	}
 	return err
 }
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -20,3 +20,58 @@
 func (e *EventTooLargeError) Error() string {
 	return fmt.Sprintf("stream event exceeds %d bytes", e.Limit)
 }
+
+// ResumeFailedError reports an answer that isn't a stream, to an attempt that should have continued one.
+type ResumeFailedError struct {
+	Status int
+}
+
+func (e *ResumeFailedError) Error() string {
+	return fmt.Sprintf("resume the stream: answer with status %d isn't the rest of it", e.Status)
+}
+
+// IncompleteEventError reports the body of a stream that ended in the regular way in the middle of an event.
+type IncompleteEventError struct {
+	// Bytes is the number of bytes after the last complete event.
+	Bytes int
+}
+
+func (e *IncompleteEventError) Error() string {
+	return fmt.Sprintf("stream ended %d bytes into an event", e.Bytes)
+}
+
+// CallerWriteError reports that an answer could not be written to its caller.
+type CallerWriteError struct {
+	Cause error
+}
+
+func (e *CallerWriteError) Error() string { return "write to the caller: " + e.Cause.Error() }
+
+func (e *CallerWriteError) Unwrap() error { return e.Cause }
+
+// EventOrderError reports an event whose id isn't greater than that of an event before it in the same attempt.
+type EventOrderError struct {
+	ID, Last string
+}
+
+func (e *EventOrderError) Error() string {
+	return fmt.Sprintf("event %s follows event %s of the stream", e.ID, e.Last)
+}
+
+// MissingEventsError reports an event that isn't the next one of a stream whose ids are consecutive.
+type MissingEventsError struct {
+	ID, Last string
+}
+
+func (e *MissingEventsError) Error() string {
+	return fmt.Sprintf("events between %s and %s of the stream are missing", e.Last, e.ID)
+}
+
+// UnnumberedEventError reports an event whose id isn't a number, in a stream whose other events have numbers.
+type UnnumberedEventError struct {
+	ID, Last string
+}
+
+func (e *UnnumberedEventError) Error() string {
+	return fmt.Sprintf("event after event %s of the stream has the id %q, which isn't a number", e.Last, e.ID)
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -46,14 +46,13 @@
 	// sends counts the attempts in which the request may have reached an upstream.
 	sends int
 	// headWritten is set when the status and header of the answer were written to the caller.
-	headWritten bool
-	// lastEventID is the id of the last relayed event, events the number of relayed events.
-	lastEventID     string
-	events          int
+	headWritten     bool
+	sequence        sequence
 	timeToFirstByte time.Duration
 	// upstream is the last upstream that the request was sent to, waitTime the time from arrival until then.
 	upstream string
 	waitTime time.Duration
+	attempt  attempt
 	// lastRelayed is the time of the last relayed event, longestPause the longest time between two events.
 	lastRelayed  time.Time
 	longestPause time.Duration
@@ -61,6 +60,14 @@
 
 // Send implements holder.Exchange.
 func (x *exchange) Send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
+	x.attempt = attempt{begun: x.headWritten, after: x.sequence.lastID}
+	result := x.send(ctx, upstream)
+	x.logAttempt(upstream.Name, result)
+	return result
+}
+
+// send sends the request to one upstream and relays its answer.
+func (x *exchange) send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
 	options := &x.forwarder.options
 	if options.RoutingConfigSource.Departed(upstream.Name) {
 		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE}
@@ -69,7 +76,7 @@
 	defer cancel()
 	header := x.header.Clone()
 	options.Dialect.RewriteRequest(header, kernel.ForwardMetadata{
-		Upstream: upstream.Name, Workspace: x.holderRequest.Workspace, Remaining: time.Until(x.holderRequest.Deadline), ResumeAfter: x.lastEventID,
+		Upstream: upstream.Name, Workspace: x.holderRequest.Workspace, Remaining: time.Until(x.holderRequest.Deadline), ResumeAfter: x.sequence.lastID,
 	})
 	start := time.Now()
 	x.upstream, x.waitTime = upstream.Name, start.Sub(x.holderRequest.Arrived)
@@ -84,24 +91,29 @@
 	}
 	x.sends++
 	if err != nil {
+		x.attempt.end = err
 		return x.lostResult(ctx, err, dispatcher.Observation{})
 	}
+	x.attempt.status, x.attempt.length = answer.Status, answer.Length
 	metadata := options.Dialect.ParseAnswer(answer.Status, answer.Header)
 	switch {
 	case metadata.NotRun:
 		return x.notRunResult(answer)
-	case metadata.ContentEncoded, !metadata.Signed && answer.Status < http.StatusMultipleChoices:
+	case metadata.ContentEncoded, !metadata.Signed:
 		answer.Abort()
 		return x.lostResult(ctx, &UntrustedAnswerError{Status: answer.Status}, dispatcher.Observation{})
-	case x.route.Kind == kernel.RouteStream && answer.Status == http.StatusOK:
+	case x.route.Kind == kernel.RouteStream && answer.Status == http.StatusOK && isEventStream(answer.Header):
 		return x.relayStream(ctx, answer, start)
+	case x.headWritten:
+		return x.rejectRest(answer, start)
 	}
 	return x.relayUnary(ctx, answer, start)
 }
 
-// mayRepeat reports whether the request may be sent to another upstream. If so, it takes one from the repeat budget.
+// mayRepeat reports whether the request may be sent to another upstream. If so, it takes one from the repeat budget. A
+// stream of which events without a number were relayed can't be continued.
 func (x *exchange) mayRepeat() bool {
-	return x.sends < x.route.Attempts && x.forwarder.options.RepeatBudget.Take(x.service)
+	return !x.sequence.unnumbered && x.sends < x.route.Attempts && x.forwarder.options.RepeatBudget.Take(x.service)
 }
 
 // repeatable reports whether the request may run more than once.
@@ -139,11 +151,7 @@
 	if answer.Status == http.StatusMisdirectedRequest {
 		result.Kind = protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxUnaryBytes)); err != nil {
-		answer.Abort()
-	} else {
-		answer.Done()
-	}
+	discard(answer)
 	if !x.mayRepeat() {
 		result.Refusal = &holder.Refusal{
 			Outcome: holder.OutcomeNotRun, Code: holder.CodeOverloaded, Message: "the upstream did not run the request",
@@ -153,6 +161,32 @@
 	return result
 }
 
+// rejectRest returns the result of an attempt that should have continued a stream and has another answer than a stream.
+// No part of it may be relayed after the events of the attempts before.
+func (x *exchange) rejectRest(answer *connector.Answer, start time.Time) holder.SendResult {
+	discard(answer)
+	result := holder.SendResult{
+		Kind:        protocol.ReleaseKind_RELEASE_KIND_FAILED,
+		Observation: dispatcher.Observation{FirstToken: time.Since(start), Total: time.Since(start)},
+	}
+	if x.mayRepeat() {
+		result.Resubmit = true
+		return result
+	}
+	err := &ResumeFailedError{Status: answer.Status}
+	result.Refusal = &holder.Refusal{Outcome: holder.OutcomeUnknown, Code: holder.CodeStreamTruncated, Message: err.Error()}
+	return result
+}
+
+// discard reads the rest of an answer whose body isn't used, so that its connection can be reused.
+func discard(answer *connector.Answer) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxUnaryBytes)); err != nil {
+		answer.Abort()
+		return
+	}
+	answer.Done()
+}
+
 // relayUnary reads a whole answer and relays it. No part of a truncated answer reaches the caller.
 func (x *exchange) relayUnary(ctx context.Context, answer *connector.Answer, start time.Time) holder.SendResult {
 	body, err := io.ReadAll(io.LimitReader(answer, maxUnaryBytes))
@@ -162,6 +196,7 @@
 		if err == nil {
 			err = io.ErrUnexpectedEOF
 		}
+		x.attempt.end = err
 		return x.lostResult(ctx, err, observation)
 	}
 	answer.Done()
@@ -185,10 +220,11 @@
 }
 
 // writeHead relays the status and header of an answer. A length of -1 means that the length of the body isn't known.
+// Errors: *CallerWriteError.
 func (x *exchange) writeHead(answer *connector.Answer, length int64) error {
 	// Without a write deadline a caller that doesn't read would block the request forever.
 	if err := http.NewResponseController(x.w).SetWriteDeadline(x.holderRequest.Deadline.Add(writeDeadlineGrace)); err != nil {
-		return err
+		return &CallerWriteError{Cause: err}
 	}
 	header := x.w.Header()
 	connector.StripHopByHopHeaders(answer.Header)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -70,11 +70,26 @@
 		return
 	}
 	if x.headWritten || refusal.Code == holder.CodeCallerGone {
-		panic(http.ErrAbortHandler)
+		f.abort(w, r)
+		return
 	}
 	writeRefusal(w, refusal)
 }
 
+// abort ends an answer so that the caller doesn't take it for a complete one. A caller of HTTP/1.0 takes the regular end
+// of the connection for the end of the answer, so its connection is reset.
+func (f *Forwarder) abort(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		f.options.Logger.Warn("connection not reset; its caller may take the answer for complete", zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	connector.Reset(conn)
+}
+
 // refuseRequest writes the refusal of a request that wasn't handed to the holder.
 func (f *Forwarder) refuseRequest(w http.ResponseWriter, r *http.Request, x *exchange, refusal *holder.Refusal) {
 	f.options.Logger.Info("request turned away", zap.String("request_id", x.metadata.RequestID),
@@ -102,7 +117,7 @@
 		f.options.Logger.Info("answer passed on", zap.String("request_id", x.holderRequest.ID), zap.String("work", x.route.Name),
 			zap.String("upstream", x.upstream), zap.Int("sends", x.sends), zap.Int("prompt_tokens", x.metadata.PromptTokens),
 			zap.Int("max_output_tokens", x.metadata.OutputTokens), zap.Int("estimated_output_tokens", x.metadata.OutputEstimate),
-			zap.Int("events", x.events), zap.Int64("wait_ms", x.waitTime.Milliseconds()),
+			zap.Int("events", x.sequence.events), zap.Int64("wait_ms", x.waitTime.Milliseconds()),
 			zap.Int64("first_byte_ms", x.timeToFirstByte.Milliseconds()), zap.Int64("objective_ms", x.route.Objective.Milliseconds()),
 			zap.Int64("longest_pause_ms", x.longestPause.Milliseconds()), zap.Int64("total_ms", total.Milliseconds()),
 			zap.Bool("whole", refusal == nil))
--- /dev/null
+++ b/internal/forwarder/sequence_test.go
@@ -0,0 +1,88 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// sequenceCase is a stream whose attempts send events that don't all continue those before.
+type sequenceCase struct {
+	name string
+	// after is the caller's position, "" if it has none.
+	after   string
+	answers []string
+	body    string
+	whole   bool
+	sends   int
+}
+
+// checkSequences sends one request for each case to a resumable route with two attempts.
+func checkSequences(t *testing.T, cases []sequenceCase) {
+	t.Helper()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u := newScriptedUpstream(t, c.answers...)
+			base, server := startTestForwarder(t, configWithRoute(resumableRoute(), 2), u)
+			header := map[string]string{"Id": "1", "Key": "k"}
+			if c.after != "" {
+				header["After"] = c.after
+			}
+			_, body, whole, _ := send(t, base, http.MethodPost, "/a/", "", header)
+			assert.Equal(t, body, c.body)
+			assert.Equal(t, whole, c.whole)
+			assert.Equal(t, server.sends, c.sends)
+		})
+	}
+}
+
+// TestEventsOutOfOrder guards against relaying an event again after a newer one of the same attempt.
+func TestEventsOutOfOrder(t *testing.T) {
+	rest := streamHead + event("3") + lastChunk
+	checkSequences(t, []sequenceCase{
+		{"back by one", "", []string{streamHead + event("1") + event("2") + event("1") + lastChunk, rest}, "id: 1\n\nid: 2\n\nid: 3\n\n", true, 2},
+		{"in one read", "", []string{streamHead + chunk("id: 1\n\nid: 2\n\n") + event("2") + lastChunk, rest}, "id: 1\n\nid: 2\n\nid: 3\n\n", true, 2},
+		{"no attempt left", "", []string{
+			streamHead + event("1") + "RESET", streamHead + event("1") + event("2") + event("1") + event("3") + lastChunk,
+		}, "id: 1\n\nid: 2\n\n", false, 2},
+	})
+}
+
+// TestKnownEventsAtCallersResume guards against relaying events that a caller already has when it resumes a stream itself.
+func TestKnownEventsAtCallersResume(t *testing.T) {
+	checkSequences(t, []sequenceCase{
+		{"last event repeated", "7", []string{streamHead + event("7") + event("8") + lastChunk}, "id: 8\n\n", true, 1},
+		{"started over", "2", []string{streamHead + event("1") + event("2") + event("3") + lastChunk}, "id: 3\n\n", true, 1},
+		{"started over by the next attempt", "2", []string{
+			streamHead + "RESET", streamHead + event("1") + event("2") + event("3") + lastChunk,
+		}, "id: 3\n\n", true, 2},
+	})
+}
+
+// TestMissingEvents guards against a stream that goes on after a gap, which its caller takes for complete.
+func TestMissingEvents(t *testing.T) {
+	begun := streamHead + event("1") + "RESET"
+	checkSequences(t, []sequenceCase{
+		{"at a resume", "", []string{begun, streamHead + event("3") + lastChunk}, "id: 1\n\n", false, 2},
+		{"within an attempt", "", []string{streamHead + event("1") + event("3") + lastChunk, streamHead + event("2") + lastChunk},
+			"id: 1\n\nid: 2\n\n", true, 2},
+		{"ids that only increase", "", []string{streamHead + event("5") + event("8") + "RESET", streamHead + event("9") + lastChunk},
+			"id: 5\n\nid: 8\n\nid: 9\n\n", true, 2},
+	})
+}
+
+// TestEventsWithoutNumber guards against events whose place in the stream isn't known, and against resuming after them,
+// which would start over.
+func TestEventsWithoutNumber(t *testing.T) {
+	rest := streamHead + event("2") + lastChunk
+	checkSequences(t, []sequenceCase{
+		{"no id", "", []string{streamHead + event("1") + chunk("data: x\n\n") + lastChunk, rest}, "id: 1\n\nid: 2\n\n", true, 2},
+		{"not a number", "", []string{streamHead + event("1") + event("x2") + lastChunk, rest}, "id: 1\n\nid: 2\n\n", true, 2},
+		{"negative", "", []string{streamHead + event("1") + event("-1") + lastChunk, rest}, "id: 1\n\nid: 2\n\n", true, 2},
+		{"caller's position", "1", []string{streamHead + chunk("data: x\n\n") + lastChunk, rest}, "id: 2\n\n", true, 2},
+		{"no ids at all", "", []string{streamHead + chunk("data: x\n\n") + lastChunk}, "data: x\n\n", true, 1},
+		{"broken without ids", "", []string{streamHead + chunk("data: x\n\n") + "RESET", rest}, "data: x\n\n", false, 1},
+		{"comment", "", []string{streamHead + event("1") + chunk(": wait\n\n") + lastChunk}, "id: 1\n\n: wait\n\n", true, 1},
+	})
+}
