Abort an answer whose write has failed in the middle

Cause: serviceAnswer and the JSON body and stored result of chatAnswer didn't note that they had begun. When a write failed, the handler wrote the refusal of the caller that is gone (status 499 and a JSON body) after the part that was written, with the message "superfluous response.WriteHeader call" of the HTTP server, and a stream got an error event after half an event. Then the answer ended in the regular way. Callers on a plain connection hardly see this, since the server's write errors repeat; any other writer passes it on. A stored result after the first token would have been written into the stream; no path does that today. Change: answerWriter, which both answers embed, notes that an answer has begun and that a write has failed. After that nothing is written and the handler aborts the connection. The field tokens of chatAnswer, which nothing reads, goes.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -17,17 +17,16 @@
 
 // chatAnswer writes a chat completion as server-sent events, or as one JSON body if the caller requested no stream.
 type chatAnswer struct {
-	w         http.ResponseWriter
-	requestID string
-	model     string
-	stream    bool
-	started   bool
-	text      strings.Builder
-	tokens    int
+	answerWriter
+	model  string
+	stream bool
+	text   strings.Builder
 }
 
 func newChatAnswer(w http.ResponseWriter, request *holder.Request, stream bool) *chatAnswer {
-	return &chatAnswer{w: w, requestID: request.ID, model: request.Work.Name, stream: stream}
+	return &chatAnswer{
+		answerWriter: answerWriter{w: w, requestID: request.ID}, model: request.Work.Name, stream: stream,
+	}
 }
 
 // chunk is one event of a stream. Index is the index of its token; in the last chunk it is the number of tokens.
@@ -70,7 +69,6 @@
 
 // Token writes one token, or stores it for Finish if the caller requested no stream.
 func (a *chatAnswer) Token(frame kernel.Frame) error {
-	a.tokens++
 	if !a.stream {
 		a.text.WriteString(frame.Token)
 		return nil
@@ -85,17 +83,7 @@
 func (a *chatAnswer) Finish(total int) error {
 	reason := "stop"
 	if !a.stream {
-		a.w.Header().Set(headerContentType, "application/json")
-		err := json.NewEncoder(a.w).Encode(completion{
-			ID: a.requestID, Object: "chat.completion", Model: a.model, Usage: usage{CompletionTokens: total},
-			Choices: []completionChoice{{
-				Message: chatMessage{Role: "assistant", Content: a.text.String()}, FinishReason: reason,
-			}},
-		})
-		if err != nil {
-			return &WriteError{Cause: err}
-		}
-		return nil
+		return a.complete(total, reason)
 	}
 	err := a.event("", chunk{
 		ID: a.requestID, Object: "chat.completion.chunk", Model: a.model, Index: total,
@@ -107,20 +95,31 @@
 	return a.send("", doneMarker)
 }
 
-// Response writes the stored result of an earlier request with the same idempotency key.
-func (a *chatAnswer) Response(response kernel.ServiceResponse) error {
-	return (&serviceAnswer{w: a.w}).Response(response)
+// complete writes the JSON body of a caller that requested no stream.
+func (a *chatAnswer) complete(total int, reason string) error {
+	body, err := json.Marshal(completion{
+		ID: a.requestID, Object: "chat.completion", Model: a.model, Usage: usage{CompletionTokens: total},
+		Choices: []completionChoice{{
+			Message: chatMessage{Role: "assistant", Content: a.text.String()}, FinishReason: reason,
+		}},
+	})
+	if err != nil {
+		return &WriteError{Cause: err}
+	}
+	a.w.Header().Set(headerContentType, "application/json")
+	return a.write(append(body, '\n'))
 }
 
-// refuse writes a refusal: as an HTTP status and body if nothing was written yet, otherwise as the last event of the
-// stream.
+// refuse writes a refusal: as an HTTP status and body if nothing was written yet, as the last event of a stream that has
+// begun, and otherwise by aborting the connection.
 func (a *chatAnswer) refuse(refusal *holder.Refusal) {
-	if !a.started {
-		writeRefusal(a.w, a.requestID, refusal)
+	if !a.started || !a.stream || a.failed {
+		a.answerWriter.refuse(refusal)
 		return
 	}
-	// A write error means that the caller has disconnected.
-	_ = a.event("error", newRefusalBody(a.requestID, refusal))
+	if err := a.event("error", newRefusalBody(a.requestID, refusal)); err != nil {
+		a.abort()
+	}
 }
 
 func (a *chatAnswer) event(kind string, value any) error {
@@ -133,7 +132,6 @@
 
 func (a *chatAnswer) send(kind, data string) error {
 	if !a.started {
-		a.started = true
 		a.w.Header().Set(headerContentType, "text/event-stream")
 		a.w.Header().Set("Cache-Control", "no-store")
 	}
@@ -146,15 +144,8 @@
 	if _, err := message.WriteTo(&buffer); err != nil {
 		return &WriteError{Cause: err}
 	}
-	if _, err := a.w.Write(buffer.Bytes()); err != nil {
-		return &WriteError{Cause: err}
-	}
-	return flush(a.w)
-}
-
-func flush(w http.ResponseWriter) error {
-	if err := http.NewResponseController(w).Flush(); err != nil {
-		return &WriteError{Cause: err}
+	if err := a.write(buffer.Bytes()); err != nil {
+		return err
 	}
-	return nil
+	return a.flush()
 }
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -52,13 +52,19 @@
 
 func (f *fakeServer) Draining() bool { return false }
 
-// exchange sends one request to the API and returns the response and its body.
-func exchange(t *testing.T, server *fakeServer, method, path, body string, headers map[string]string) (*httptest.ResponseRecorder, string) {
+// newTestReceiver returns a receiver that hands the requests to a server.
+func newTestReceiver(t *testing.T, server *fakeServer) *Receiver {
 	t.Helper()
 	catalogue, err := cataloguer.Parse([]byte(catalogueText))
 	assert.NilError(t, err)
 	settings := Settings{MaxBodyBytes: 1024, Ready: func() bool { return true }}
-	api := New(settings, fakeCatalogue{catalogue.Index()}, server, zap.NewNop())
+	return New(settings, fakeCatalogue{catalogue.Index()}, server, zap.NewNop())
+}
+
+// exchange sends one request to the API and returns the response and its body.
+func exchange(t *testing.T, server *fakeServer, method, path, body string, headers map[string]string) (*httptest.ResponseRecorder, string) {
+	t.Helper()
+	api := newTestReceiver(t, server)
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	request.Header.Set(headerAuthorization, "Bearer key1")
 	for name, value := range headers {
--- a/internal/receiver/service.go
+++ b/internal/receiver/service.go
@@ -23,27 +23,16 @@
 	}
 	holderRequest.Method, holderRequest.Path = request.Method, request.URL.RequestURI()
 	holderRequest.PromptTokens, holderRequest.MaxTokens = 1, 1
-	holderRequest.Answer = &serviceAnswer{w: w}
+	answer := &serviceAnswer{answerWriter{w: w, requestID: holderRequest.ID}}
+	holderRequest.Answer = answer
 	if refusal := r.holder.Serve(request.Context(), holderRequest); refusal != nil {
-		writeRefusal(w, holderRequest.ID, refusal)
+		answer.refuse(refusal)
 	}
 }
 
 // serviceAnswer writes the answer of a plain service.
 type serviceAnswer struct {
-	w http.ResponseWriter
-}
-
-// Response writes the whole answer.
-func (a *serviceAnswer) Response(response kernel.ServiceResponse) error {
-	if response.ContentType != "" {
-		a.w.Header().Set(headerContentType, response.ContentType)
-	}
-	a.w.WriteHeader(response.Status)
-	if _, err := a.w.Write(response.Body); err != nil {
-		return &WriteError{Cause: err}
-	}
-	return flush(a.w)
+	answerWriter
 }
 
 // Token fails: a plain service has no token stream.
