State the length of a service's answer and of a completion

Cause: the answer of a service is flushed and so has no length, and neither has a completion of more than 2 KB. To a caller that uses HTTP/1.0 the end of the connection is the end of such a body: when the router stops while it writes (its server closes the connections after the time for the stop), a part of the body looks like the whole. Callers with HTTP/1.1 get chunks and notice it. Streams end with [DONE], which such a caller misses. Change: answerWriter states Content-Length for both.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -106,8 +106,10 @@
 	if err != nil {
 		return &WriteError{Cause: err}
 	}
+	body = append(body, '\n')
 	a.w.Header().Set(headerContentType, "application/json")
-	return a.write(append(body, '\n'))
+	a.setLength(body)
+	return a.write(body)
 }
 
 // refuse writes a refusal: as an HTTP status and body if nothing was written yet, as the last event of a stream that has
--- a/internal/receiver/writer.go
+++ b/internal/receiver/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"coltsfootplank/internal/holder"
 	"coltsfootplank/internal/kernel"
@@ -25,6 +26,7 @@
 		a.w.Header().Set(headerContentType, response.ContentType)
 	}
 	a.started = true
+	a.setLength(response.Body)
 	a.w.WriteHeader(response.Status)
 	if err := a.write(response.Body); err != nil {
 		return err
@@ -49,6 +51,13 @@
 	return a.check(err)
 }
 
+// setLength states the length of a body. Without it, a caller that uses HTTP/1.0 can't tell a short body from a whole one.
+func (a *answerWriter) setLength(body []byte) {
+	if len(body) > 0 {
+		a.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+}
+
 func (a *answerWriter) flush() error {
 	return a.check(http.NewResponseController(a.w).Flush())
 }
