Refuse an answer of an upstream whose status isn't final

Cause: net/http passes on status 101 and statuses below 100 as answers. The answer of a plain service then went to the caller with that status: 101 lets the caller take the connection for another protocol, with no body, and for a status below 100 the HTTP server's WriteHeader panics before the grant is released. (The effects beyond the plug-in are read in the code, not run.) Change: requester.Do returns a ConnectionLostError with a StatusNotFinalError, so that the outcome is unknown.

--- a/internal/plugins/requester/client.go
+++ b/internal/plugins/requester/client.go
@@ -91,13 +91,18 @@
 }
 
 // Do sends a request and reads the whole answer. Errors: those of Open, and *kernel.ConnectionLostError if the answer
-// can't be read or exceeds maxAnswerBytes.
+// can't be read, exceeds maxAnswerBytes or has no final status.
 func (c *Client) Do(ctx context.Context, request Request) (Answer, error) {
 	response, err := c.Open(ctx, request)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusOK {
+		return Answer{}, &kernel.ConnectionLostError{
+			Address: c.address, Cause: &StatusNotFinalError{Status: response.StatusCode},
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = &AnswerTooLargeError{Limit: maxAnswerBytes}
