Measure the streams of the proofs by the tokens that were asked for

Cause: the proofs gave the checker the total that the router states as the total of the upstream's final frame. A router that ends a short stream as complete and counts what it relayed held P3. Change: the total of an answer is the number of tokens that its request asks for, which the upstreams of the proofs send. A total of the router that differs from the tokens received still counts.

--- a/internal/prover/load_test.go
+++ b/internal/prover/load_test.go
@@ -28,6 +28,13 @@
 	disconnects bool
 }
 
+// newCallerAnswer returns the answer to a request for a number of tokens, which is the total of the upstream's final frame.
+// The total that the router gives counts only if it differs from the tokens received, because it is what is checked.
+func newCallerAnswer(r *router, reply checker.Answer, tokens int) *callerAnswer {
+	reply.Total = tokens
+	return &callerAnswer{router: r, reply: reply}
+}
+
 func (a *callerAnswer) Token(frame kernel.Frame) error {
 	if frame.StreamID != a.reply.RequestID {
 		a.reply.ForeignID = frame.StreamID
@@ -41,7 +48,10 @@
 }
 
 func (a *callerAnswer) Finish(total int) error {
-	a.reply.Whole, a.reply.Total = a.router.ctx.Err() == nil, total
+	a.reply.Whole = a.router.ctx.Err() == nil
+	if total != len(a.reply.Tokens) {
+		a.reply.Total = total
+	}
 	return a.router.ctx.Err()
 }
 
@@ -68,9 +78,10 @@
 	number := uint64(c.requestCount)
 	id := fmt.Sprintf("%s-%d", name, number)
 	c.mu.Unlock()
-	a := &callerAnswer{router: r, disconnects: disconnects, reply: checker.Answer{
+	a := newCallerAnswer(r, checker.Answer{
 		RequestID: id, Workspace: "caruaru", Work: workName, Key: key, Idempotent: work.Idempotent,
-		Stream: tokens > 0, Router: name}}
+		Stream: tokens > 0, Router: name}, tokens)
+	a.disconnects = disconnects
 	request := &holder.Request{ID: id, Workspace: "caruaru", Work: work, Key: key, Method: work.Method, Path: work.Path,
 		Model: work.Model, PromptTokens: 100, MaxTokens: tokens, PrefixHashes: []uint64{1}, Fingerprint: number,
 		Arrived: time.Now(), Deadline: time.Now().Add(streamTimeout), Answer: a}
