Let the resumes of broken streams fail in the fault matrix

Cause: the fault matrix has streams that break off in the middle and engines that crash, but no cell in which a stream breaks off after its first token and the next attempt gets an error answer, is told that the stream isn't known or ends at once. The other cells and pairs stay as they are.

--- a/internal/prover/matrix_test.go
+++ b/internal/prover/matrix_test.go
@@ -164,7 +164,7 @@
 
 // runCell runs the load and checks the history. The faults start when the step first occurs after the first 3 s of the
 // load.
-func runCell(t *testing.T, s step, faults ...fault) {
+func runCell(t *testing.T, s step, faults ...fault) checker.History {
 	c := newCluster(t)
 	var once sync.Once
 	time.AfterFunc(3*time.Second, func() {
@@ -197,5 +197,7 @@
 	for _, f := range faults {
 		name += "/" + f.name
 	}
-	prover.Report(t, name, c.stop(), checker.DefaultBounds(), append(s.expect, alwaysChecked...)...)
+	history := c.stop()
+	prover.Report(t, name, history, checker.DefaultBounds(), append(s.expect, alwaysChecked...)...)
+	return history
 }
--- a/internal/prover/upstreams_test.go
+++ b/internal/prover/upstreams_test.go
@@ -57,6 +57,19 @@
 	answersHalf
 )
 
+// resumeMode is what happens to the resumes of streams.
+type resumeMode int
+
+const (
+	resumesNormal resumeMode = iota
+	// resumesFail gets an error answer.
+	resumesFail
+	// resumesForgotten gets the answer that the stream isn't known.
+	resumesForgotten
+	// resumesEnd gets an answer that ends at once in the regular way.
+	resumesEnd
+)
+
 // upstream is a fake engine or order desk. Request IDs have the form "<router>-<number>", so that the messages from and to
 // a frozen or dead router can be held back.
 type upstream struct {
@@ -74,6 +87,7 @@
 	draining    bool
 	cacheEvents bool
 	answers     answerMode
+	resumes     resumeMode
 	streams     map[string]int // total tokens by stream ID, since the last crash
 	running     int
 	runs        []checker.Run
@@ -242,7 +256,11 @@
 	switch {
 	case e.down:
 		return nil, &kernel.NotSentError{Address: e.name, Cause: errCrash}
-	case !known:
+	case e.resumes == resumesFail:
+		return nil, &kernel.ConnectionLostError{Address: e.name, Cause: &kernel.RejectedError{Address: e.name, Status: 500}}
+	case e.resumes == resumesEnd:
+		return emptyStream{}, nil
+	case !known || e.resumes == resumesForgotten:
 		return nil, &kernel.StreamUnknownError{Address: e.name, StreamID: id}
 	}
 	return &tokenStream{engine: e, ctx: ctx, crashed: e.crashed, id: id, total: total, next: from}, nil
@@ -280,6 +298,12 @@
 	return nil
 }
 
+// emptyStream ends without a frame.
+type emptyStream struct{}
+
+func (emptyStream) Next() (kernel.Frame, error) { return kernel.Frame{}, io.EOF }
+func (emptyStream) Close() error                { return nil }
+
 // Flaws in the middle of a token stream.
 const (
 	flawNone = iota
