Count a stream of the load generator as whole only with its finish reason and nothing after its end

Cause: the load generator took [DONE] for the end of a whole stream without the event that has the finish reason and the total, took tokens after that event, and read nothing after [DONE] or after an error event. A stream that a router ends as complete too early, or to which it appends another answer or a failure's body, counted as good. Change: the finish reason is needed before [DONE], no chunk may follow it, and nothing may follow the end of the stream; each of these is corrupt. The reading of streams has its own file. The fake router of the commander's test sends the finish reason, as a router does; in the sender's test it is part of the end that the older cases send, so that they differ in one thing only.

--- a/loadgen/internal/commander/commander_test.go
+++ b/loadgen/internal/commander/commander_test.go
@@ -43,7 +43,7 @@
 			_, _ = fmt.Fprintf(w, "data: {\"id\":\"r\",\"index\":%d,\"choices\":[{\"delta\":{\"content\":\"t%d\"}}]}\n\n", i, i)
 		}
 		if !broken {
-			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			_, _ = io.WriteString(w, "data: {\"id\":\"r\",\"index\":12,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
 		}
 	}
 }
--- a/loadgen/internal/sender/answer.go
+++ b/loadgen/internal/sender/answer.go
@@ -5,13 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"regexp"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/tmaxmax/go-sse"
 
 	"coltsfootplank/loadgen/internal/planner"
 )
@@ -103,103 +100,3 @@
 	}
 	return result
 }
-
-// chunk is the data of one event of a stream. Index is the index of the token; in an event with the finish reason and no
-// token, it is the number of tokens of the stream.
-type chunk struct {
-	ID      string `json:"id"`
-	Index   *int   `json:"index"`
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason *string `json:"finish_reason"`
-	} `json:"choices"`
-}
-
-func (c chunk) hasToken() bool { return len(c.Choices) > 0 && c.Choices[0].Delta.Content != "" }
-
-func (c chunk) hasFinishReason() bool { return len(c.Choices) > 0 && c.Choices[0].FinishReason != nil }
-
-// standinToken matches the tokens of stand-in engines, which consist of the digest of the prompt and the token index.
-// Tokens of other engines are checked by their index only.
-var standinToken = regexp.MustCompile(`^[0-9a-f]{8}\.[0-9]+ $`)
-
-// readStream reads a stream to its end. The stream is complete only if each token index occurs once and in order, all
-// events carry the id of this request, no token belongs to another prompt, and the stream ends with the [DONE] event.
-func readStream(request planner.Request, response *http.Response, arrival time.Time) Result {
-	const doneEvent = "[DONE]"
-	id := response.Header.Get(requestIDHeader)
-	result := Result{Outcome: ConnectionLost, Detail: "the stream has no end mark"}
-	digest := fmt.Sprintf("%08x.", uint32(xxhash.Sum64String(request.Prefix+request.Prompt)))
-	last := time.Time{}
-	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
-		if err != nil {
-			result.Detail = err.Error()
-			return result
-		}
-		if event.Type == "error" {
-			return errorEventResult(result, event.Data)
-		}
-		if event.Data == doneEvent {
-			return doneEventResult(result, request)
-		}
-		var got chunk
-		if err := json.Unmarshal([]byte(event.Data), &got); err != nil {
-			return corrupt(result, "event is not JSON: "+err.Error())
-		}
-		if got.ID != id && got.ID != "chatcmpl-"+id {
-			return corrupt(result, fmt.Sprintf("event of request %q in the stream of %q", got.ID, id))
-		}
-		if !got.hasToken() && got.hasFinishReason() && got.Index != nil && *got.Index != result.Tokens {
-			return corrupt(result, fmt.Sprintf("%d of %d tokens seen", result.Tokens, *got.Index))
-		}
-		if !got.hasToken() {
-			continue
-		}
-		if got.Index == nil || *got.Index != result.Tokens {
-			return corrupt(result, fmt.Sprintf("token %d expected in %s", result.Tokens, event.Data))
-		}
-		if text := got.Choices[0].Delta.Content; standinToken.MatchString(text) && text != digest+strconv.Itoa(result.Tokens)+" " {
-			return corrupt(result, fmt.Sprintf("token %d of prompt %s expected, got %q", result.Tokens, digest, text))
-		}
-		now := time.Now()
-		if result.Tokens == 0 {
-			result.FirstToken = now.Sub(arrival)
-		} else {
-			result.Gaps = append(result.Gaps, now.Sub(last))
-		}
-		last = now
-		result.Tokens++
-	}
-	return result
-}
-
-func corrupt(result Result, detail string) Result {
-	result.Outcome, result.Detail = Corrupt, detail
-	return result
-}
-
-// errorEventResult returns the result of a stream that ended with an error event. A stream with tokens can't end with
-// outcome not_run.
-func errorEventResult(result Result, data string) Result {
-	var failure errorBody
-	if err := json.Unmarshal([]byte(data), &failure); err != nil || failure.Error == nil {
-		return corrupt(result, "error event without an error: "+data)
-	}
-	ended := failure.result()
-	if ended.Outcome == NotRun && result.Tokens > 0 {
-		return corrupt(result, "not_run after a token")
-	}
-	result.Outcome, result.Code, result.Detail = ended.Outcome, ended.Code, ended.Detail
-	return result
-}
-
-// doneEventResult returns the result of a stream that ended with the [DONE] event, after a check of its length.
-func doneEventResult(result Result, request planner.Request) Result {
-	if result.Tokens == 0 || request.Work.ExactOutput && result.Tokens != request.OutputTokens {
-		return corrupt(result, fmt.Sprintf("end mark after %d of %d tokens", result.Tokens, request.OutputTokens))
-	}
-	result.Outcome, result.Detail = Good, ""
-	return result
-}
--- a/loadgen/internal/sender/sender_test.go
+++ b/loadgen/internal/sender/sender_test.go
@@ -29,7 +29,9 @@
 }
 
 const (
-	doneEvent        = "data: [DONE]\n\n"
+	markEvent        = "data: [DONE]\n\n"
+	finishEvent      = "data: {\"id\":\"r\",\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"
+	doneEvent        = finishEvent + markEvent
 	errorEventFormat = "event: error\ndata: {\"error\":{\"outcome\":%q,\"code\":%q}}\n\n"
 )
 
@@ -43,8 +45,15 @@
 		code       string
 	}{
 		{"whole", whole + doneEvent, Good, ""},
-		{"final event without token", whole + "data: {\"id\":\"r\",\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}]}\n\n" + doneEvent, Good, ""},
-		{"final event counts more tokens", whole + "data: {\"id\":\"r\",\"index\":4,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n" + doneEvent, Corrupt, ""},
+		{"final event without token", whole + "data: {\"id\":\"r\",\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}]}\n\n" + markEvent, Good, ""},
+		{"final event counts more tokens", whole + "data: {\"id\":\"r\",\"index\":4,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n" + markEvent, Corrupt, ""},
+		{"end mark without finish reason", whole + markEvent, Corrupt, ""},
+		{"token after the finish reason", tokenEvent("r", 0) + tokenEvent("r", 1) + finishEvent + tokenEvent("r", 2) + markEvent, Corrupt, ""},
+		{"token after the end mark", whole + doneEvent + tokenEvent("r", 3), Corrupt, ""},
+		{"second answer after the end mark", whole + doneEvent + whole + doneEvent, Corrupt, ""},
+		{"error event after the end mark", whole + doneEvent + fmt.Sprintf(errorEventFormat, "unknown", "upstream_lost"), Corrupt, ""},
+		{"end mark after an error event", tokenEvent("r", 0) + fmt.Sprintf(errorEventFormat, "unknown", "stream_truncated") + doneEvent, Corrupt, ""},
+		{"body of a failure after the end mark", whole + doneEvent + `{"error":{"outcome":"unknown","code":"upstream_lost"}}`, Corrupt, ""},
 		{"no end mark", whole, ConnectionLost, ""},
 		{"unfinished end mark", whole + "data: [DONE]", ConnectionLost, ""},
 		{"too short", tokenEvent("r", 0) + tokenEvent("r", 1) + doneEvent, Corrupt, ""},
