Test answers without end through the forwarder

An answer without end in its head, in interim answers, in a body or in an event is lost (502) within its size limit, or ends at the request's deadline (504); its bytes don't reach the caller. The stand-in's send buffer is limited: without that, 29 MB were written for a limit of 16 MiB in one of two runs, since the sockets held the rest.

--- a/internal/fakes/endless.go
+++ b/internal/fakes/endless.go
@@ -17,6 +17,8 @@
 	// MaxBufferedBytes is more than the number of bytes that the socket buffers of a connection hold while its reader
 	// reads nothing.
 	MaxBufferedBytes = 8 << 20
+	// sendBufferBytes is the size of the send buffer of a connection.
+	sendBufferBytes = 64 << 10
 	// endlessWriteBytes is the size of one write without a pause.
 	endlessWriteBytes = 32 << 10
 )
@@ -69,6 +71,10 @@
 		_ = conn.Close()
 		u.open.Add(-1)
 	}()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Otherwise the buffer grows to several MiB. An error only makes the count of bytes less exact.
+		_ = tcp.SetWriteBuffer(sendBufferBytes)
+	}
 	if _, err := conn.Read(make([]byte, endlessWriteBytes)); err != nil {
 		return nil //nolint:nilerr // the peer closed the connection
 	}
