Add a memory limit for the bodies that are read whole, and a limited discard of refusals

One answer that isn't a stream may have 16 MiB, so that an upstream in trouble that meets several requests at once can use up the memory of a VM, which has 120 MB. Answer.ReadBody reads a body with a limit of 16 MiB for all bodies of the connector; the first 64 KiB of each are free, so that usual answers are read in the meantime. A body that exceeds a limit fails with an error of its own type.

Answer.Discard skips the body of a refusal, up to 64 KiB and 20 ms, before the connection is reset: a request that an upstream refused isn't held by the refusal's body.

The forwarder doesn't call them yet.

--- /dev/null
+++ b/internal/connector/body.go
@@ -0,0 +1,84 @@
+package connector
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxBufferedBytes is the memory that the bodies read by ReadBody may take together, beyond freeBodyBytes each.
+	maxBufferedBytes = 16 << 20
+	// freeBodyBytes is the size up to which a body doesn't count towards maxBufferedBytes, so that a few long bodies don't
+	// keep the usual ones from being read.
+	freeBodyBytes = 64 << 10
+	// initialBodyBytes is the size of a body's first buffer.
+	initialBodyBytes = 4 << 10
+	// maxDiscardedBytes is the number of bytes of a body that Discard reads to keep the connection.
+	maxDiscardedBytes = 64 << 10
+	// discardTimeout limits the time of Discard; the body of a refusal arrives with its head.
+	discardTimeout = 20 * time.Millisecond
+)
+
+// bodyBudget limits the memory of all bodies that are read at the same time.
+type bodyBudget struct {
+	used atomic.Int64
+}
+
+// reserve adds a number of bytes, or returns false if too few are left.
+func (b *bodyBudget) reserve(size int64) bool {
+	if b.used.Add(size) <= maxBufferedBytes {
+		return true
+	}
+	b.used.Add(-size)
+	return false
+}
+
+// ReadBody reads the whole body. release returns its memory to the connector's budget and must be called once the body
+// isn't needed any more, also after an error. Errors: *BodyTooLargeError if the body exceeds limit,
+// *BodyBudgetError if the bodies of all requests take too much memory, and those of the connection.
+func (a *Answer) ReadBody(limit int64) (body []byte, release func(), err error) {
+	budget := &a.connector.budget
+	reserved := int64(0)
+	release = func() {
+		budget.used.Add(-reserved)
+		reserved = 0
+	}
+	body = make([]byte, 0, initialBodyBytes)
+	for {
+		n, err := a.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if int64(len(body)) > limit || a.Length > limit {
+			return nil, release, &BodyTooLargeError{Limit: limit}
+		}
+		if errors.Is(err, io.EOF) {
+			return body, release, nil
+		}
+		if err != nil {
+			return nil, release, err
+		}
+		if len(body) < cap(body) {
+			continue
+		}
+		size := min(2*int64(cap(body)), limit+1)
+		more := max(0, size-freeBodyBytes) - reserved
+		if !budget.reserve(more) {
+			return nil, release, &BodyBudgetError{Limit: maxBufferedBytes}
+		}
+		reserved += more
+		body = append(make([]byte, 0, size), body...)
+	}
+}
+
+// Discard skips the rest of the body and ends the exchange. It resets the connection if the body doesn't end within
+// maxDiscardedBytes and discardTimeout.
+func (a *Answer) Discard() {
+	timer := time.AfterFunc(discardTimeout, a.connection.reset)
+	_, err := io.Copy(io.Discard, io.LimitReader(a, maxDiscardedBytes))
+	if !timer.Stop() || err != nil {
+		a.Abort()
+		return
+	}
+	a.Done()
+}
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -39,6 +39,7 @@
 type Connector struct {
 	settings Settings
 	opened   func()
+	budget   bodyBudget
 
 	mu   sync.Mutex
 	idle map[string][]*connection
--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -31,3 +31,23 @@
 func (e *ExtraAnswerTooLargeError) Error() string {
 	return fmt.Sprintf("skip answer to another request: its body is larger than %d bytes", e.Limit)
 }
+
+// BodyTooLargeError reports an answer whose body exceeds the size limit.
+type BodyTooLargeError struct {
+	// Limit is in bytes.
+	Limit int64
+}
+
+func (e *BodyTooLargeError) Error() string {
+	return fmt.Sprintf("read body of answer: larger than %d bytes", e.Limit)
+}
+
+// BodyBudgetError reports a body that wasn't read to its end because the bodies of all answers take too much memory.
+type BodyBudgetError struct {
+	// Limit is in bytes.
+	Limit int64
+}
+
+func (e *BodyBudgetError) Error() string {
+	return fmt.Sprintf("read body of answer: the bodies of all answers exceed %d bytes", e.Limit)
+}
