Limit the messages between routers to 16 MiB and their headers to 64 KiB

The library reads messages of any size by default. A router whose peer sends a faulty message could use up its memory.

Before the change, TestMessageLimit: a message above the limit is accepted. After it, the call fails with "resource_exhausted" on either side; the messenger's tests pass with -race.

--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -24,6 +24,13 @@
 	CallTimeout = 2 * time.Second
 )
 
+const (
+	// maxMessageBytes is the size limit of a message. OutboxLimit items of the usual 256 bytes fit into it.
+	maxMessageBytes = 16 << 20
+	// maxHeadBytes is the size limit of the headers of a call or an answer.
+	maxHeadBytes = 64 << 10
+)
+
 func http2Config() *http.HTTP2Config {
 	return &http.HTTP2Config{
 		SendPingTimeout:      sendPingTimeout,
@@ -51,10 +58,11 @@
 		pool.scheme = "https://"
 	}
 	pool.transport = &http.Transport{
-		Protocols:       protocols,
-		TLSClientConfig: tlsConfig,
-		HTTP2:           http2Config(),
-		IdleConnTimeout: idleConnTimeout,
+		Protocols:              protocols,
+		TLSClientConfig:        tlsConfig,
+		HTTP2:                  http2Config(),
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return pool, pool.transport.CloseIdleConnections
 }
@@ -66,7 +74,7 @@
 	if !ok {
 		// Messages are small and frequent, so that compression would cost more processor time than it saves.
 		client = protocolconnect.NewRouterServiceClient(&http.Client{Transport: p.transport}, p.scheme+address,
-			connect.WithAcceptCompression("gzip", nil, nil))
+			connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes))
 		p.clients[address] = client
 	}
 	return client
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -37,7 +37,7 @@
 
 // NewHandler returns the path prefix and the HTTP handler of the RouterService.
 func NewHandler(handlers Handlers) (string, http.Handler) {
-	path, handler := protocolconnect.NewRouterServiceHandler(&service{handlers: handlers})
+	path, handler := protocolconnect.NewRouterServiceHandler(&service{handlers: handlers}, connect.WithReadMaxBytes(maxMessageBytes))
 	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
 		handler.ServeHTTP(w, r.WithContext(ctx))
@@ -57,6 +57,7 @@
 		TLSConfig:         tlsConfig,
 		HTTP2:             http2Config(),
 		ReadHeaderTimeout: CallTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
 		BaseContext:       func(net.Listener) context.Context { return groupCtx },
 	}
 	group.Go(func() error {
