Limit a decompressed record of another router to 8 MiB

A router sends its configuration to its followers compressed. The follower decompressed any number of bytes. Beyond 8 MiB the record is now malformed, with *RecordTooLargeError as the cause.

Before the change, TestCompressedRecordLimit: a record above the limit is accepted. After it, the subscriber's tests pass with -race.

--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"io"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 	noReaderInterval = 20 * time.Millisecond
 	// failoverInterval is the time between attempts after the reader was lost, until the next one takes over.
 	failoverInterval = 50 * time.Millisecond
+	// maxRecordBytes is the size limit of a decompressed record, as that of an answer of the directory.
+	maxRecordBytes = 8 << 20
 )
 
 // Serve sends all changes to a follower, and an update without changes every updateInterval, until ctx ends or send
@@ -102,10 +105,16 @@
 	var record kernel.DirectoryRecord
 	reader, err := gzip.NewReader(bytes.NewReader(data))
 	if err == nil {
-		err = json.NewDecoder(reader).Decode(&record)
+		data, err = io.ReadAll(io.LimitReader(reader, maxRecordBytes+1))
+	}
+	if err == nil && len(data) > maxRecordBytes {
+		err = &RecordTooLargeError{Limit: maxRecordBytes}
+	}
+	if err == nil {
+		err = json.Unmarshal(data, &record)
 	}
 	if err != nil {
-		return record, &kernel.MalformedRecordError{Key: "publication", Cause: err}
+		return kernel.DirectoryRecord{}, &kernel.MalformedRecordError{Key: "publication", Cause: err}
 	}
 	return record, nil
 }
