--- a/internal/connector/body_test.go
+++ b/internal/connector/body_test.go
@@ -144,3 +144,17 @@
 	assert.Equal(t, body, "b")
 	assert.Equal(t, u.opened, 1)
 }
+
+// TestReceiveBuffer guards against upstreams in trouble filling large receive buffers, which are part of the VM's memory:
+// the kernel extends the buffer of a connection that is read fast.
+func TestReceiveBuffer(t *testing.T) {
+	const readBytes = 8 << 20
+	u := newEndlessUpstream(t, "HTTP/1.1 200 OK\r\nRequest: 1\r\n\r\n", "x", 0)
+	answer := openAnswer(t, newTestConnector(t), u.Address)
+	defer answer.Abort()
+	_, err := io.CopyN(io.Discard, answer, readBytes)
+	assert.NilError(t, err)
+	time.Sleep(200 * time.Millisecond)
+	buffered := u.Written() - readBytes
+	assert.Assert(t, buffered < 4*receiveBufferBytes, "%d bytes buffered", buffered)
+}
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -16,9 +16,13 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
+	// receiveBufferBytes is the size of a connection's receive buffer. The kernel would extend it to tens of MiB for an
+	// upstream that sends fast.
+	receiveBufferBytes = 128 << 10
 )
 
-// NewDialer returns a dialer whose connections fail within seconds if the peer vanishes without closing them.
+// NewDialer returns a dialer whose connections fail within seconds if the peer vanishes without closing them, and have a
+// receive buffer of a fixed size.
 func NewDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
@@ -27,10 +31,7 @@
 		},
 		Control: func(_, _ string, rawConn syscall.RawConn) error {
 			var optionErr error
-			err := rawConn.Control(func(descriptor uintptr) {
-				optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
-					int(userTimeout.Milliseconds()))
-			})
+			err := rawConn.Control(func(descriptor uintptr) { optionErr = setOptions(int(descriptor)) })
 			if err != nil {
 				return err
 			}
@@ -38,3 +39,11 @@
 		},
 	}
 }
+
+func setOptions(descriptor int) error {
+	err := unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	if err != nil {
+		return err
+	}
+	return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+}
