Refuse a request whose body hasn't arrived at its deadline

The server limits the time of a request's head, not of its body: a caller whose body doesn't end held a goroutine, and its request had no answer, until the caller closed the connection.

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -59,7 +60,7 @@
 	if refusal != nil {
 		return x, refusal
 	}
-	if refusal := x.readBody(r, config.MaxBodyBytes); refusal != nil {
+	if refusal := x.readBody(r, config.MaxBodyBytes, x.deadline(arrived)); refusal != nil {
 		return x, refusal
 	}
 	connector.StripHopByHopHeaders(x.header)
@@ -90,8 +91,17 @@
 	return workspace, nil
 }
 
-// readBody reads the whole body into memory, since it may have to be sent to a second upstream.
-func (x *exchange) readBody(r *http.Request, publishedLimit int64) *holder.Refusal {
+// deadline returns the deadline of the request: that of its route or that of its caller, whichever is earlier.
+func (x *exchange) deadline(arrived time.Time) time.Time {
+	timeout, remaining := x.route.Timeout, x.metadata.Remaining
+	if timeout <= 0 || remaining > 0 && remaining < timeout {
+		return arrived.Add(remaining)
+	}
+	return arrived.Add(timeout)
+}
+
+// readBody reads the whole body into memory until the deadline, since it may have to be sent to a second upstream.
+func (x *exchange) readBody(r *http.Request, publishedLimit int64, deadline time.Time) *holder.Refusal {
 	limit := x.forwarder.options.MaxBodyBytes
 	if publishedLimit > 0 {
 		limit = publishedLimit
@@ -100,6 +110,10 @@
 	if !x.hasBody {
 		return nil
 	}
+	controller := http.NewResponseController(x.w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeCallerGone, Message: err.Error()}
+	}
 	body := http.MaxBytesReader(x.w, r.Body, limit)
 	var err error
 	if r.ContentLength > 0 && r.ContentLength <= limit {
@@ -114,6 +128,15 @@
 			Outcome: holder.OutcomeNotRun, Code: holder.CodeTooLarge, Message: "the body is longer than the limit",
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &holder.Refusal{
+			Outcome: holder.OutcomeNotRun, Code: holder.CodeDeadlineExpired, Message: "the body did not arrive in time",
+		}
+	}
+	if err == nil {
+		// The server reads on to detect that the caller disconnects.
+		err = controller.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeCallerGone, Message: "the body broke off"}
 	}
@@ -124,13 +147,10 @@
 func (x *exchange) newHolderRequest(config *subscriber.RoutingConfig, workspace *kernel.PublishedWorkspace, arrived time.Time) *holder.Request {
 	route, metadata := x.route, x.metadata
 	request := &holder.Request{
-		ID: metadata.RequestID, Arrived: arrived, Exchange: x, Method: x.method, Path: x.target, Deadline: arrived.Add(route.Timeout),
+		ID: metadata.RequestID, Arrived: arrived, Exchange: x, Method: x.method, Path: x.target, Deadline: x.deadline(arrived),
 		Version: config.Version, MaxPause: route.MaxPause,
 		PromptTokens: max(1, metadata.PromptTokens), MaxTokens: max(1, metadata.OutputTokens),
 	}
-	if route.Timeout <= 0 || metadata.Remaining > 0 && metadata.Remaining < route.Timeout {
-		request.Deadline = arrived.Add(metadata.Remaining)
-	}
 	if route.Objective > 0 {
 		request.StartBy = arrived.Add(time.Duration(float64(route.Objective)*objectiveShare) - callerRoundTrip)
 	}
