--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -9,7 +9,7 @@
 	// eventBufferBytes is the initial size of an event buffer; it holds a few events.
 	eventBufferBytes = 2 << 10
 	// maxEventBytes is the size limit of one event.
-	maxEventBytes = 4 << 20
+	maxEventBytes = 256 << 10
 )
 
 // eventBuffer splits the body of a stream into events. An event ends with an empty line; lines end with LF or CR LF.
