Break off an attempt that ends before the position of its caller

Callers saw: with an upstream that repeats events and ends before the last event that the caller has, a stream that is framed as complete there. Cause: any regular end after a complete event counted as the end of the stream, also if all its events were known. Change: such an end is an EarlyEndError.

--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -40,6 +40,15 @@
 	return fmt.Sprintf("stream ended %d bytes into an event", e.Bytes)
 }
 
+// EarlyEndError reports a stream that ended in the regular way before the last event that its caller has.
+type EarlyEndError struct {
+	Last string
+}
+
+func (e *EarlyEndError) Error() string {
+	return fmt.Sprintf("stream ended before event %s, which its caller has", e.Last)
+}
+
 // CallerWriteError reports that an answer could not be written to its caller.
 type CallerWriteError struct {
 	Cause error
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -31,6 +31,8 @@
 	events int
 	// unnumbered is set once an event without a number was relayed, after which the stream can't be resumed.
 	unnumbered bool
+	// highest is the highest number of an event of the current attempt.
+	highest uint64
 	// advanced is set once the current attempt has had an event that the caller did not have.
 	advanced bool
 }
@@ -46,7 +48,11 @@
 }
 
 // beginAttempt prepares for the events of another attempt, which may repeat some that the caller has.
-func (s *sequence) beginAttempt() { s.advanced = false }
+func (s *sequence) beginAttempt() { s.advanced, s.highest = false, 0 }
+
+// endsEarly reports whether the current attempt has events, all of them before the last one that the caller has. Its end
+// isn't the end of the caller's stream.
+func (s *sequence) endsEarly() bool { return s.highest > 0 && s.highest < s.last }
 
 // accept reports whether the caller gets an event. Errors: *UnnumberedEventError, *EventOrderError,
 // *StreamRestartedError, *MissingEventsError.
@@ -56,6 +62,7 @@
 	if err != nil {
 		return s.acceptUnnumbered(event, id)
 	}
+	s.highest = max(s.highest, number)
 	if s.numbered && number <= s.last {
 		return false, s.checkKnown(id, number)
 	}
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -72,6 +72,17 @@
 	})
 }
 
+// TestEndBeforeCallersPosition guards against taking the end of an attempt that ends before the last event that the caller
+// has for the end of the stream.
+func TestEndBeforeCallersPosition(t *testing.T) {
+	begun := streamHead + event("1") + event("2") + event("3") + "RESET"
+	checkSequences(t, []sequenceCase{
+		{"resume", "", []string{begun, streamHead + event("2") + lastChunk}, "id: 1\n\nid: 2\n\nid: 3\n\n", false, 2},
+		{"caller's resume", "7", []string{streamHead + event("6") + lastChunk, streamHead + event("8") + lastChunk}, "id: 8\n\n", true, 2},
+		{"last event repeated", "", []string{begun, streamHead + event("3") + lastChunk}, "id: 1\n\nid: 2\n\nid: 3\n\n", true, 2},
+	})
+}
+
 // TestMissingEvents guards against a stream that goes on after a gap, which its caller takes for complete.
 func TestMissingEvents(t *testing.T) {
 	begun := streamHead + event("1") + "RESET"
--- a/internal/forwarder/streamreplies_test.go
+++ b/internal/forwarder/streamreplies_test.go
@@ -157,6 +157,11 @@
 		{"gap in the middle", func(a sentRequest) reply {
 			return a.events(append([]int{a.after + 1}, idRange(a.after+3, max(a.last, a.after+3))...))
 		}},
+		{"ends before the position", func(a sentRequest) reply {
+			r := a.events(idRange(max(1, a.after-1), a.after-1))
+			r.complete = r.complete && len(r.ids) == 0
+			return r
+		}},
 		{"ids go back", func(a sentRequest) reply {
 			return a.events(slices.Concat([]int{a.after + 1, a.after + 2}, idRange(a.after+1, max(a.last, a.after+3))))
 		}},
