Break off an attempt that skips events after the caller's own position

Callers saw: when they resume a stream themselves at an upstream that goes on after a later event, a stream with a gap that is framed as complete. Cause: ids counted as consecutive only from the first relayed event on. Change: after a caller's position the next id is the next event. Upstreams owe only increasing ids; where they aren't consecutive, a caller's own resume is refused as lost, which costs it less than a gap it can't see. At the start of a whole stream another first id than 1 is accepted. Measured: the new case of TestMissingEvents failed before, and the cells of the matrix with a gap after the caller's position.

--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -17,7 +17,7 @@
 )
 
 // sequence decides by their ids which events of a stream's attempts the caller gets. Ids are numbers that increase. They
-// are consecutive if the first event has the id after the caller's position.
+// are taken for consecutive unless the first event of a whole stream has another id than 1.
 type sequence struct {
 	// lastID is the id of the last event that the caller has, last its number. numbered is false as long as there is none.
 	lastID   string
@@ -42,7 +42,7 @@
 func newSequence(route *kernel.Route, lastID string) sequence {
 	s := sequence{first: firstID}
 	if number, err := strconv.ParseUint(lastID, 10, 64); err == nil && route.Resumable {
-		s.lastID, s.last, s.numbered = lastID, number, true
+		s.lastID, s.last, s.numbered, s.consecutive = lastID, number, true, true
 	}
 	return s
 }
@@ -66,14 +66,13 @@
 	if s.numbered && number <= s.last {
 		return false, s.checkKnown(id, number)
 	}
-	if s.events == 0 && !s.numbered {
-		s.first = max(s.first, number)
-	}
-	if s.events == 0 {
-		s.consecutive = number == s.last+1
-	} else if s.consecutive && number != s.last+1 {
+	isNext := number == s.last+1
+	if s.consecutive && !isNext {
 		return false, &MissingEventsError{ID: id, Last: s.lastID}
 	}
+	if !s.numbered {
+		s.consecutive, s.first = isNext, max(s.first, number)
+	}
 	s.lastID, s.last, s.numbered, s.advanced = id, number, true, true
 	s.events++
 	return true, nil
--- a/internal/forwarder/sequence_test.go
+++ b/internal/forwarder/sequence_test.go
@@ -90,6 +90,7 @@
 		{"at a resume", "", []string{begun, streamHead + event("3") + lastChunk}, "id: 1\n\n", false, 2},
 		{"within an attempt", "", []string{streamHead + event("1") + event("3") + lastChunk, streamHead + event("2") + lastChunk},
 			"id: 1\n\nid: 2\n\n", true, 2},
+		{"after the caller's position", "7", []string{streamHead + event("9") + lastChunk, streamHead + event("8") + lastChunk}, "id: 8\n\n", true, 2},
 		{"ids that only increase", "", []string{streamHead + event("5") + event("8") + "RESET", streamHead + event("9") + lastChunk},
 			"id: 5\n\nid: 8\n\nid: 9\n\n", true, 2},
 	})
--- a/internal/forwarder/streammatrix_test.go
+++ b/internal/forwarder/streammatrix_test.go
@@ -294,15 +294,18 @@
 func TestStreamMatrix(t *testing.T) {
 	m := newMatrix(t)
 	count := 0
+	runCells := func(name string, cells []*cell) {
+		t.Run(name, func(t *testing.T) { m.runAll(t, count, cells) })
+		count += len(cells)
+	}
 	run := func(faults []fault, steps [][]fault) {
 		for _, fault := range faults {
-			cells := faultCells(fault, steps)
-			t.Run(fault.name, func(t *testing.T) { m.runAll(t, count, cells) })
-			count += len(cells)
+			runCells(fault.name, faultCells(fault, steps))
 		}
 	}
 	run(streamFaults(), allSteps())
 	run([]fault{gapAtStart}, begunSteps())
+	runCells("gap after the caller's position", slices.DeleteFunc(faultCells(gapAtStart, mainSteps()), func(c *cell) bool { return c.after == 0 }))
 	run(statusFaults(), mainSteps())
 	t.Logf("%d cells", count)
 }
--- a/internal/forwarder/streamreplies_test.go
+++ b/internal/forwarder/streamreplies_test.go
@@ -141,8 +141,8 @@
 	return func(sentRequest) reply { return reply{ending: ending} }
 }
 
-// gapAtStart begins with another event than the next one. Ids only have to increase, so that this is a gap only in a
-// stream that has begun with consecutive ids.
+// gapAtStart begins with another event than the next one. Ids only have to increase, so that this isn't a gap at the start
+// of a whole stream.
 var gapAtStart = fault{"gap at the start", func(a sentRequest) reply {
 	return a.events(idRange(a.after+2, max(a.last, a.after+2)))
 }}
