Don't take a closed connection without an event for the end of a stream

Callers saw: when an upstream crashes after the head of an answer without a length, a complete answer without an event; at a resume, a stream that is framed as complete before its last event. Cause: the regular end of such a connection counts as the end of the body, and a crash of an upstream closes its connections in the same way. Change: without a stated length, a body that ends before its first event is an EmptyStreamError. Directly after an event the two still can't be told apart, and the stream is taken for complete. The matrix, which took the empty answer for complete, wants it resumed.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -120,6 +120,11 @@
 // Whole reports whether the body was read to its end.
 func (a *Answer) Whole() bool { return a.whole }
 
+// EndsWithConnection reports whether the body has no stated end, so that the regular end of the connection ends it.
+func (a *Answer) EndsWithConnection() bool {
+	return a.Length < 0 && len(a.response.TransferEncoding) == 0
+}
+
 // Done ends the exchange. It keeps the connection for another request if the exchange is complete and the upstream
 // allows it.
 func (a *Answer) Done() {
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -40,6 +40,12 @@
 	return fmt.Sprintf("stream ended %d bytes into an event", e.Bytes)
 }
 
+// EmptyStreamError reports a stream without an event and without a stated length, whose connection was closed. A crash of
+// the upstream looks the same.
+type EmptyStreamError struct{}
+
+func (e *EmptyStreamError) Error() string { return "connection closed before the first event of the stream" }
+
 // EarlyEndError reports a stream that ended in the regular way before the last event that its caller has.
 type EarlyEndError struct {
 	Last string
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -75,6 +75,9 @@
 	if len(bytes.Trim(rest, "\r\n")) > 0 {
 		return &IncompleteEventError{Bytes: len(rest)}
 	}
+	if x.attempt.events == 0 && answer.EndsWithConnection() {
+		return &EmptyStreamError{}
+	}
 	if x.sequence.endsEarly() {
 		return &EarlyEndError{Last: x.sequence.lastID}
 	}
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -85,6 +85,36 @@
 	}
 }
 
+// TestConnectionClosedBeforeFirstEvent guards against taking the crash of an upstream that has sent only a head, without a
+// length, for the end of a stream.
+func TestConnectionClosedBeforeFirstEvent(t *testing.T) {
+	closed := strings.Replace(streamHead, "Transfer-Encoding: chunked\r\n", "", 1) + "CLOSE"
+	first, rest := streamHead+event("1")+chunk("id: 2")+"RESET", streamHead+event("2")+lastChunk
+	cases := []struct {
+		name    string
+		route   kernel.Route
+		answers []string
+		status  int
+		body    string
+		whole   bool
+	}{
+		{"first attempt", route(kernel.RouteStream), []string{closed}, 502, "upstream_lost\n", true},
+		{"another attempt", resumableRoute(), []string{closed, streamHead + event("1") + lastChunk}, 200, "id: 1\n\n", true},
+		{"resume", resumableRoute(), []string{first, closed}, 200, "id: 1\n\n", false},
+		{"resume with an end", resumableRoute(), []string{first, rest}, 200, "id: 1\n\nid: 2\n\n", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u := newScriptedUpstream(t, c.answers...)
+			base, _ := startTestForwarder(t, configWithRoute(c.route, 2), u)
+			status, body, whole, _ := send(t, base, http.MethodPost, "/a/", "", callerHeader)
+			assert.Equal(t, status, c.status)
+			assert.Equal(t, body, c.body)
+			assert.Equal(t, whole, c.whole)
+		})
+	}
+}
+
 // TestSuccessThatIsNoStreamRelayedAsEvents guards against the body of another success than a stream ending up in a stream
 // that has begun, and against refusing it where nothing has been relayed.
 func TestSuccessThatIsNoStreamRelayedAsEvents(t *testing.T) {
--- a/internal/forwarder/streamreplies_test.go
+++ b/internal/forwarder/streamreplies_test.go
@@ -210,7 +210,7 @@
 			for _, id := range idRange(a.after+1, a.last) {
 				text += eventText(a.run, id)
 			}
-			return reply{text: text, ending: finish, stream: true, ids: idRange(a.after+1, a.last), complete: true}
+			return reply{text: text, ending: finish, stream: true, ids: idRange(a.after+1, a.last), complete: a.after < a.last}
 		}},
 	}
 }
@@ -318,8 +318,9 @@
 		r.complete = size == len(text)
 		return r
 	}
-	// Without a length, the end of the connection after any complete event can't be told from the end of the stream.
-	r.complete = ending == finish && (size == len(a.streamHead(false)) || slices.Contains(ends, size))
+	// Without a length, the end of the connection after any complete event can't be told from the end of the stream. Before
+	// the first event it is a crash: a short stream costs its caller more than a resume.
+	r.complete = ending == finish && slices.Contains(ends, size)
 	return r
 }
 
