Count an answer with an unknown outcome, or not run after a token, as a violation of P3

Cause: the checker took an answer that isn't whole for a refusal if its outcome had any text. The scenarios give the outcome "malformed" to a stream that ends as complete with too few tokens, to an event that isn't one and to an error without an outcome; P3 held. It also held for a stream that was refused as not run after a token. Change: outcomes other than not_run, unknown and failed violate P3, and so does not_run with tokens.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -53,6 +53,13 @@
 		{"end without refusal", "P3", History{
 			Answers: []Answer{{Whole: true}, {RequestID: "b", Stream: true, Tokens: []int{0}}},
 		}, false},
+		{"malformed end", "P3", History{
+			Answers: []Answer{{Whole: true}, {RequestID: "b", Stream: true, Outcome: "malformed", Tokens: []int{0}}},
+		}, false},
+		{"failed run", "P3", History{Answers: []Answer{{Whole: true}, {RequestID: "b", Outcome: "failed"}}}, true},
+		{"not run after a token", "P3", History{
+			Answers: []Answer{{Whole: true}, {RequestID: "b", Stream: true, Outcome: "not_run", Tokens: []int{0}}},
+		}, false},
 		{"foreign part", "P3", History{Answers: []Answer{{Whole: true, ForeignID: "b"}}}, false},
 		{"refused and not run", "P4", History{Answers: []Answer{{RequestID: "a", Outcome: "not_run"}}}, true},
 		{"refused but ran", "P4", History{
--- a/internal/checker/requests.go
+++ b/internal/checker/requests.go
@@ -46,10 +46,7 @@
 			verdict.addViolation("request %s received a part of the answer to %s", answer.RequestID, answer.ForeignID)
 		}
 		if !answer.Whole {
-			// An answer without a request id comes from a refused connection.
-			if answer.RequestID != "" && answer.Outcome == "" && !answer.Cut {
-				verdict.addViolation("request %s ended with neither a whole answer nor a refusal", answer.RequestID)
-			}
+			checkIncomplete(answer, verdict)
 			continue
 		}
 		verdict.Cases++
@@ -69,6 +66,24 @@
 	}
 }
 
+// checkIncomplete checks how an answer ended that isn't whole.
+func checkIncomplete(answer Answer, verdict *Verdict) {
+	switch answer.Outcome {
+	case "":
+		// An answer without a request id comes from a refused connection.
+		if answer.RequestID != "" && !answer.Cut {
+			verdict.addViolation("request %s ended with neither a whole answer nor a refusal", answer.RequestID)
+		}
+	case "unknown", "failed":
+	case "not_run":
+		if len(answer.Tokens) > 0 {
+			verdict.addViolation("request %s was refused as not run after %d tokens", answer.RequestID, len(answer.Tokens))
+		}
+	default:
+		verdict.addViolation("request %s ended with the outcome %q", answer.RequestID, answer.Outcome)
+	}
+}
+
 func checkNotRun(history History, _ Bounds, verdict *Verdict) {
 	ran := make(map[string]string)
 	for _, run := range history.Runs {
