Drop decisions on the last attempt before another grant is requested

Cause: a decision that arrives while an upstream runs an opaque request stays in the request's queue. When the attempt was lost and the request was submitted again, the holder took that decision for one on the new ticket: a refusal by the limit on waiting requests, which races with the grant, ended a stream that could be resumed, and the caller's connection was aborted in the middle (outcome unknown, nothing false is written). Change: resubmit empties the queue first. TestLateDecisions delivers refusals and grants before or after the first token of the first attempt, and after the end, for both modes, with and without a lost attempt. It fails if two attempts run at the same time, if something is written after the end or after Serve has returned, or if the ticket stays open.

--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -67,8 +67,10 @@
 	return result.Refusal, true
 }
 
-// resubmit requests another grant for a request that an upstream may already have run and that may be run again.
+// resubmit requests another grant for a request that an upstream may already have run and that may be run again. What was
+// decided while the upstream ran it belongs to the ticket that has ended.
 func (h *Holder) resubmit(request *Request) {
+	h.returnUnusedGrants(request)
 	request.mayHaveRun, request.upstream = true, ""
 	request.attempt++
 	request.state.transition(Dispatched, Waiting)
