--- a/standin/internal/generator/faults.go
+++ b/standin/internal/generator/faults.go
@@ -22,6 +22,7 @@
 	FaultReorderFrames   = "reorder_frames"
 	FaultForeignFrames   = "foreign_frames"
 	FaultForgetStreams   = "forget_streams"
+	FaultRejectResumes   = "reject_resumes"
 	FaultLeaving         = "leaving"
 	FaultReject          = "reject"
 	FaultCutBeforeRun    = "cut_before_run"
@@ -46,6 +47,7 @@
 		FaultReorderFrames:   "two consecutive frames are swapped with probability value (default 1)",
 		FaultForeignFrames:   "a frame of another stream precedes a frame with probability value (default 1)",
 		FaultForgetStreams:   "resuming a stream gets status 404",
+		FaultRejectResumes:   "resuming a stream gets status value (default 500)",
 		FaultLeaving:         "load reports say draining and the VM list says leaving; requests are still served",
 		FaultReject:          "generate requests get status value (default 500) and do not run",
 		FaultCutBeforeRun:    "a generate request is read but cut before it runs, with probability value",
--- a/standin/internal/generator/routes.go
+++ b/standin/internal/generator/routes.go
@@ -65,6 +65,10 @@
 		hoster.WriteError(w, http.StatusNotFound, &UnknownStreamError{StreamID: streamID})
 		return
 	}
+	if value, on := e.table.Get(FaultRejectResumes); on {
+		hoster.WriteError(w, int(value.NumberOr(http.StatusInternalServerError)), &InjectedError{Fault: FaultRejectResumes})
+		return
+	}
 	s, err := e.findStream(streamID)
 	if err != nil {
 		hoster.WriteError(w, httpStatus(err), err)
--- a/standin/internal/launcher/faults_test.go
+++ b/standin/internal/launcher/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"testing"
@@ -92,6 +93,12 @@
 			_, err := p.engine.Resume(t.Context(), "s", 0)
 			return isErrorType[*kernel.StreamUnknownError](err)
 		}},
+		{target: "e-0", fault: "reject_resumes", value: 503, observed: func(t *testing.T, p clients) bool {
+			_, _, _ = generate(t, p.engine, "s")
+			_, err := p.engine.Resume(t.Context(), "s", 0)
+			var rejected *kernel.RejectedError
+			return errors.As(err, &rejected) && rejected.Status == 503
+		}},
 		{target: "e-0", fault: "leaving", observed: func(t *testing.T, p clients) bool {
 			_, _, _ = generate(t, p.engine, "s")
 			report, err := p.engine.Load(t.Context())
