Reset TLS connections too where a close would look like an end

Callers saw: over HTTP/1.0 with TLS, a broken stream that looks complete. Cause: Reset set the linger option only on plain TCP connections, and the close of a TLS connection sends the message that ends it. Measured: TestResetOfTLSConnection failed before (no error) and passes.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -95,8 +96,11 @@
 // be leaving or the caller may have disconnected.
 func (c *connection) reset() { Reset(c.conn) }
 
-// Reset closes a connection with a TCP reset.
+// Reset closes a connection with a TCP reset, a TLS connection without the message that ends it.
 func Reset(conn net.Conn) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// An error means that the connection is closed already.
 		_ = tcp.SetLinger(0)
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -248,3 +250,21 @@
 	StripHopByHopHeaders(header)
 	assert.DeepEqual(t, header, http.Header{"X-Two": {"2"}})
 }
+
+// TestResetOfTLSConnection guards against closing a TLS connection in the regular way where it has to be reset.
+func TestResetOfTLSConnection(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err == nil)
+		Reset(conn)
+	}))
+	t.Cleanup(server.Close)
+	conn, err := tls.Dial("tcp", server.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(conn)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+	// Closing fails, since the connection has been reset.
+	_ = conn.Close()
+}
