Abort the connection if a request counts as answered without an answer

Callers would see: an empty success without a signature, should the holder ever report an answer that wasn't written. No path that does is known. Change: ServeHTTP ends an answer in the regular way only if its head was written. The log of attempts states the error of unsigned answers and of answers that aren't the rest of a stream; the latter are upstream_lost, like every other break of a stream. Measured: TestAnswerNeverWritten failed before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -41,7 +41,9 @@
 func (x *exchange) logAttempt(upstream string, result holder.SendResult) {
 	a := &x.attempt
 	whole := result.Kind == protocol.ReleaseKind_RELEASE_KIND_ANSWERED && result.Refusal == nil
-	if a.status == 0 && a.end == nil || whole && x.sends <= 1 && a.incompleteBytes == 0 {
+	notSent := a.status == 0 && a.end == nil
+	onlyAttempt := whole && x.sends <= 1
+	if notSent || onlyAttempt {
 		return
 	}
 	if a.begun {
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -44,7 +44,9 @@
 // the upstream looks the same.
 type EmptyStreamError struct{}
 
-func (e *EmptyStreamError) Error() string { return "connection closed before the first event of the stream" }
+func (e *EmptyStreamError) Error() string {
+	return "connection closed before the first event of the stream"
+}
 
 // EarlyEndError reports a stream that ended in the regular way before the last event that its caller has.
 type EarlyEndError struct {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -100,7 +100,8 @@
 		return x.notRunResult(answer)
 	case metadata.ContentEncoded, !metadata.Signed:
 		answer.Abort()
-		return x.lostResult(ctx, &UntrustedAnswerError{Status: answer.Status}, dispatcher.Observation{})
+		x.attempt.end = &UntrustedAnswerError{Status: answer.Status}
+		return x.lostResult(ctx, x.attempt.end, dispatcher.Observation{})
 	case x.route.Kind == kernel.RouteStream && answer.Status == http.StatusOK && isEventStream(answer.Header):
 		return x.relayStream(ctx, answer, start)
 	case x.headWritten:
@@ -164,6 +165,8 @@
 // No part of it may be relayed after the events of the attempts before.
 func (x *exchange) rejectRest(answer *connector.Answer, start time.Time) holder.SendResult {
 	answer.Discard()
+	err := &ResumeFailedError{Status: answer.Status}
+	x.attempt.end = err
 	result := holder.SendResult{
 		Kind:        protocol.ReleaseKind_RELEASE_KIND_FAILED,
 		Observation: dispatcher.Observation{FirstToken: time.Since(start), Total: time.Since(start)},
@@ -172,8 +175,7 @@
 		result.Resubmit = true
 		return result
 	}
-	err := &ResumeFailedError{Status: answer.Status}
-	result.Refusal = &holder.Refusal{Outcome: holder.OutcomeUnknown, Code: holder.CodeStreamTruncated, Message: err.Error()}
+	result.Refusal = &holder.Refusal{Outcome: holder.OutcomeUnknown, Code: holder.CodeUpstreamLost, Message: err.Error()}
 	return result
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -66,14 +66,16 @@
 	}
 	refusal = f.options.Holder.Serve(r.Context(), x.holderRequest)
 	f.recordOutcome(x, refusal, time.Since(arrived))
-	if refusal == nil {
-		return
-	}
-	if x.headWritten || refusal.Code == holder.CodeCallerGone {
+	switch {
+	case refusal == nil && x.headWritten:
+	case refusal == nil:
+		f.options.Logger.Error("no answer written; aborting the connection", zap.String("request_id", x.holderRequest.ID))
 		f.abort(w, r)
-		return
+	case x.headWritten || refusal.Code == holder.CodeCallerGone:
+		f.abort(w, r)
+	default:
+		writeRefusal(w, refusal)
 	}
-	writeRefusal(w, refusal)
 }
 
 // abort ends an answer so that the caller doesn't take it for a complete one. A caller of HTTP/1.0 takes the regular end
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -1,17 +1,23 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/holder"
 	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/limiter"
 )
 
 func resumableRoute() kernel.Route {
@@ -149,6 +155,25 @@
 	}
 }
 
+// answerlessHolder reports an answer although none was written.
+type answerlessHolder struct{}
+
+func (answerlessHolder) Serve(context.Context, *holder.Request) *holder.Refusal { return nil }
+
+// TestAnswerNeverWritten guards against an empty success for a request that was reported as answered and wasn't.
+func TestAnswerNeverWritten(t *testing.T) {
+	f := New(Options{
+		RoutingConfigSource: configWithRoute(route(kernel.RouteStream), 1), Holder: answerlessHolder{}, Dialect: dialect{},
+		Draining:     func() bool { return false },
+		RepeatBudget: limiter.NewRepeatBudget(limiter.RepeatBudgetSettings{Ratio: 1, Slack: 100, Routers: func() int { return 1 }}),
+		MaxBodyBytes: 1 << 10, Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
+	})
+	server := httptest.NewServer(f)
+	t.Cleanup(server.Close)
+	status, _, _, _ := send(t, server.URL, http.MethodPost, "/a/", "", callerHeader)
+	assert.Equal(t, status, 0)
+}
+
 // TestEventBuffer guards against events that are split at the wrong place or held back, with the line ends of the format
 // and at each boundary between two reads.
 func TestEventBuffer(t *testing.T) {
--- a/internal/receiver/writer.go
+++ b/internal/receiver/writer.go
@@ -36,10 +36,11 @@
 
 // refuse writes a refusal if nothing was written yet. Otherwise it aborts the connection.
 func (a *answerWriter) refuse(refusal *holder.Refusal) {
-	if a.started {
-		a.abort()
+	if !a.started {
+		writeRefusal(a.w, a.requestID, refusal)
+		return
 	}
-	writeRefusal(a.w, a.requestID, refusal)
+	a.abort()
 }
 
 // abort ends the handler and the connection, so that the caller doesn't take a part of an answer for a complete one.
