--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -58,6 +58,15 @@
 	return fmt.Sprintf("event %s follows event %s of the stream", e.ID, e.Last)
 }
 
+// StreamRestartedError reports an attempt that began with the first event of the stream instead of after the last one.
+type StreamRestartedError struct {
+	ID, Last string
+}
+
+func (e *StreamRestartedError) Error() string {
+	return fmt.Sprintf("resume the stream after event %s: it starts over with event %s", e.Last, e.ID)
+}
+
 // MissingEventsError reports an event that isn't the next one of a stream whose ids are consecutive.
 type MissingEventsError struct {
 	ID, Last string
@@ -67,11 +76,12 @@
 	return fmt.Sprintf("events between %s and %s of the stream are missing", e.Last, e.ID)
 }
 
-// UnnumberedEventError reports an event whose id isn't a number, in a stream whose other events have numbers.
+// UnnumberedEventError reports an event whose id isn't a number, in a stream whose other events have numbers, or one that
+// has no data either.
 type UnnumberedEventError struct {
 	ID, Last string
 }
 
 func (e *UnnumberedEventError) Error() string {
-	return fmt.Sprintf("event after event %s of the stream has the id %q, which isn't a number", e.Last, e.ID)
+	return fmt.Sprintf("event after event %q of the stream has the id %q, which isn't a number", e.Last, e.ID)
 }
--- a/internal/plugins/requester/client.go
+++ b/internal/plugins/requester/client.go
@@ -96,13 +96,18 @@
 }
 
 // Do sends a request and reads the whole answer. Errors: those of Open, and *kernel.ConnectionLostError if the answer
-// can't be read or exceeds its size limit (*AnswerTooLargeError).
+// can't be read, exceeds its size limit (*AnswerTooLargeError) or has no final status (*StatusNotFinalError).
 func (c *Client) Do(ctx context.Context, request Request) (Answer, error) {
 	response, err := c.Open(ctx, request)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusOK {
+		return Answer{}, &kernel.ConnectionLostError{
+			Address: c.address, Cause: &StatusNotFinalError{Status: response.StatusCode},
+		}
+	}
 	limit := cmp.Or(request.MaxAnswerBytes, defaultMaxAnswerBytes)
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
