--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -19,12 +18,6 @@
 // sent in one segment.
 const writeBufferBytes = 16 << 10
 
-const (
-	// discardTimeout and maxDiscardedBytes limit what is read of a body that isn't used to keep its connection.
-	discardTimeout    = 50 * time.Millisecond
-	maxDiscardedBytes = 64 << 10
-)
-
 // Request is one request as the caller sent it.
 type Request struct {
 	Method string
@@ -127,6 +120,11 @@
 // Whole reports whether the body was read to its end.
 func (a *Answer) Whole() bool { return a.whole }
 
+// EndsWithConnection reports whether the body has no stated end, so that the regular end of the connection ends it.
+func (a *Answer) EndsWithConnection() bool {
+	return a.Length < 0 && len(a.response.TransferEncoding) == 0
+}
+
 // Done ends the exchange. It keeps the connection for another request if the exchange is complete and the upstream
 // allows it.
 func (a *Answer) Done() {
@@ -144,19 +142,6 @@
 	a.connector.putIdle(a.address, a.connection)
 }
 
-// Discard ends the exchange without the rest of the body. It keeps the connection like Done if that rest is short and
-// arrives at once.
-func (a *Answer) Discard() {
-	// An error means that the connection is closed already, which the read reports as well.
-	_ = a.connection.conn.SetReadDeadline(time.Now().Add(discardTimeout))
-	if _, err := io.Copy(io.Discard, io.LimitReader(a, maxDiscardedBytes)); err != nil {
-		a.Abort()
-		return
-	}
-	_ = a.connection.conn.SetReadDeadline(time.Time{})
-	a.Done()
-}
-
 // Abort resets the connection, which cancels the request at the upstream.
 func (a *Answer) Abort() {
 	a.stopReset()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -180,13 +179,11 @@
 
 // relayUnary reads a whole answer and relays it. No part of a truncated answer reaches the caller.
 func (x *exchange) relayUnary(ctx context.Context, answer *connector.Answer, start time.Time) holder.SendResult {
-	body, err := io.ReadAll(io.LimitReader(answer, maxUnaryBytes))
+	body, release, err := answer.ReadBody(maxUnaryBytes)
+	defer release()
 	observation := dispatcher.Observation{FirstToken: time.Since(start), Total: time.Since(start)}
-	if err != nil || !answer.Whole() {
+	if err != nil {
 		answer.Abort()
-		if err == nil {
-			err = io.ErrUnexpectedEOF
-		}
 		x.attempt.end = err
 		return x.lostResult(ctx, err, observation)
 	}
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -17,7 +17,7 @@
 )
 
 // sequence decides by their ids which events of a stream's attempts the caller gets. Ids are numbers that increase. They
-// are consecutive if the first event has the id after the caller's position.
+// are taken for consecutive unless the first event of a whole stream has another id than 1.
 type sequence struct {
 	// lastID is the id of the last event that the caller has, last its number. numbered is false as long as there is none.
 	lastID   string
@@ -31,6 +31,8 @@
 	events int
 	// unnumbered is set once an event without a number was relayed, after which the stream can't be resumed.
 	unnumbered bool
+	// highest is the highest number of an event of the current attempt.
+	highest uint64
 	// advanced is set once the current attempt has had an event that the caller did not have.
 	advanced bool
 }
@@ -40,13 +42,17 @@
 func newSequence(route *kernel.Route, lastID string) sequence {
 	s := sequence{first: firstID}
 	if number, err := strconv.ParseUint(lastID, 10, 64); err == nil && route.Resumable {
-		s.lastID, s.last, s.numbered = lastID, number, true
+		s.lastID, s.last, s.numbered, s.consecutive = lastID, number, true, true
 	}
 	return s
 }
 
 // beginAttempt prepares for the events of another attempt, which may repeat some that the caller has.
-func (s *sequence) beginAttempt() { s.advanced = false }
+func (s *sequence) beginAttempt() { s.advanced, s.highest = false, 0 }
+
+// endsEarly reports whether the current attempt has events, all of them before the last one that the caller has. Its end
+// isn't the end of the caller's stream.
+func (s *sequence) endsEarly() bool { return s.highest > 0 && s.highest < s.last }
 
 // accept reports whether the caller gets an event. Errors: *UnnumberedEventError, *EventOrderError,
 // *StreamRestartedError, *MissingEventsError.
@@ -56,17 +62,17 @@
 	if err != nil {
 		return s.acceptUnnumbered(event, id)
 	}
+	s.highest = max(s.highest, number)
 	if s.numbered && number <= s.last {
 		return false, s.checkKnown(id, number)
 	}
-	if s.events == 0 && !s.numbered {
-		s.first = max(s.first, number)
-	}
-	if s.events == 0 {
-		s.consecutive = number == s.last+1
-	} else if s.consecutive && number != s.last+1 {
+	isNext := number == s.last+1
+	if s.consecutive && !isNext {
 		return false, &MissingEventsError{ID: id, Last: s.lastID}
 	}
+	if !s.numbered {
+		s.consecutive, s.first = isNext, max(s.first, number)
+	}
 	s.lastID, s.last, s.numbered, s.advanced = id, number, true, true
 	s.events++
 	return true, nil
--- a/internal/forwarder/streamreplies_test.go
+++ b/internal/forwarder/streamreplies_test.go
@@ -141,8 +141,8 @@
 	return func(sentRequest) reply { return reply{ending: ending} }
 }
 
-// gapAtStart begins with another event than the next one. Ids only have to increase, so that this is a gap only in a
-// stream that has begun with consecutive ids.
+// gapAtStart begins with another event than the next one. Ids only have to increase, so that this isn't a gap at the start
+// of a whole stream.
 var gapAtStart = fault{"gap at the start", func(a sentRequest) reply {
 	return a.events(idRange(a.after+2, max(a.last, a.after+2)))
 }}
@@ -157,6 +157,11 @@
 		{"gap in the middle", func(a sentRequest) reply {
 			return a.events(append([]int{a.after + 1}, idRange(a.after+3, max(a.last, a.after+3))...))
 		}},
+		{"ends before the position", func(a sentRequest) reply {
+			r := a.events(idRange(max(1, a.after-1), a.after-1))
+			r.complete = r.complete && len(r.ids) == 0
+			return r
+		}},
 		{"ids go back", func(a sentRequest) reply {
 			return a.events(slices.Concat([]int{a.after + 1, a.after + 2}, idRange(a.after+1, max(a.last, a.after+3))))
 		}},
@@ -205,7 +210,7 @@
 			for _, id := range idRange(a.after+1, a.last) {
 				text += eventText(a.run, id)
 			}
-			return reply{text: text, ending: finish, stream: true, ids: idRange(a.after+1, a.last), complete: true}
+			return reply{text: text, ending: finish, stream: true, ids: idRange(a.after+1, a.last), complete: a.after < a.last}
 		}},
 	}
 }
@@ -313,8 +318,9 @@
 		r.complete = size == len(text)
 		return r
 	}
-	// Without a length, the end of the connection after any complete event can't be told from the end of the stream.
-	r.complete = ending == finish && (size == len(a.streamHead(false)) || slices.Contains(ends, size))
+	// Without a length, the end of the connection after any complete event can't be told from the end of the stream. Before
+	// the first event it is a crash: a short stream costs its caller more than a resume.
+	r.complete = ending == finish && slices.Contains(ends, size)
 	return r
 }
 
