Name the fields of a stream's sequence for what they hold

Cause: first and firstID, advanced and checkKnown had to be looked up, and the id of each event was searched twice. Change: names and comments; an event's id is read once.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -14,9 +14,9 @@
 	status int
 	// length is the stated length of the answer's body in bytes, or -1 if none was stated.
 	length int64
-	// begun is set if an earlier attempt has already relayed a part of the answer, up to the event with the id after.
-	begun bool
-	after string
+	// answerBegun is set if an earlier attempt has relayed a part of the answer, up to the event with the id after.
+	answerBegun bool
+	after       string
 	// firstID and lastID are the ids of the first and the last complete event that the upstream sent, events is their
 	// number.
 	firstID, lastID string
@@ -28,8 +28,7 @@
 }
 
 // observe records the id of a complete event.
-func (a *attempt) observe(event []byte) {
-	id := eventID(event)
+func (a *attempt) observe(id string) {
 	if a.events == 0 {
 		a.firstID = id
 	}
@@ -46,12 +45,12 @@
 	if notSent || onlyAttempt {
 		return
 	}
-	if a.begun {
+	if a.answerBegun {
 		metrics.GetOrRegisterCounter("streams.resumed."+result.Kind.String(), x.forwarder.options.Metrics).Inc(1)
 	}
 	x.forwarder.options.Logger.Info("attempt ended", zap.String("request_id", x.holderRequest.ID),
 		zap.String("upstream", upstream), zap.Int("attempt", x.sends), zap.Int("status", a.status),
-		zap.Int64("length", a.length), zap.Bool("answer_begun", a.begun), zap.String("after", a.after),
+		zap.Int64("length", a.length), zap.Bool("answer_begun", a.answerBegun), zap.String("after", a.after),
 		zap.String("first_event", a.firstID), zap.String("last_event", a.lastID), zap.Int("events", a.events),
 		zap.Int("incomplete_bytes", a.incompleteBytes), zap.NamedError("end", a.end),
 		zap.String("release", result.Kind.String()), zap.Bool("resubmit", result.Resubmit))
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -103,8 +103,8 @@
 	return fmt.Sprintf("events between %s and %s of the stream are missing", e.Last, e.ID)
 }
 
-// UnnumberedEventError reports an event whose id isn't a number, in a stream whose other events have numbers, or one that
-// has no data either.
+// UnnumberedEventError reports bytes that have no place in a stream: an event whose id isn't a number after events with
+// numbers, or lines with neither an id nor data.
 type UnnumberedEventError struct {
 	ID, Last string
 }
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -59,7 +59,7 @@
 
 // Send implements holder.Exchange.
 func (x *exchange) Send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
-	x.attempt = attempt{begun: x.headWritten, after: x.sequence.lastID}
+	x.attempt = attempt{answerBegun: x.headWritten, after: x.sequence.lastID}
 	result := x.send(ctx, upstream)
 	x.logAttempt(upstream.Name, result)
 	return result
@@ -105,7 +105,7 @@
 	case x.route.Kind == kernel.RouteStream && answer.Status == http.StatusOK && isEventStream(answer.Header):
 		return x.relayStream(ctx, answer, start)
 	case x.headWritten:
-		return x.rejectRest(answer, start)
+		return x.rejectResume(answer, start)
 	}
 	return x.relayUnary(ctx, answer, start)
 }
@@ -161,9 +161,9 @@
 	return result
 }
 
-// rejectRest returns the result of an attempt that should have continued a stream and has another answer than a stream.
+// rejectResume returns the result of an attempt that should have continued a stream and has another answer than a stream.
 // No part of it may be relayed after the events of the attempts before.
-func (x *exchange) rejectRest(answer *connector.Answer, start time.Time) holder.SendResult {
+func (x *exchange) rejectResume(answer *connector.Answer, start time.Time) holder.SendResult {
 	answer.Discard()
 	err := &ResumeFailedError{Status: answer.Status}
 	x.attempt.end = err
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -7,8 +7,8 @@
 	"coltsfootplank/internal/kernel"
 )
 
-// firstID is the lowest id with which streams begin.
-const firstID = 1
+// minStartID is the lowest id that the first event of a whole stream is taken to have.
+const minStartID = 1
 
 var (
 	idField     = []byte("id:")
@@ -23,8 +23,8 @@
 	lastID   string
 	last     uint64
 	numbered bool
-	// first is the id that the first event of a whole stream has, as far as it is known.
-	first uint64
+	// startID is the id of the first event of the whole stream, or minStartID if only later events were seen.
+	startID uint64
 	// consecutive is set if a jump of the ids means that events are missing.
 	consecutive bool
 	// events is the number of relayed events with an id.
@@ -33,14 +33,14 @@
 	unnumbered bool
 	// highest is the highest number of an event of the current attempt.
 	highest uint64
-	// advanced is set once the current attempt has had an event that the caller did not have.
-	advanced bool
+	// hasNew is set once the current attempt has had an event that the caller did not have.
+	hasNew bool
 }
 
 // newSequence returns the sequence of a caller of a route. On resumable routes, lastID is the id of the last event that the
 // caller already has; "" stands for none.
 func newSequence(route *kernel.Route, lastID string) sequence {
-	s := sequence{first: firstID}
+	s := sequence{startID: minStartID}
 	if number, err := strconv.ParseUint(lastID, 10, 64); err == nil && route.Resumable {
 		s.lastID, s.last, s.numbered, s.consecutive = lastID, number, true, true
 	}
@@ -48,43 +48,43 @@
 }
 
 // beginAttempt prepares for the events of another attempt, which may repeat some that the caller has.
-func (s *sequence) beginAttempt() { s.advanced, s.highest = false, 0 }
+func (s *sequence) beginAttempt() { s.hasNew, s.highest = false, 0 }
 
 // endsEarly reports whether the current attempt has events, all of them before the last one that the caller has. Its end
 // isn't the end of the caller's stream.
 func (s *sequence) endsEarly() bool { return s.highest > 0 && s.highest < s.last }
 
-// accept reports whether the caller gets an event. Errors: *UnnumberedEventError, *EventOrderError,
+// accept reports whether the caller gets the event with an id. Errors: *UnnumberedEventError, *EventOrderError,
 // *StreamRestartedError, *MissingEventsError.
-func (s *sequence) accept(event []byte) (bool, error) {
-	id := eventID(event)
+func (s *sequence) accept(id string, event []byte) (bool, error) {
 	number, err := strconv.ParseUint(id, 10, 64)
 	if err != nil {
 		return s.acceptUnnumbered(event, id)
 	}
 	s.highest = max(s.highest, number)
 	if s.numbered && number <= s.last {
-		return false, s.checkKnown(id, number)
+		return false, s.checkRepeated(id, number)
 	}
 	isNext := number == s.last+1
 	if s.consecutive && !isNext {
 		return false, &MissingEventsError{ID: id, Last: s.lastID}
 	}
 	if !s.numbered {
-		s.consecutive, s.first = isNext, max(s.first, number)
+		s.consecutive, s.startID = isNext, max(s.startID, number)
 	}
-	s.lastID, s.last, s.numbered, s.advanced = id, number, true, true
+	s.lastID, s.last, s.numbered, s.hasNew = id, number, true, true
 	s.events++
 	return true, nil
 }
 
-// checkKnown checks an event that the caller already has. An attempt may repeat events at its start, but an attempt that
-// begins with the first event of the stream is another run, and its events don't continue those of the run before.
-func (s *sequence) checkKnown(id string, number uint64) error {
+// checkRepeated checks an event that the caller already has; without an error it is dropped. An attempt may repeat events at
+// its start, but an attempt that begins with the first event of the stream is another run, and its events don't continue
+// those of the run before.
+func (s *sequence) checkRepeated(id string, number uint64) error {
 	switch {
-	case s.advanced:
+	case s.hasNew:
 		return &EventOrderError{ID: id, Last: s.lastID}
-	case number <= s.first:
+	case number <= s.startID:
 		return &StreamRestartedError{ID: id, Last: s.lastID}
 	}
 	return nil
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -45,7 +45,7 @@
 }
 
 // relayBody relays the events of one answer. It returns nil if the body ended in the regular way after a complete event.
-// Errors: those of relayEvents, *EventTooLargeError, *IncompleteEventError, and those of the connection.
+// Errors: those of relayEvents and finishStream, *EventTooLargeError, and those of the connection.
 func (x *exchange) relayBody(answer *connector.Answer, start time.Time, observation *dispatcher.Observation) error {
 	controller := http.NewResponseController(x.w)
 	buffer := newEventBuffer()
@@ -61,7 +61,7 @@
 		x.attempt.incompleteBytes = len(buffer.rest())
 		switch {
 		case errors.Is(readErr, io.EOF) && answer.Whole():
-			return x.endStream(answer, buffer.rest())
+			return x.finishStream(answer, buffer.rest())
 		case readErr != nil:
 			return readErr
 		case len(buffer.rest()) > maxEventBytes:
@@ -70,8 +70,10 @@
 	}
 }
 
-// endStream handles the regular end of an answer's body. rest is what follows its last complete event.
-func (x *exchange) endStream(answer *connector.Answer, rest []byte) error {
+// finishStream checks that the regular end of an answer's body is the end of the stream. rest is what follows its last
+// complete event. If the stream has no events, it writes the head. Errors: *IncompleteEventError, *EmptyStreamError,
+// *EarlyEndError, *CallerWriteError.
+func (x *exchange) finishStream(answer *connector.Answer, rest []byte) error {
 	if len(bytes.Trim(rest, "\r\n")) > 0 {
 		return &IncompleteEventError{Bytes: len(rest)}
 	}
@@ -102,11 +104,12 @@
 // written yet. Errors: *CallerWriteError and those of sequence.accept, before which all accepted events are written.
 func (x *exchange) relayEvents(controller *http.ResponseController, answer *connector.Answer, buffer *eventBuffer) error {
 	written := false
-	var faulty error
+	var orderErr error
 	for event := buffer.event(); event != nil; event = buffer.event() {
-		x.attempt.observe(event)
+		id := eventID(event)
+		x.attempt.observe(id)
 		var accepted bool
-		if accepted, faulty = x.sequence.accept(event); faulty != nil {
+		if accepted, orderErr = x.sequence.accept(id, event); orderErr != nil {
 			break
 		}
 		if !accepted {
@@ -118,7 +121,7 @@
 		written = true
 	}
 	if !written {
-		return faulty
+		return orderErr
 	}
 	now := time.Now()
 	if !x.lastRelayed.IsZero() {
@@ -128,7 +131,7 @@
 	if err := controller.Flush(); err != nil {
 		return &CallerWriteError{Cause: err}
 	}
-	return faulty
+	return orderErr
 }
 
 // writeEvent writes one event. Errors: *CallerWriteError.
