--- a/internal/forwarder/streamreplies_test.go
+++ b/internal/forwarder/streamreplies_test.go
@@ -27,7 +27,7 @@
 	ending ending
 	// stream is set on a 200 with an event stream that is signed, not encoded and has a complete head. ids are those of its
 	// complete events, 0 for an event without a valid id. complete is set if its body ends in the regular way directly
-	// after a complete event, or without any event.
+	// after a complete event, or, if the end is stated, without any event.
 	stream   bool
 	ids      []int
 	complete bool
