Log the evidence of engine crashes, the suspected runs and the parts of prompts

Cause: when engines crash one after the other, no log line stated that an engine was taken for crashed, on what evidence, which runs were counted for it, or what their prompts have in common, so the hypotheses of the incident could not be told apart. Change: the scheduler logs 'run suspected of a crash', 'attempt ended' names the parts of the prompt that other requests may share. Decisions are unchanged.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -52,6 +52,6 @@
 		zap.String("upstream", upstream), zap.Int("attempt", x.sends), zap.Int("status", a.status),
 		zap.Int64("length", a.length), zap.Bool("answer_begun", a.answerBegun), zap.String("after", a.after),
 		zap.String("first_event", a.firstID), zap.String("last_event", a.lastID), zap.Int("events", a.events),
-		zap.Int("incomplete_bytes", a.incompleteBytes), zap.NamedError("end", a.end),
+		zap.Int("incomplete_bytes", a.incompleteBytes), zap.NamedError("end", a.end), zap.Strings("parts", x.metadata.PromptParts),
 		zap.String("release", result.Kind.String()), zap.Bool("resubmit", result.Resubmit))
 }
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -65,10 +65,10 @@
 
 // RecordCrash records that an engine crashed while the request was in flight; alone means that no other request ran on
 // it. Without a CrashLimit, only a crash while alone makes a request poison, so that a harmless request is never
-// refused because of the requests that it ran with.
-func (i *Isolator) RecordCrash(now time.Time, fingerprint uint64, alone bool) {
+// refused because of the requests that it ran with. It returns the number of crashes recorded for the fingerprint.
+func (i *Isolator) RecordCrash(now time.Time, fingerprint uint64, alone bool) uint32 {
 	if fingerprint == 0 {
-		return
+		return 0
 	}
 	e := i.entries[fingerprint]
 	if e == nil || !now.Before(e.expires) {
@@ -78,6 +78,7 @@
 	e.crashes++
 	e.poison = e.poison || alone || i.crashLimitReached(e)
 	i.extendExpiry(e, now)
+	return e.crashes
 }
 
 func (i *Isolator) crashLimitReached(e *entry) bool {
--- a/internal/prover/cluster_test.go
+++ b/internal/prover/cluster_test.go
@@ -195,7 +195,7 @@
 			if pool.MaxQueue > 0 {
 				settings.MaxQueue = pool.MaxQueue
 			}
-			return schedulerAdapter{scheduler.New(pool.Name, settings, now)}
+			return schedulerAdapter{scheduler.New(pool.Name, settings, zap.NewNop(), now)}
 		}})
 	tickets := ticketer.New(ticketer.Options{Self: name, Incarnation: member.Incarnation, Members: r.detector,
 		Catalogue: r.cataloguer, Remote: endpoint, Local: host})
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -2,14 +2,29 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/protocol"
 )
 
+// crashEvidence is what shows that an engine has crashed and not only lost connections.
+type crashEvidence string
+
+const (
+	evidencePollFailed  crashEvidence = "load report failed"
+	evidenceRestart     crashEvidence = "restart"
+	evidenceUnreachable crashEvidence = "a holder could not connect"
+	// evidenceEarlier is for runs whose loss is reported after the evidence of the crash.
+	evidenceEarlier crashEvidence = "earlier evidence"
+)
+
 // lostRun is a request whose connection to the engine broke.
 type lostRun struct {
+	requestID   string
 	fingerprint uint64
 	at          time.Time
 	alone       bool
@@ -17,15 +32,15 @@
 
 // recordCrashEvidence records that a load report failed or showed a restart. Requests that were lost shortly before
 // become suspects; those in flight become suspects when their loss is reported.
-func (s *Scheduler) recordCrashEvidence(e *engine, now time.Time, restarted bool) {
+func (s *Scheduler) recordCrashEvidence(e *engine, now time.Time, evidence crashEvidence) {
 	e.crashEvidenceAt = now
 	for _, l := range e.lost {
 		if now.Sub(l.at) <= s.settings.CrashWindow {
-			s.markSuspect(now, l.fingerprint, l.alone)
+			s.markSuspect(now, e, l, evidence)
 		}
 	}
 	e.lost = e.lost[:0]
-	if restarted {
+	if evidence == evidenceRestart {
 		for _, r := range e.granted {
 			r.crashed = true
 		}
@@ -40,22 +55,22 @@
 		if l.alone || now.Sub(l.at) > s.settings.CrashWindow {
 			return false
 		}
-		s.markSuspect(now, l.fingerprint, false)
+		s.markSuspect(now, e, l, evidenceUnreachable)
 		return true
 	})
 }
 
 // observeLoss handles a connection to the engine that broke during a request. A broken connection counts as a crash
 // only together with a restart or a failed load report of the engine.
-func (s *Scheduler) observeLoss(now time.Time, e *engine, r *request, fingerprint uint64) {
-	l := lostRun{fingerprint: fingerprint, at: now}
+func (s *Scheduler) observeLoss(now time.Time, e *engine, r *request, release *protocol.Release) {
+	l := lostRun{requestID: release.GetRequestId(), fingerprint: release.GetFingerprint(), at: now}
 	recent := !e.crashEvidenceAt.IsZero() && now.Sub(e.crashEvidenceAt) <= s.settings.CrashWindow
 	if r != nil {
 		l.fingerprint, l.alone = r.ticket.GetFingerprint(), r.alone
 		recent = recent && !r.grantedAt.After(e.crashEvidenceAt) || r.crashed
 	}
 	if recent {
-		s.markSuspect(now, l.fingerprint, l.alone)
+		s.markSuspect(now, e, l, evidenceEarlier)
 		return
 	}
 	for len(e.lost) > 0 && now.Sub(e.lost[0].at) > s.settings.CrashWindow {
@@ -65,10 +80,14 @@
 }
 
 // markSuspect records a crash during the request and applies the new state to queued tickets with the same fingerprint.
-func (s *Scheduler) markSuspect(now time.Time, fingerprint uint64, alone bool) {
+func (s *Scheduler) markSuspect(now time.Time, e *engine, l lostRun, evidence crashEvidence) {
 	s.counters.CrashedRuns++
-	s.isolator.RecordCrash(now, fingerprint, alone)
-	s.reclassify(now, map[uint64]bool{fingerprint: true})
+	crashes := s.isolator.RecordCrash(now, l.fingerprint, l.alone)
+	s.logger.Info("run suspected of a crash", zap.String("request_id", l.requestID), zap.String("pool", s.pool),
+		zap.String("upstream", e.info.Name), zap.String("evidence", string(evidence)), zap.Duration("lost_for", now.Sub(l.at)),
+		zap.String("fingerprint", strconv.FormatUint(l.fingerprint, 16)), zap.Uint32("crashes", crashes),
+		zap.Bool("poison", s.isolator.State(now, l.fingerprint) == isolator.Poison))
+	s.reclassify(now, map[uint64]bool{l.fingerprint: true})
 }
 
 // reclassify handles the queued tickets of requests that became suspect or poison, or are no longer: it moves the
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootplank/internal/protocol"
 )
 
@@ -25,7 +27,7 @@
 	if change != nil {
 		change(&settings)
 	}
-	c := &cell{Scheduler: New("briefs", settings, start), now: start}
+	c := &cell{Scheduler: New("briefs", settings, zap.NewNop(), start), now: start}
 	infos := make([]EngineInfo, n)
 	for i := range infos {
 		infos[i] = EngineInfo{Name: fmt.Sprintf("e%d", i), Generation: fmt.Sprintf("g%d", i%3), Slots: slots,
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -20,7 +20,7 @@
 	}
 	if err != nil {
 		e.failedPolls++
-		s.recordCrashEvidence(e, now, false)
+		s.recordCrashEvidence(e, now, evidencePollFailed)
 		if e.failedPolls >= failedPollsUntilDown && !e.down {
 			e.down = true
 			e.recordReason(now, "load report failed")
@@ -30,7 +30,7 @@
 	}
 	e.failedPolls = 0
 	if e.instance != "" && report.Instance != e.instance {
-		s.recordCrashEvidence(e, now, true)
+		s.recordCrashEvidence(e, now, evidenceRestart)
 		s.engines.prefixes.clear(e)
 		s.engines.probe(e, now)
 		e.recordReason(now, "the engine restarted")
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/estimator"
 	"coltsfootplank/internal/isolator"
@@ -18,6 +20,7 @@
 type Scheduler struct {
 	pool           string
 	settings       Settings
+	logger         *zap.Logger
 	order          OrderPolicy
 	choose         EngineChoice
 	random         *rand.Rand
@@ -54,7 +57,7 @@
 
 // New returns a scheduler without engines. It panics with a *kernel.UnknownPluginError if the settings name a policy
 // that isn't registered; the host must validate them with Settings.Check first.
-func New(pool string, settings Settings, now time.Time) *Scheduler {
+func New(pool string, settings Settings, logger *zap.Logger, now time.Time) *Scheduler {
 	order, err := OrderPolicies.Lookup(settings.OrderPolicy)
 	if err != nil {
 		panic(err)
@@ -64,7 +67,7 @@
 		panic(err)
 	}
 	s := &Scheduler{
-		pool: pool, settings: settings, order: order, choose: choose,
+		pool: pool, settings: settings, logger: logger, order: order, choose: choose,
 		limitShare: 1, allowanceShare: 1,
 		random:   rand.New(rand.NewPCG(settings.Seed, uint64(len(pool)))),
 		requests: make(map[string]*request), holders: make(map[string]map[string]*request),
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -195,7 +195,7 @@
 			s.isolator.ClearSuspicion(r.ticket.GetFingerprint())
 		}
 	case protocol.ReleaseKind_RELEASE_KIND_LOST:
-		s.observeLoss(now, e, r, release.GetFingerprint())
+		s.observeLoss(now, e, r, release)
 		s.engines.recordLoss(e, now)
 	case protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
 		s.recordUnreachable(e, now)
--- a/loadgen/internal/experimenter/cost.go
+++ b/loadgen/internal/experimenter/cost.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/scheduler"
 )
@@ -18,7 +20,7 @@
 	now := startTime
 	settings := productSettings(0)
 	settings.Seed = seed
-	s := scheduler.New("briefs", settings, now)
+	s := scheduler.New("briefs", settings, zap.NewNop(), now)
 	infos := make([]scheduler.EngineInfo, engines)
 	for i := range infos {
 		infos[i] = scheduler.EngineInfo{Name: fmt.Sprintf("e%d", i), Generation: fmt.Sprint(i % 3), Slots: 8,
--- a/loadgen/internal/experimenter/simulation.go
+++ b/loadgen/internal/experimenter/simulation.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
@@ -112,7 +114,7 @@
 func (sim *simulation) addRouter(index int) *router {
 	settings := sim.settings
 	settings.Seed = sim.seed
-	r := &router{sim: sim, scheduler: scheduler.New("briefs", settings, sim.wallTime()), wakeAt: -1}
+	r := &router{sim: sim, scheduler: scheduler.New("briefs", settings, zap.NewNop(), sim.wallTime()), wakeAt: -1}
 	cells := max(1, sim.cells)
 	var infos []scheduler.EngineInfo
 	for i, e := range sim.engines {
--- a/loadgen/internal/extrapolator/cellhost.go
+++ b/loadgen/internal/extrapolator/cellhost.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"coltsfootplank/internal/cataloguer"
@@ -101,7 +102,7 @@
 	host := runner.New(runner.Options{
 		Self: "scheduler", Members: members, Catalogue: fixedCatalogue{catalogue},
 		Factory: func(pool cataloguer.Pool, now time.Time) runner.Scheduler {
-			return schedulerAdapter{scheduler.New(pool.Name, scheduler.DefaultSettings(), now)}
+			return schedulerAdapter{scheduler.New(pool.Name, scheduler.DefaultSettings(), zap.NewNop(), now)}
 		},
 	})
 	_, handler := messenger.NewHandler(messenger.Handlers{
--- a/loadgen/internal/extrapolator/scheduling.go
+++ b/loadgen/internal/extrapolator/scheduling.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/scheduler"
 )
@@ -28,7 +30,7 @@
 	settings := scheduler.DefaultSettings()
 	settings.MaxQueue = 0
 	bench := &schedulerBench{now: time.Now()}
-	bench.Scheduler = scheduler.New("p", settings, bench.now)
+	bench.Scheduler = scheduler.New("p", settings, zap.NewNop(), bench.now)
 	infos := make([]scheduler.EngineInfo, engines)
 	for i := range infos {
 		infos[i] = scheduler.EngineInfo{
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -153,8 +153,8 @@
 		Logger: r.logger.Logger,
 	}, r.peers)
 	r.runner = runner.New(runner.Options{
-		Self: s.Name, Members: r.detector, Catalogue: options.catalogue, Factory: schedulerFactory(s.Scheduling),
-		CellEngines: s.Scheduling.CellEngines, Reporter: s.Gateway.Reporter, Logger: r.logger.Logger,
+		Self: s.Name, Members: r.detector, Catalogue: options.catalogue,
+		Factory: schedulerFactory(s.Scheduling, r.logger.Logger), CellEngines: s.Scheduling.CellEngines, Reporter: s.Gateway.Reporter, Logger: r.logger.Logger,
 	})
 	r.ticketer = ticketer.New(ticketer.Options{
 		Self: s.Name, Incarnation: r.incarnation(), Members: r.detector, Catalogue: options.catalogue,
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/limiter"
@@ -11,10 +13,10 @@
 	"coltsfootplank/internal/scheduler"
 )
 
-// schedulerFactory returns a factory of schedulers with the router's settings.
-func schedulerFactory(settings loader.Scheduling) runner.Factory {
+// schedulerFactory returns a factory of schedulers with the router's settings and logger.
+func schedulerFactory(settings loader.Scheduling, logger *zap.Logger) runner.Factory {
 	return func(pool cataloguer.Pool, now time.Time) runner.Scheduler {
-		return &schedulerAdapter{Scheduler: scheduler.New(pool.Name, schedulerSettings(settings, pool), now)}
+		return &schedulerAdapter{Scheduler: scheduler.New(pool.Name, schedulerSettings(settings, pool), logger, now)}
 	}
 }
 
--- a/router/internal/assembler/schedulers_test.go
+++ b/router/internal/assembler/schedulers_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
@@ -74,7 +75,7 @@
 				}}}).Index()
 				host := runner.New(runner.Options{
 					Self: "r", Members: members, Catalogue: fakeCatalogue{catalogue},
-					Factory: schedulerFactory(loader.Defaults().Scheduling),
+					Factory: schedulerFactory(loader.Defaults().Scheduling, zap.NewNop()),
 				})
 				ctx, cancel := context.WithCancel(t.Context())
 				var group errgroup.Group
