Refuse requests because of a part of their prompts that crashes engines

Cause: suspicion was recorded for the fingerprint of the whole request. Unlike requests never share one, so none reached the crash limit, whatever they had in common. The class of fault: an identity that is narrower than the cause. Evidence: 429 of 492 runs that were lost in crashes were the first of their fingerprint, and 44 of the 44 that an engine had begun with status 200 had the same part in their prompts. Change: tickets carry hashes of the parts of the prompt that other requests may share, releases state whether the engine had sent more than the first event. The isolator compares crashes: a part is refused once it explains enough crashes of unlike requests that no answer clears. Parts that the crashes don't tell apart are refused only together; a poison part is tested by one request at a time after 2 min, then after twice the time. Crashes have ids, so that several schedulers count one once. A load report of the same instance takes a crash back, engines that leave don't crash, and an ended registration is evidence. Without parts, the prefix hashes of the catalogue mode stand for them. Why it works: a sound part is cleared by each answer that begins, a deadly one never is, whatever else its requests hold.

--- a/internal/detector/conviction.go
+++ b/internal/detector/conviction.go
@@ -15,6 +15,9 @@
 // expires first is evicted.
 const maxConvictions = 4096
 
+// maxCrashIDs bounds the crashes that are kept for one conviction. Fewer suffice to convict.
+const maxCrashIDs = 8
+
 // mergeConvictions merges convictions into the table. It keeps the larger crash count and the later expiry, and a
 // convicted fingerprint stays convicted.
 func (t *table) mergeConvictions(now time.Time, convictions []*protocol.Conviction) {
@@ -23,12 +26,7 @@
 			continue
 		}
 		known := t.convictions[c.GetFingerprint()]
-		merged := &protocol.Conviction{
-			Fingerprint:   c.GetFingerprint(),
-			Crashes:       max(c.GetCrashes(), known.GetCrashes()),
-			ExpiresUnixMs: max(c.GetExpiresUnixMs(), known.GetExpiresUnixMs()),
-			Convicted:     c.GetConvicted() || known.GetConvicted(),
-		}
+		merged := mergeConviction(c, known)
 		if proto.Equal(merged, known) {
 			continue
 		}
@@ -41,6 +39,34 @@
 	}
 }
 
+// mergeConviction merges a conviction with the known one, which may be nil.
+func mergeConviction(c, known *protocol.Conviction) *protocol.Conviction {
+	merged := &protocol.Conviction{
+		Fingerprint:   c.GetFingerprint(),
+		ExpiresUnixMs: max(c.GetExpiresUnixMs(), known.GetExpiresUnixMs()),
+		Convicted:     c.GetConvicted() || known.GetConvicted(),
+		Part:          c.GetPart() || known.GetPart(),
+		CrashIds:      slices.Concat(c.GetCrashIds(), known.GetCrashIds()),
+	}
+	slices.Sort(merged.CrashIds)
+	merged.CrashIds = slices.Compact(merged.CrashIds)
+	merged.CrashIds = merged.CrashIds[:min(len(merged.CrashIds), maxCrashIDs)]
+	merged.Crashes = max(c.GetCrashes(), known.GetCrashes(), uint32(len(merged.CrashIds)))
+	switch {
+	case c.GetConvicted() && known.GetConvicted():
+		merged.Together = intersection(c.GetTogether(), known.GetTogether())
+	case c.GetConvicted():
+		merged.Together = c.GetTogether()
+	default:
+		merged.Together = known.GetTogether()
+	}
+	return merged
+}
+
+func intersection(a, b []uint64) []uint64 {
+	return slices.DeleteFunc(slices.Clone(a), func(value uint64) bool { return !slices.Contains(b, value) })
+}
+
 func (t *table) expireConvictions(now time.Time) {
 	for fingerprint, c := range t.convictions {
 		if c.GetExpiresUnixMs() <= now.UnixMilli() {
--- a/internal/detector/delta.go
+++ b/internal/detector/delta.go
@@ -54,7 +54,7 @@
 	}
 	// Convictions get at most half of the budget and are added first, so that neither kind of delta crowds out the other.
 	half := budget / 2
-	for _, fingerprint := range leastSent(t.deltas.convictions) {
+	for _, fingerprint := range t.convictionsToSend() {
 		size := fieldSize(t.convictions[fingerprint])
 		if size > half {
 			break
@@ -76,6 +76,22 @@
 	}
 }
 
+// convictionsToSend returns the fingerprints whose changes are still sent, convicted ones first, then the least often sent.
+func (t *table) convictionsToSend() []uint64 {
+	fingerprints := leastSent(t.deltas.convictions)
+	slices.SortStableFunc(fingerprints, func(a, b uint64) int {
+		return cmp.Compare(convictedFirst(t.convictions[a]), convictedFirst(t.convictions[b]))
+	})
+	return fingerprints
+}
+
+func convictedFirst(c *protocol.Conviction) int {
+	if c.GetConvicted() {
+		return 0
+	}
+	return 1
+}
+
 func (t *table) row(name string) *protocol.Member {
 	if name == t.self.GetName() {
 		return t.self
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -211,3 +211,20 @@
 		}
 	})
 }
+
+// TestCrashesOfSeveralMembers guards against crashes that several members know of being lost or counted twice.
+func TestCrashesOfSeveralMembers(t *testing.T) {
+	runWithNetwork(t, 6, func(t *testing.T, n *network) {
+		expires := time.Now().Add(time.Minute).UnixMilli()
+		for name, ids := range map[string][]uint64{"m1": {1, 2}, "m2": {2, 3}, "m3": {4}} {
+			n.members[name].AddConvictions([]*protocol.Conviction{{Fingerprint: 9, Part: true, CrashIds: ids, ExpiresUnixMs: expires}})
+		}
+		time.Sleep(6 * time.Second)
+		for name, d := range n.members {
+			c := d.View().Convictions[0]
+			assert.DeepEqual(t, c.GetCrashIds(), []uint64{1, 2, 3, 4})
+			assert.Equal(t, c.GetCrashes(), uint32(4), "as seen by %s", name)
+			assert.Assert(t, c.GetPart() && !c.GetConvicted())
+		}
+	})
+}
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -19,6 +19,8 @@
 	FirstToken   time.Duration
 	Total        time.Duration
 	Resumes      int
+	// Begun is set if the upstream sent more of its answer than the first event or token.
+	Begun bool
 }
 
 // Settings contains the limits of a dispatch.
@@ -56,6 +58,7 @@
 	}
 	err := reader.run(ctx)
 	reader.observation.OutputTokens = reader.next
+	reader.observation.Begun = reader.next > 1
 	reader.observation.Total = time.Since(reader.started)
 	var callerGone *CallerGoneError
 	if errors.As(err, &callerGone) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -166,6 +166,7 @@
 		Pool: pickTarget(route.Targets), Idempotent: route.Kind == kernel.RouteIdempotent || route.Resumable,
 	}
 	request.Fingerprint = isolator.Fingerprint(x.body, request.Workspace, x.method, x.target)
+	request.Parts = metadata.PromptParts
 	x.sequence = newSequence(route, metadata.ResumeAfter)
 	x.service = request.Work.Pool
 	x.tokensPerEvent = config.TokensPerEvent(x.service)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -31,6 +31,7 @@
 	err := x.relayBody(answer, start, &observation)
 	observation.Total = time.Since(start)
 	observation.OutputTokens = x.sequence.events * x.tokensPerEvent
+	observation.Begun = x.attempt.events > 1
 	if err == nil {
 		answer.Done()
 		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED, Observation: observation}
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -102,7 +102,7 @@
 		RequestId: request.ID, Engine: grant.GetEngine(), Kind: result.releaseKind, Fingerprint: request.Fingerprint,
 		PromptTokens: uint32(request.PromptTokens), CachedTokens: uint32(observation.CachedTokens),
 		OutputTokens: uint32(observation.OutputTokens), FirstTokenMs: observation.FirstToken.Milliseconds(),
-		TotalMs: observation.Total.Milliseconds(),
+		TotalMs: observation.Total.Milliseconds(), Begun: observation.Begun,
 	})
 }
 
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -35,9 +35,11 @@
 	MaxTokens    int
 	PrefixHashes []uint64
 	Fingerprint  uint64
-	Arrived      time.Time
-	Deadline     time.Time
-	Answer       Answer
+	// Parts are hashes of the parts of the prompt that other requests may share.
+	Parts    []uint64
+	Arrived  time.Time
+	Deadline time.Time
+	Answer   Answer
 	// StartBy is the latest useful start of the answer; a request that can't meet it isn't worth running. Zero means no
 	// limit.
 	StartBy time.Time
@@ -105,6 +107,7 @@
 		OutputTokens: uint32(r.MaxTokens),
 		PrefixHashes: r.PrefixHashes,
 		Fingerprint:  r.Fingerprint,
+		Parts:        r.Parts,
 		AgeMs:        now.Sub(r.Arrived).Milliseconds(),
 		Attempt:      r.attempt,
 		Charge:       uint32(r.Charge),
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -1,162 +1,178 @@
 package isolator
 
-import (
-	"time"
-
-	"coltsfootplank/internal/protocol"
-)
+import "time"
 
 // State determines how a request is run.
 type State int
 
-// States of a fingerprint.
+// States of a fingerprint or part.
 const (
 	// Clear requests may share an engine with other requests.
 	Clear State = iota
 	// Suspect requests were in flight on an engine when it crashed. They run alone on an engine.
 	Suspect
-	// Poison requests crashed an engine while running alone, or reached the crash limit. They are refused.
+	// Poison requests crashed an engine while running alone, or reached the crash limit. They are refused, as are requests
+	// with a poison part.
 	Poison
 )
 
 // Settings configures an isolator.
 type Settings struct {
-	// SuspectRetention is how long a request stays a suspect after a crash.
+	// SuspectRetention is how long a request or part stays suspect after a crash.
 	SuspectRetention time.Duration
-	// PoisonRetention is how long a request stays poison after a crash.
+	// PoisonRetention is how long a request stays poison after a crash, and the longest time that a part does.
 	PoisonRetention time.Duration
 	// MaxEntries is the maximum number of entries. The suspect that expires first is evicted to make room.
 	MaxEntries int
 	// CrashLimit, if it isn't 0, is the number of crashes after which a request becomes poison. Suspects then don't run
 	// alone.
 	CrashLimit int
+	// PartCrashLimit is the number of crashes after which a part can become poison; 0 means never.
+	PartCrashLimit int
 }
 
-// Isolator is the table of suspect and poison requests. It is not safe for concurrent use.
-type Isolator struct {
-	settings Settings
-	entries  map[uint64]*entry
+// Traits are the hashes by which a request is recognised: the fingerprint of its content, and the parts of its prompt that
+// other requests may share. A fingerprint of 0 is unknown.
+type Traits struct {
+	Fingerprint uint64
+	Parts       []uint64
 }
 
-type entry struct {
-	crashes uint32
-	poison  bool
-	expires time.Time
+// Isolator is the table of suspect and poison requests and parts. It is not safe for concurrent use.
+type Isolator struct {
+	settings Settings
+	suspects map[uint64]*suspect
+	crashes  map[uint64]*crash
+	sound    *soundParts
+	// trials holds, by request, the poison that the request tests after its retention.
+	trials map[string][]*suspect
 }
 
 // New returns an empty table.
 func New(settings Settings) *Isolator {
-	return &Isolator{settings: settings, entries: make(map[uint64]*entry)}
+	return &Isolator{
+		settings: settings, suspects: make(map[uint64]*suspect), crashes: make(map[uint64]*crash),
+		sound: newSoundParts(max(1, settings.MaxEntries)), trials: make(map[string][]*suspect),
+	}
 }
 
-// State returns the state of a fingerprint. Fingerprint 0 means unknown and is always Clear.
-func (i *Isolator) State(now time.Time, fingerprint uint64) State {
-	e := i.entries[fingerprint]
+// State returns the state of a fingerprint or part. 0 means unknown and is always Clear.
+func (i *Isolator) State(now time.Time, trait uint64) State {
+	s := i.find(now, trait)
 	switch {
-	case e == nil || fingerprint == 0 || !now.Before(e.expires):
+	case s == nil:
 		return Clear
-	case e.poison:
+	case s.refused(now):
 		return Poison
-	case i.settings.CrashLimit > 0:
+	case s.part || s.poison || i.settings.CrashLimit > 0 || len(s.blamedRuns()) == 0:
 		return Clear
 	}
 	return Suspect
 }
 
-// RecordCrash records that an engine crashed while the request was in flight; alone means that no other request ran on
-// it. Without a CrashLimit, only a crash while alone makes a request poison, so that a harmless request is never
-// refused because of the requests that it ran with. It returns the number of crashes recorded for the fingerprint.
-func (i *Isolator) RecordCrash(now time.Time, fingerprint uint64, alone bool) uint32 {
-	if fingerprint == 0 {
-		return 0
-	}
-	e := i.entries[fingerprint]
-	if e == nil || !now.Before(e.expires) {
-		e = &entry{}
-		i.add(fingerprint, e)
-	}
-	e.crashes++
-	e.poison = e.poison || alone || i.crashLimitReached(e)
-	i.extendExpiry(e, now)
-	return e.crashes
+// Run is a request that was lost in the crash of its engine.
+type Run struct {
+	Traits
+	GrantedAt time.Time
+	// Begun is set if the engine had sent more of the answer than its first event.
+	Begun bool
+	// Alone is set if no other request ran on the engine.
+	Alone bool
 }
 
-func (i *Isolator) crashLimitReached(e *entry) bool {
-	return i.settings.CrashLimit > 0 && int(e.crashes) >= i.settings.CrashLimit
+// Crash is one crash of an engine. At is when its requests were lost.
+type Crash struct {
+	ID uint64
+	At time.Time
 }
 
-// extendExpiry prolongs the retention of an entry, counted from now.
-func (i *Isolator) extendExpiry(e *entry, now time.Time) {
-	retention := i.settings.SuspectRetention
-	if e.poison {
-		retention = i.settings.PoisonRetention
+// RecordCrash records that an engine crashed while it ran the request, and returns the fingerprints and parts whose state
+// may have changed. Without a CrashLimit, only a crash while alone makes a request poison, so that a harmless request is
+// never refused because of the requests that it ran with.
+func (i *Isolator) RecordCrash(now time.Time, c Crash, run Run) (changed []uint64) {
+	known := i.recordedCrash(now, c)
+	request := i.blame(now, known, run.Fingerprint, false, run)
+	if !run.Begun && i.settings.PartCrashLimit > 0 {
+		for _, part := range run.Parts {
+			i.blame(now, known, part, true, run)
+		}
+	}
+	changed = i.convictParts(now)
+	if request == nil {
+		return changed
 	}
-	if expires := now.Add(retention); expires.After(e.expires) {
-		e.expires = expires
+	crashes := len(request.blamedRuns())
+	if run.Alone || i.settings.CrashLimit > 0 && crashes >= i.settings.CrashLimit {
+		i.convict(now, request, nil)
 	}
+	return append(changed, run.Fingerprint)
 }
 
-// ClearSuspicion removes a suspect whose request was answered while running alone. Poison requests are kept.
-func (i *Isolator) ClearSuspicion(fingerprint uint64) {
-	if e := i.entries[fingerprint]; e != nil && !e.poison {
-		delete(i.entries, fingerprint)
+// blame adds a crash to a suspect. It returns nil if the trait is unknown.
+func (i *Isolator) blame(now time.Time, c *crash, trait uint64, part bool, run Run) *suspect {
+	if trait == 0 {
+		return nil
+	}
+	s := i.findOrAdd(now, trait, part)
+	s.addRun(lostRun{crash: c, grantedAt: run.GrantedAt, fingerprint: run.Fingerprint})
+	s.local = true
+	switch {
+	case !s.poison:
+		s.expires = now.Add(i.settings.SuspectRetention)
+	case s.probation:
+		i.convict(now, s, s.together)
 	}
+	c.explained = c.explained || part && s.refused(now) && s.in(run.Traits)
+	return s
 }
 
-// Merge adds entries from other routers. An expiry later than a local entry could have is shortened, so that a wrong
-// clock on another router can't keep a request poison permanently.
-func (i *Isolator) Merge(now time.Time, convictions []*protocol.Conviction) {
-	for _, c := range convictions {
-		expires := time.UnixMilli(c.GetExpiresUnixMs())
-		retention := i.settings.SuspectRetention
-		if c.GetConvicted() {
-			retention = i.settings.PoisonRetention
-		}
-		if limit := now.Add(retention); expires.After(limit) {
-			expires = limit
-		}
-		if c.GetFingerprint() == 0 || !now.Before(expires) {
-			continue
-		}
-		e := i.entries[c.GetFingerprint()]
-		if e == nil || !now.Before(e.expires) {
-			e = &entry{}
-			i.add(c.GetFingerprint(), e)
-		}
-		e.crashes = max(e.crashes, c.GetCrashes())
-		e.poison = e.poison || c.GetConvicted()
-		if expires.After(e.expires) {
-			e.expires = expires
+// RecordBegun records that an engine began to answer a request with the parts, and therefore doesn't crash on any of them.
+// It returns the parts whose state may have changed.
+func (i *Isolator) RecordBegun(now, grantedAt time.Time, parts []uint64) (changed []uint64) {
+	cleared := false
+	for _, part := range parts {
+		i.sound.record(part, grantedAt)
+		if s := i.find(now, part); s != nil && i.clearBefore(now, s, grantedAt) {
+			cleared = true
 		}
 	}
+	if cleared {
+		return i.convictParts(now)
+	}
+	return nil
 }
 
-// List returns the entries that haven't expired, for gossip, and removes the others.
-func (i *Isolator) List(now time.Time) []*protocol.Conviction {
-	var list []*protocol.Conviction
-	for fingerprint, e := range i.entries {
-		if !now.Before(e.expires) {
-			delete(i.entries, fingerprint)
-			continue
-		}
-		list = append(list, &protocol.Conviction{Fingerprint: fingerprint, Crashes: e.crashes,
-			ExpiresUnixMs: e.expires.UnixMilli(), Convicted: e.poison})
+// RecordAnswer records that an engine answered a request completely. Poison requests stay refused during their retention.
+func (i *Isolator) RecordAnswer(now, grantedAt time.Time, fingerprint uint64) {
+	if s := i.find(now, fingerprint); s != nil && !s.refused(now) {
+		i.clearBefore(now, s, grantedAt)
+	}
+}
+
+// clearBefore clears a suspect of the crashes of runs that were granted no later than a run that went well, and ends poison
+// to which no crash is left. It reports whether any crash was cleared.
+func (i *Isolator) clearBefore(now time.Time, s *suspect, grantedAt time.Time) bool {
+	if !grantedAt.After(s.soundAt) {
+		return false
+	}
+	before := len(s.blamedRuns())
+	s.soundAt = grantedAt
+	if s.poison && s.refuted() {
+		i.endPoison(now, s)
 	}
-	return list
+	return len(s.blamedRuns()) < before
 }
 
-// add inserts an entry. In a full table it first evicts the entry that expires first, suspects before poison requests.
-func (i *Isolator) add(fingerprint uint64, e *entry) {
-	if len(i.entries) >= max(1, i.settings.MaxEntries) {
-		var evicted uint64
-		var candidate *entry
-		for f, other := range i.entries {
-			if candidate == nil || (candidate.poison && !other.poison) ||
-				(candidate.poison == other.poison && other.expires.Before(candidate.expires)) {
-				evicted, candidate = f, other
-			}
+// Retract removes a crash that turned out to be none. What is poison already stays so.
+func (i *Isolator) Retract(id uint64) {
+	c := i.crashes[id]
+	if c == nil {
+		return
+	}
+	delete(i.crashes, id)
+	for _, s := range i.suspects {
+		if !s.poison && s.dropCrash(c) && len(s.runs) == 0 {
+			delete(i.suspects, s.trait)
 		}
-		delete(i.entries, evicted)
 	}
-	i.entries[fingerprint] = e
 }
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -23,9 +23,9 @@
 	SizeDeclared bool
 	// OutputEstimate is the caller's estimate of the output length in tokens; 0 if it sent none.
 	OutputEstimate int
-	// PromptParts identifies the parts of the prompt that other requests may share, in order. It is empty if the caller
+	// PromptParts are hashes of the parts of the prompt that other requests may share, in order. It is empty if the caller
 	// declared none.
-	PromptParts []string
+	PromptParts []uint64
 }
 
 // ForwardMetadata holds what the headers of a forwarded request tell the upstream.
--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -37,6 +37,7 @@
 			StragglerCap:            0.34,
 			SuspectRetention:        10 * time.Minute,
 			PoisonRetention:         time.Hour,
+			PoisonPartCrashes:       3,
 			PoisonEntries:           4096,
 			ProbeAfter:              5 * time.Second,
 			RetryBudget:             0.2,
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -67,6 +67,9 @@
 	// PoisonCrashes is the number of crashes after which a request is refused. With 0, suspects run alone instead, and
 	// one crash then suffices.
 	PoisonCrashes int `yaml:"poison_crashes" unit:"crashes" min:"0" max:"100" help:"crashes after which a request is refused; 0 means that suspects run alone and one crash then suffices"`
+	// PoisonPartCrashes is the number of crashes of unlike requests after which requests are refused because of a part of
+	// their prompts that they have in common.
+	PoisonPartCrashes int `yaml:"poison_part_crashes" unit:"crashes" min:"0" max:"100" help:"crashes after which requests are refused because of a part of their prompts that they have in common; 0 means never"`
 	// ProbeAfter is the time until an excluded engine is probed with a request; it doubles with each failure.
 	ProbeAfter time.Duration `yaml:"probe_after" unit:"duration" min:"10ms" max:"1m" help:"time until an engine that was taken out is tried again"`
 	// RetryBudget is the share of a workspace's requests that may be retries.
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -18,32 +18,83 @@
 	evidencePollFailed  crashEvidence = "load report failed"
 	evidenceRestart     crashEvidence = "restart"
 	evidenceUnreachable crashEvidence = "a holder could not connect"
+	evidenceRemoved     crashEvidence = "registration ended"
 	// evidenceEarlier is for runs whose loss is reported after the evidence of the crash.
 	evidenceEarlier crashEvidence = "earlier evidence"
 )
 
 // lostRun is a request whose connection to the engine broke.
 type lostRun struct {
-	requestID   string
-	fingerprint uint64
-	at          time.Time
-	alone       bool
+	isolator.Run
+	requestID string
+	at        time.Time
 }
 
-// recordCrashEvidence records that a load report failed or showed a restart. Requests that were lost shortly before
-// become suspects; those in flight become suspects when their loss is reported.
+// engineCrash is the latest crash of an engine.
+type engineCrash struct {
+	isolator.Crash
+	// open is set from openedAt, the time of the first evidence, until the engine is seen alive again. Further evidence is
+	// of the same crash.
+	open     bool
+	openedAt time.Time
+	// number distinguishes the crashes of an engine whose load reports don't show its restarts.
+	number int
+}
+
+// traits returns what a ticket's request may have in common with others that crash engines. Without parts, the prefixes of
+// the prompt stand for them; the longest one belongs to the request itself.
+func traits(ticket *protocol.Ticket) isolator.Traits {
+	parts := ticket.GetParts()
+	if prefixes := ticket.GetPrefixHashes(); len(parts) == 0 && len(prefixes) > 0 {
+		parts = prefixes[:len(prefixes)-1]
+	}
+	return isolator.Traits{Fingerprint: ticket.GetFingerprint(), Parts: parts}
+}
+
+// openCrash returns the crash that new evidence belongs to.
+func (e *engine) openCrash(now time.Time) isolator.Crash {
+	if !e.crash.open {
+		at := now
+		if len(e.lost) > 0 {
+			at = e.lost[len(e.lost)-1].at
+		}
+		id := isolator.Fingerprint(nil, e.info.Name, e.instance, strconv.Itoa(e.crash.number))
+		e.crash.Crash, e.crash.open, e.crash.openedAt = isolator.Crash{ID: id, At: at}, true, now
+	}
+	return e.crash.Crash
+}
+
+// closeCrash ends the latest crash, since the engine is alive. The next evidence is of another one.
+func (e *engine) closeCrash() {
+	if e.crash.open {
+		e.crash.open = false
+		e.crash.number++
+	}
+}
+
+// expireLost drops the lost runs that are too old to belong to a crash that is noticed now.
+func (e *engine) expireLost(now time.Time) {
+	e.lost = slices.DeleteFunc(e.lost, func(l lostRun) bool { return now.Sub(l.at) > e.settings.CrashWindow })
+}
+
+// recordCrashEvidence records that a load report failed or showed a restart, or that the registration of the engine ended.
+// Requests that were lost shortly before become suspects; those in flight become suspects when their loss is reported.
 func (s *Scheduler) recordCrashEvidence(e *engine, now time.Time, evidence crashEvidence) {
+	e.expireLost(now)
 	e.crashEvidenceAt = now
+	crash := e.openCrash(now)
 	for _, l := range e.lost {
-		if now.Sub(l.at) <= s.settings.CrashWindow {
-			s.markSuspect(now, e, l, evidence)
-		}
+		s.recordCrashedRun(now, e, crash, l, evidence)
+	}
+	if len(e.lost) > 0 {
+		s.logCrash(e, crash, evidence, len(e.lost))
 	}
-	e.lost = e.lost[:0]
+	e.lost = nil
 	if evidence == evidenceRestart {
 		for _, r := range e.granted {
 			r.crashed = true
 		}
+		e.closeCrash()
 	}
 }
 
@@ -51,50 +102,103 @@
 // load report fails. The cause may also be the holder's network, so requests that were lost shortly before become
 // suspects, but one that ran alone becomes poison only after a failed load report or a restart.
 func (s *Scheduler) recordUnreachable(e *engine, now time.Time) {
+	e.expireLost(now)
+	before := len(e.lost)
 	e.lost = slices.DeleteFunc(e.lost, func(l lostRun) bool {
-		if l.alone || now.Sub(l.at) > s.settings.CrashWindow {
+		if l.Alone {
 			return false
 		}
-		s.markSuspect(now, e, l, evidenceUnreachable)
+		s.recordCrashedRun(now, e, e.openCrash(now), l, evidenceUnreachable)
 		return true
 	})
+	if lost := before - len(e.lost); lost > 0 {
+		s.logCrash(e, e.crash.Crash, evidenceUnreachable, lost)
+	}
+}
+
+func (s *Scheduler) logCrash(e *engine, crash isolator.Crash, evidence crashEvidence, lost int) {
+	s.logger.Info("upstream taken for crashed", zap.String("pool", s.pool), zap.String("upstream", e.info.Name),
+		zap.String("evidence", string(evidence)), zap.Int("lost_runs", lost), hexField("crash", crash.ID))
+}
+
+// recordAlive records that the engine answers and is still the instance that it was, so that its lost connections weren't
+// caused by a crash.
+func (s *Scheduler) recordAlive(e *engine) {
+	e.lost, e.crashEvidenceAt = nil, time.Time{}
+	if e.crash.open {
+		s.isolator.Retract(e.crash.ID)
+		e.closeCrash()
+	}
+}
+
+// recordRemovals takes the end of an engine's registration for evidence of a crash if requests were lost before it. An
+// engine that leaves as planned loses none until then.
+func (s *Scheduler) recordRemovals(now time.Time, engines []EngineInfo) {
+	for name, e := range s.engines.byName {
+		kept := slices.ContainsFunc(engines, func(info EngineInfo) bool { return info.Name == name })
+		if !kept && !e.removed && len(e.lost) > 0 {
+			s.recordCrashEvidence(e, now, evidenceRemoved)
+		}
+	}
 }
 
 // observeLoss handles a connection to the engine that broke during a request. A broken connection counts as a crash
-// only together with a restart or a failed load report of the engine.
+// only together with further evidence. Engines that leave end their connections without a crash.
 func (s *Scheduler) observeLoss(now time.Time, e *engine, r *request, release *protocol.Release) {
-	l := lostRun{requestID: release.GetRequestId(), fingerprint: release.GetFingerprint(), at: now}
+	if e.leaving || e.draining || e.removed {
+		return
+	}
+	l := lostRun{requestID: release.GetRequestId(), at: now}
+	l.Fingerprint, l.GrantedAt, l.Begun = release.GetFingerprint(), now, release.GetBegun()
 	recent := !e.crashEvidenceAt.IsZero() && now.Sub(e.crashEvidenceAt) <= s.settings.CrashWindow
 	if r != nil {
-		l.fingerprint, l.alone = r.ticket.GetFingerprint(), r.alone
+		l.Traits, l.GrantedAt, l.Alone = traits(r.ticket), r.grantedAt, r.alone
 		recent = recent && !r.grantedAt.After(e.crashEvidenceAt) || r.crashed
 	}
 	if recent {
-		s.markSuspect(now, e, l, evidenceEarlier)
+		s.recordCrashedRun(now, e, e.crash.Crash, l, evidenceEarlier)
 		return
 	}
-	for len(e.lost) > 0 && now.Sub(e.lost[0].at) > s.settings.CrashWindow {
-		e.lost = e.lost[1:]
-	}
+	e.expireLost(now)
 	e.lost = append(e.lost, l)
 }
 
-// markSuspect records a crash during the request and applies the new state to queued tickets with the same fingerprint.
-func (s *Scheduler) markSuspect(now time.Time, e *engine, l lostRun, evidence crashEvidence) {
+// recordCrashedRun records a crash during a request and applies the new states to the queued tickets.
+func (s *Scheduler) recordCrashedRun(now time.Time, e *engine, crash isolator.Crash, l lostRun, evidence crashEvidence) {
 	s.counters.CrashedRuns++
-	crashes := s.isolator.RecordCrash(now, l.fingerprint, l.alone)
-	s.logger.Info("run suspected of a crash", zap.String("request_id", l.requestID), zap.String("pool", s.pool),
-		zap.String("upstream", e.info.Name), zap.String("evidence", string(evidence)), zap.Duration("lost_for", now.Sub(l.at)),
-		zap.String("fingerprint", strconv.FormatUint(l.fingerprint, 16)), zap.Uint32("crashes", crashes),
-		zap.Bool("poison", s.isolator.State(now, l.fingerprint) == isolator.Poison))
-	s.reclassify(now, map[uint64]bool{l.fingerprint: true})
+	if !l.Begun {
+		s.logger.Info("run suspected of a crash", zap.String("request_id", l.requestID), zap.String("pool", s.pool),
+			zap.String("upstream", e.info.Name), zap.String("evidence", string(evidence)), zap.Duration("lost_for", now.Sub(l.at)),
+			hexField("fingerprint", l.Fingerprint), hexFields("parts", l.Parts), hexField("crash", crash.ID))
+	}
+	s.applyStates(now, s.isolator.RecordCrash(now, crash, l.Run))
+}
+
+// recordBegun records that the engine began to answer the request, and whether it completed the answer.
+func (s *Scheduler) recordBegun(now time.Time, e *engine, r *request, complete bool) {
+	if !r.grantedAt.Before(e.crash.openedAt) {
+		e.closeCrash()
+	}
+	t := traits(r.ticket)
+	s.applyStates(now, s.isolator.RecordBegun(now, r.grantedAt, t.Parts))
+	if complete {
+		s.isolator.RecordAnswer(now, r.grantedAt, t.Fingerprint)
+	}
 }
 
-// reclassify handles the queued tickets of requests that became suspect or poison, or are no longer: it moves the
-// tickets to the queue of their new class, or refuses them.
-func (s *Scheduler) reclassify(now time.Time, fingerprints map[uint64]bool) {
+// applyStates handles the queued tickets of requests whose state has changed: it moves the tickets to the queue of their
+// new class, or refuses them.
+func (s *Scheduler) applyStates(now time.Time, changed []uint64) {
+	if len(changed) == 0 {
+		return
+	}
+	for _, trait := range changed {
+		if s.isolator.State(now, trait) == isolator.Poison {
+			s.logger.Warn("requests refused as poison", zap.String("pool", s.pool), hexField("trait", trait))
+		}
+	}
 	for _, r := range s.requests {
-		if r.workQueue == nil || !fingerprints[r.ticket.GetFingerprint()] {
+		if r.workQueue == nil || !hasAny(traits(r.ticket), changed) {
 			continue
 		}
 		s.dequeue(r)
@@ -107,33 +211,43 @@
 	}
 }
 
-// refuseIfPoison refuses a poison request and reports whether it did.
+func hasAny(t isolator.Traits, changed []uint64) bool {
+	return slices.Contains(changed, t.Fingerprint) ||
+		slices.ContainsFunc(t.Parts, func(part uint64) bool { return slices.Contains(changed, part) })
+}
+
+// refuseIfPoison refuses a request that is poison or has a poison part, and reports whether it did.
 func (s *Scheduler) refuseIfPoison(r *request, now time.Time) bool {
-	if s.isolator.State(now, r.ticket.GetFingerprint()) != isolator.Poison {
+	t := traits(r.ticket)
+	verdict := s.isolator.Admit(now, r.ticket.GetRequestId(), t)
+	if verdict.Trait == 0 {
 		return false
 	}
-	s.refuse(r, CodePoison, "the request crashed an engine while it ran alone", 0)
+	message := "the request crashes engines"
+	if verdict.Trait != t.Fingerprint {
+		message = "part " + strconv.FormatUint(verdict.Trait, 16) + " of the prompt crashes engines"
+	}
+	s.refuse(r, CodePoison, message, verdict.RetryAfter)
 	return true
 }
 
-// AddConvictions merges suspect and poison requests received by gossip from another router.
+// AddConvictions merges suspect and poison requests and parts received by gossip from another router.
 func (s *Scheduler) AddConvictions(now time.Time, convictions []*protocol.Conviction) {
 	s.recordInput(now)
-	before := make(map[uint64]isolator.State, len(convictions))
-	for _, c := range convictions {
-		before[c.GetFingerprint()] = s.isolator.State(now, c.GetFingerprint())
-	}
-	s.isolator.Merge(now, convictions)
-	changed := make(map[uint64]bool)
-	for fingerprint, state := range before {
-		if s.isolator.State(now, fingerprint) != state {
-			changed[fingerprint] = true
-		}
-	}
-	if len(changed) > 0 {
-		s.reclassify(now, changed)
-	}
+	s.applyStates(now, s.isolator.Merge(now, convictions))
 }
 
-// Convictions returns the suspect and poison requests to gossip.
+// Convictions returns the suspect and poison requests and parts to gossip.
 func (s *Scheduler) Convictions(now time.Time) []*protocol.Conviction { return s.isolator.List(now) }
+
+func hexField(name string, value uint64) zap.Field {
+	return zap.String(name, strconv.FormatUint(value, 16))
+}
+
+func hexFields(name string, values []uint64) zap.Field {
+	texts := make([]string, len(values))
+	for i, value := range values {
+		texts[i] = strconv.FormatUint(value, 16)
+	}
+	return zap.Strings(name, texts)
+}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -76,6 +76,7 @@
 	// lost holds requests whose connection broke recently, without evidence of a crash so far.
 	lost            []lostRun
 	crashEvidenceAt time.Time
+	crash           engineCrash
 	// removed is set when the engine has left the cell; the engine is kept until its requests have ended.
 	removed bool
 
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -29,13 +29,18 @@
 		return
 	}
 	e.failedPolls = 0
+	if e.instance != "" && report.Instance == e.instance {
+		s.recordAlive(e)
+	}
 	if e.instance != "" && report.Instance != e.instance {
 		s.recordCrashEvidence(e, now, evidenceRestart)
 		s.engines.prefixes.clear(e)
 		s.engines.probe(e, now)
 		e.recordReason(now, "the engine restarted")
 	}
-	e.instance = report.Instance
+	if e.instance != report.Instance {
+		e.instance, e.crash.number = report.Instance, 0
+	}
 	if e.down {
 		e.down = false
 		s.engines.probe(e, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -100,6 +100,7 @@
 // SetEngines replaces the engines of the cell.
 func (s *Scheduler) SetEngines(now time.Time, engines []EngineInfo) {
 	s.recordInput(now)
+	s.recordRemovals(now, engines)
 	s.engines.replace(engines)
 }
 
@@ -220,6 +221,7 @@
 	r.allowanceCharge = 0
 	s.engines.unreserve(r)
 	id := r.ticket.GetRequestId()
+	s.isolator.EndTrial(s.engines.now, id)
 	if s.requests[id] == r {
 		delete(s.requests, id)
 	}
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -128,7 +128,7 @@
 		CrashWindow:     5 * time.Second,
 		NoUpstreamAfter: 15 * time.Second,
 		Isolation: isolator.Settings{
-			SuspectRetention: 10 * time.Minute, PoisonRetention: time.Hour, MaxEntries: 4096,
+			SuspectRetention: 10 * time.Minute, PoisonRetention: time.Hour, MaxEntries: 4096, PartCrashLimit: 3,
 		},
 		RetryAfterMin: 200 * time.Millisecond,
 		RetryAfterMax: 60 * time.Second,
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -184,6 +184,10 @@
 	if e == nil {
 		return
 	}
+	answered := release.GetKind() == protocol.ReleaseKind_RELEASE_KIND_ANSWERED
+	if r != nil && (answered || release.GetBegun()) {
+		s.recordBegun(now, e, r, answered)
+	}
 	switch release.GetKind() {
 	case protocol.ReleaseKind_RELEASE_KIND_FAILED:
 		e.consecutiveLosses = 0
@@ -191,9 +195,6 @@
 		e.consecutiveLosses = 0
 		s.engines.connections.recordIdle(holder, e, now)
 		s.observeRun(now, e, r, release)
-		if r != nil && r.alone {
-			s.isolator.ClearSuspicion(r.ticket.GetFingerprint())
-		}
 	case protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.observeLoss(now, e, r, release)
 		s.engines.recordLoss(e, now)
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -47,7 +47,7 @@
 	result.ProbeAfter = settings.ProbeAfter
 	result.Isolation = isolator.Settings{
 		SuspectRetention: settings.SuspectRetention, PoisonRetention: settings.PoisonRetention, MaxEntries: settings.PoisonEntries,
-		CrashLimit: settings.PoisonCrashes,
+		CrashLimit: settings.PoisonCrashes, PartCrashLimit: settings.PoisonPartCrashes,
 	}
 	result.LimitWait = settings.LimitWait
 	result.Retries = limiter.RetryBudgetSettings{
