Push convictions to all members at once

Cause: a conviction reached the other routers by the regular probes, one a second, which takes several seconds with many routers. A scheduler of another cell, or one that takes over, let more engines crash meanwhile. Test: TestConvictionIsPushed, 30 members in virtual time: all know within 100 ms; without the push some don't.

--- a/internal/detector/conviction.go
+++ b/internal/detector/conviction.go
@@ -19,7 +19,7 @@
 const maxCrashIDs = 8
 
 // mergeConvictions merges convictions into the table. It keeps the larger crash count and the later expiry, and a
-// convicted fingerprint stays convicted.
+// convicted fingerprint stays convicted. Fingerprints that become convicted are pushed to other members.
 func (t *table) mergeConvictions(now time.Time, convictions []*protocol.Conviction) {
 	for _, c := range convictions {
 		if c.GetExpiresUnixMs() <= now.UnixMilli() {
@@ -30,6 +30,9 @@
 		if proto.Equal(merged, known) {
 			continue
 		}
+		if merged.GetConvicted() && (!known.GetConvicted() || len(merged.GetTogether()) < len(known.GetTogether())) {
+			t.push = true
+		}
 		if known == nil && len(t.convictions) >= maxConvictions {
 			t.dropConviction(t.firstExpiringConviction())
 		}
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -24,6 +24,8 @@
 	probeOrder  []string
 	subscribers map[int]func(*View)
 	nextID      int
+	// pushes is signalled when the newest deltas are to be pushed to other members.
+	pushes chan struct{}
 }
 
 // New returns a detector whose own member is in state joining. Run starts it.
@@ -34,6 +36,7 @@
 		transport:   transport,
 		table:       newTable(settings, time.Now()),
 		subscribers: make(map[int]func(*View)),
+		pushes:      make(chan struct{}, 1),
 	}
 	d.update(func(time.Time, *table) {})
 	return d
@@ -119,6 +122,13 @@
 func (d *Detector) update(change func(now time.Time, t *table)) {
 	d.mu.Lock()
 	change(time.Now(), d.table)
+	if d.table.push {
+		d.table.push = false
+		select {
+		case d.pushes <- struct{}{}:
+		default:
+		}
+	}
 	if !d.table.changed {
 		d.mu.Unlock()
 		return
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -228,3 +228,21 @@
 		}
 	})
 }
+
+// TestConvictionIsPushed guards against members that learn of a conviction, or of one that holds without other parts from
+// now on, only seconds after it was made. Their schedulers would let more engines crash.
+func TestConvictionIsPushed(t *testing.T) {
+	runWithNetwork(t, 30, func(t *testing.T, n *network) {
+		expires := time.Now().Add(time.Minute).UnixMilli()
+		for _, together := range [][]uint64{{8}, nil} {
+			n.members["m4"].AddConvictions([]*protocol.Conviction{
+				{Fingerprint: 9, Part: true, Convicted: true, Together: together, ExpiresUnixMs: expires},
+			})
+			time.Sleep(100 * time.Millisecond)
+			for name, d := range n.members {
+				assert.Assert(t, len(d.View().Convictions) == 1, "as seen by %s", name)
+				assert.DeepEqual(t, d.View().Convictions[0].GetTogether(), together)
+			}
+		}
+	})
+}
--- a/internal/detector/probe.go
+++ b/internal/detector/probe.go
@@ -36,6 +36,9 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-d.pushes:
+			group.Go(func() error { d.pushDeltas(ctx); return nil })
+			continue
 		case <-ticker.C:
 		}
 		var suspected []string
--- a/internal/detector/table.go
+++ b/internal/detector/table.go
@@ -44,6 +44,8 @@
 	newestOffset int64
 	started      time.Time
 	lastTick     time.Time
+	// push is set when other members are to be notified at once.
+	push bool
 	// changed is set by every change that is visible in a view.
 	changed bool
 }
