Poll an engine at once when a connection to it breaks

Cause: the evidence of a crash came with the next regular poll or with the next connection, up to a second after the loss. Until then the scheduler granted more requests to engines that crash one after the other. Change: a lost run makes the next poll of its engine come at once, at most every 200 ms, and what the scheduler finds is shared with the other routers without waiting for the next refresh. Test: TestPollAfterLostConnection.

--- a/internal/runner/cell_test.go
+++ b/internal/runner/cell_test.go
@@ -78,6 +78,26 @@
 	})
 }
 
+// TestPollAfterLostConnection guards against a crash that is noticed only with the next regular poll, and against a poll for
+// each of many connections that break at once.
+func TestPollAfterLostConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 1, newFakeCatalogue(20, "chat"))
+		n := tc.nodes["a"]
+		time.Sleep(337 * time.Millisecond)
+		requests := waitGranted(t, n.submit("chat", 0, 20))
+		var before, after fifo
+		n.inspect(func(f *fifo) { before = f.copy() })
+		for _, r := range requests {
+			n.ticketer.Release(&protocol.Release{RequestId: r.id, Kind: protocol.ReleaseKind_RELEASE_KIND_LOST})
+			time.Sleep(minPollInterval / 25)
+		}
+		n.inspect(func(f *fifo) { after = f.copy() })
+		polls := after.loads["chat-engine"] - before.loads["chat-engine"]
+		assert.Assert(t, polls >= 1 && polls <= 2, "%d polls", polls)
+	})
+}
+
 // TestDeferredTickets guards against a new router that refuses tickets because it may grant only one router's part of the
 // allowances, although it learns of the other routers a moment later. It also guards against tickets that wait too long
 // for routers that never appear.
--- a/internal/runner/engine.go
+++ b/internal/runner/engine.go
@@ -15,6 +15,8 @@
 const (
 	// pollInterval is the time between load reports of one engine.
 	pollInterval = time.Second
+	// minPollInterval is the time between two polls of an engine whose connections break one after the other.
+	minPollInterval = 200 * time.Millisecond
 	// pollTimeout bounds one poll. It is shorter than pollInterval, so that each poll of a hung engine is reported as
 	// failed before the next one.
 	pollTimeout = 800 * time.Millisecond
@@ -27,6 +29,8 @@
 	// cancel ends the polling; nil while the engine isn't polled.
 	cancel  context.CancelFunc
 	leaving bool
+	// suspicious is signalled when a connection to the engine broke, so that its next poll comes at once.
+	suspicious chan struct{}
 	// reported is set after the first poll, whether it succeeded or not. It is set from the start for an engine that
 	// isn't polled.
 	reported bool
@@ -54,7 +58,7 @@
 		if c.engines[name] != nil {
 			continue
 		}
-		c.engines[name] = &engine{address: u.Address, protocol: pool.Protocol, reported: true}
+		c.engines[name] = &engine{address: u.Address, protocol: pool.Protocol, reported: true, suspicious: make(chan struct{}, 1)}
 	}
 	c.startPolling()
 }
@@ -150,6 +154,7 @@
 	var after uint64
 	var instance string
 	for {
+		polledAt := time.Now()
 		report, err := c.pollLoad(ctx, client, name, e)
 		if err == nil && report.Instance != instance {
 			// A restarted engine numbers its cache events from the start again.
@@ -162,10 +167,37 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-e.suspicious:
+			if !sleep(ctx, time.Until(polledAt.Add(minPollInterval))) {
+				return
+			}
 		}
 	}
 }
 
+// sleep waits for a duration. It returns false if ctx ends before.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// pollSoon makes the next poll of an engine come at once. It does nothing for an engine that has left the cell.
+func (e *engine) pollSoon() {
+	if e == nil {
+		return
+	}
+	select {
+	case e.suspicious <- struct{}{}:
+	default:
+	}
+}
+
 func (c *cell) pollLoad(ctx context.Context, client pollClient, name string, e *engine) (kernel.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
--- a/internal/runner/holder.go
+++ b/internal/runner/holder.go
@@ -163,6 +163,7 @@
 	if h == nil {
 		return
 	}
+	lost := false
 	for _, release := range releases {
 		r, known := h.records[release.GetRequestId()]
 		if !known || !r.granted || r.attempt != release.GetAttempt() {
@@ -171,6 +172,13 @@
 		delete(h.records, release.GetRequestId())
 		c.scheduler.Release(now, s.holder, release)
 		c.withdraw(now, s.holder, release)
+		if release.GetKind() == protocol.ReleaseKind_RELEASE_KIND_LOST {
+			c.engines[release.GetEngine()].pollSoon()
+			lost = true
+		}
+	}
+	if lost {
+		c.shareConvictions(now)
 	}
 }
 
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -34,11 +34,16 @@
 		c.convictions = view.Convictions
 		c.scheduler.AddConvictions(now, view.Convictions)
 	}
+	c.shareConvictions(now)
+	c.resign(view)
+	c.updateShare(now)
+}
+
+// shareConvictions tells the other routers which requests and parts of prompts are suspect or poison here.
+func (c *cell) shareConvictions(now time.Time) {
 	if found := c.scheduler.Convictions(now); len(found) > 0 {
 		c.runner.options.Members.AddConvictions(found)
 	}
-	c.resign(view)
-	c.updateShare(now)
 }
 
 // resign tells the holders to switch to the next rank once this router is leaving. It tells all of them at the same time,
