Test that refuted crashes and planned ends leave no suspects

Change: five rows of TestCrashEvidence. Without the retraction, without the reset of the evidence, or without the exemption, one or two of them fail.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -34,6 +34,8 @@
 	}
 	alone := func(c *cell) { c.requests["r1"].alone = true }
 	late := func(c *cell) { c.now = c.now.Add(time.Minute) }
+	leave := func(c *cell) { c.SetLeaving(c.now, "e0", true) }
+	remove := func(c *cell) { c.SetEngines(c.now, nil) }
 	cases := []struct {
 		name  string
 		steps []func(*cell)
@@ -52,6 +54,11 @@
 		{"restart long after", []func(*cell){lose, late, restart}, isolator.Clear},
 		{"lost long after a failed report", []func(*cell){fail, late, lose}, isolator.Clear},
 		{"failed report, answered", []func(*cell){fail, answer}, isolator.Clear},
+		{"lost, unreachable, but still the same instance", []func(*cell){lose, unreachable, same}, isolator.Clear},
+		{"still the same instance, then a failed report", []func(*cell){lose, same, fail}, isolator.Clear},
+		{"lost while leaving, then restart", []func(*cell){leave, lose, restart}, isolator.Clear},
+		{"lost, then registration ended", []func(*cell){lose, remove}, isolator.Suspect},
+		{"registration ended, then lost", []func(*cell){remove, lose}, isolator.Clear},
 	}
 	for _, k := range cases {
 		c := newTestCell(1, 4, nil)
