Close a connection on which an extra answer came, whatever its keep-alive time

Callers saw: nothing so far. A connection on which an upstream had written an extra answer was meant to serve no other request, since more of them may follow, but a Keep-Alive header of the next answer made it usable again. Cause: 'must not be reused' was stored as an idle limit of 0, which the header replaced. The class: one field for two meanings. Change: a field of its own. Test: a row of TestAnswers, in which the third request was lost on the connection before.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -23,6 +23,8 @@
 	counter *countingConn
 	// reused is set if an earlier request was answered on the connection.
 	reused bool
+	// closing is set if the connection must not be used for another request.
+	closing bool
 	// The connection expires once it has been idle for idleLimit, counted from idleSince.
 	idleSince time.Time
 	idleLimit time.Duration
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -120,6 +120,10 @@
 		{"extra answer before the next request", []script{answering(reply("1", "a") + reply("1", "x")), answering(reply("2", "b"))},
 			[]string{"a", "b"}, 2},
 		{"extra answer during the next request is skipped", []script{answering(reply("1", "a"), reply("1", "x")+reply("2", "b"))}, []string{"a", "b"}, 1},
+		{"connection with an extra answer is closed, whatever its keep-alive time", []script{
+			answering(reply("1", "a"), reply("1", "x")+"HTTP/1.1 200 OK\r\nRequest: 2\r\nKeep-Alive: timeout=9\r\nContent-Length: 1\r\n\r\nb"),
+			answering(reply("3", "c")),
+		}, []string{"a", "b", "c"}, 2},
 		{"only answers to other requests", []script{answering(reply("1", "a"), strings.Repeat(reply("1", "x"), 3))}, []string{"a", "lost"}, 1},
 		{"answer without request ID on a reused connection", []script{answering(reply("1", "a"), reply("", "x"))}, []string{"a", "lost"}, 1},
 		{"answer without request ID on a new connection", []script{answering(reply("", "a"))}, []string{"a"}, 1},
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -100,7 +100,7 @@
 			return nil
 		}
 		// More answers to other requests may follow, so the connection must not be reused.
-		a.connection.idleLimit = 0
+		a.connection.closing = true
 		if err := discard(response.Body); err != nil {
 			return err
 		}
@@ -135,7 +135,7 @@
 	// The write has succeeded, since writePending is false.
 	_ = a.writing.Wait()
 	a.connection.applyKeepAlive(a.Header.Get("Keep-Alive"))
-	if a.connection.idleLimit <= 0 {
+	if a.connection.closing || a.connection.idleLimit <= 0 {
 		a.connection.close()
 		return
 	}
