Send a request again only on a connection that hasn't seen it

It can happen here: an engine refuses a request, the router gets a grant for the same engine and sends the request on the same kept connection, and the engine writes its earlier refusal once more before the answer. The refusal has the id of the request, so it was taken for the answer to the second attempt. Change: a connection remembers the ids of the requests whose answers were discarded, and such a request is sent on another one. Tests: TestRepeatedRefusal got the refusal for the run before.

--- a/internal/connector/body.go
+++ b/internal/connector/body.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// Discard skips the rest of the body and ends the exchange. It resets the connection if the body doesn't end within
-// maxDiscardedBytes and discardTimeout.
+// Discard skips the rest of the body and ends the exchange, whose request may be sent again. It resets the connection if the
+// body doesn't end within maxDiscardedBytes and discardTimeout.
 func (a *Answer) Discard() {
 	timer := time.AfterFunc(discardTimeout, a.connection.reset)
 	_, err := io.Copy(io.Discard, io.LimitReader(a, maxDiscardedBytes))
@@ -81,5 +81,9 @@
 		a.Abort()
 		return
 	}
+	a.connection.discarded = append(a.connection.discarded, a.requestID)
+	if len(a.connection.discarded) >= maxDiscarded {
+		a.connection.closing = true
+	}
 	a.Done()
 }
--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -25,6 +25,9 @@
 	reused bool
 	// closing is set if the connection must not be used for another request.
 	closing bool
+	// discarded holds the IDs of the requests whose answers were discarded. Such a request may be sent again, but not on
+	// this connection, where a repeated answer to it could be taken for that to the new attempt.
+	discarded []string
 	// The connection expires once it has been idle for idleLimit, counted from idleSince.
 	idleSince time.Time
 	idleLimit time.Duration
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	sweepInterval = time.Second
 	// maxSkippedBodyBytes is the number of bytes read from the body of an answer to another request to skip it.
 	maxSkippedBodyBytes = 1 << 20
+	// maxDiscarded is the number of discarded answers after which a connection is closed.
+	maxDiscarded = 16
 	// maxSkippedAnswers is the number of answers to other requests that are skipped before the connection is closed.
 	maxSkippedAnswers = 2
 )
@@ -88,19 +91,22 @@
 	}
 }
 
-// takeIdle returns the most recently used idle connection that can be reused, or nil.
-func (c *Connector) takeIdle(address string) *connection {
+// takeIdle returns the most recently used idle connection that can be reused for a request, or nil.
+func (c *Connector) takeIdle(address, requestID string) *connection {
 	now := time.Now()
 	for {
 		c.mu.Lock()
 		list := c.idle[address]
-		if len(list) == 0 {
+		index := len(list) - 1
+		for index >= 0 && slices.Contains(list[index].discarded, requestID) {
+			index--
+		}
+		if index < 0 {
 			c.mu.Unlock()
 			return nil
 		}
-		connection := list[len(list)-1]
-		list[len(list)-1] = nil
-		c.idle[address] = list[:len(list)-1]
+		connection := list[index]
+		c.idle[address] = slices.Delete(list, index, index+1)
 		c.mu.Unlock()
 		if !connection.expired(now) && connection.reusable() {
 			return connection
@@ -122,8 +128,8 @@
 }
 
 // acquire returns an idle connection or opens a new one. Errors: *kernel.NotSentError.
-func (c *Connector) acquire(ctx context.Context, address string) (*connection, error) {
-	if connection := c.takeIdle(address); connection != nil {
+func (c *Connector) acquire(ctx context.Context, address, requestID string) (*connection, error) {
+	if connection := c.takeIdle(address, requestID); connection != nil {
 		return connection, nil
 	}
 	conn, err := NewDialer(dialTimeout).DialContext(ctx, "tcp", address)
@@ -138,11 +144,11 @@
 // the connection is reset, which cancels the request at the upstream. Errors: *kernel.NotSentError if no byte was
 // written, *kernel.ConnectionLostError if the request may have run.
 func (c *Connector) Send(ctx context.Context, address string, request Request) (*Answer, error) {
-	connection, err := c.acquire(ctx, address)
+	connection, err := c.acquire(ctx, address, request.ID)
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{connector: c, connection: connection, address: address, writing: &errgroup.Group{}}
+	a := &Answer{connector: c, connection: connection, address: address, requestID: request.ID, writing: &errgroup.Group{}}
 	a.stopReset = context.AfterFunc(ctx, connection.reset)
 	writtenBefore := connection.counter.written
 	if err := a.write(request); err != nil {
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -174,6 +174,23 @@
 	}
 }
 
+// TestRepeatedRefusal guards against taking the repetition of an earlier refusal on a kept connection for the answer to the
+// request that is sent again, which the upstream runs.
+func TestRepeatedRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nRequest: 1\r\nContent-Length: 0\r\n\r\n"
+	u := newScriptedUpstream(t, answering(refusal, refusal+reply("1", "run")), answering(reply("1", "run"), reply("2", "other")))
+	c := newTestConnector(t)
+	answer, err := c.Send(t.Context(), u.address, Request{Method: http.MethodGet, Target: "/a/", Host: "h", Header: http.Header{}, ID: "1"})
+	assert.NilError(t, err)
+	answer.Discard()
+	for _, request := range []struct{ id, body string }{{"1", "run"}, {"2", "other"}} {
+		body, err := exchange(t, c, u.address, request.id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, request.body)
+	}
+	assert.Equal(t, u.opened, 2)
+}
+
 // TestNotSentAndLostErrors guards against reporting a request that may have run as not sent.
 func TestNotSentAndLostErrors(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -48,6 +48,7 @@
 	connector  *Connector
 	connection *connection
 	address    string
+	requestID  string
 	response   *http.Response
 	// stopReset cancels the reset of the connection at the end of the context; it returns false if that was too late.
 	stopReset func() bool
