Ignore routers' records that no router writes

Callers saw: nothing so far. One odd record of another writer in the topic of the routers, with a time far in the future, made the records of all routers look too old, so that routers without a live seed found no other one; one with a negative time overflowed the age. Cause: values of other writers were used without a check of their range. Change: records with a time after the clock by more than the lifetime of a record, or without a valid address, are logged and left out. Test: TestRecords with four odd records; it listed one router of two before.

--- a/router/internal/assembler/errors.go
+++ b/router/internal/assembler/errors.go
@@ -38,3 +38,10 @@
 func (*ReadOnlyError) Error() string {
 	return "edit the catalogue: this router takes its routes from the platform's directory"
 }
+
+// RecordError reports a router's record in the directory with a value that no router writes.
+type RecordError struct {
+	Field string
+}
+
+func (e *RecordError) Error() string { return fmt.Sprintf("field %s is out of range", e.Field) }
--- a/router/internal/assembler/records.go
+++ b/router/internal/assembler/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,8 +83,8 @@
 		if len(stored.Value) == 0 {
 			continue
 		}
-		var r routerRecord
-		if err := json.Unmarshal(stored.Value, &r); err != nil {
+		r, err := decodeRecord(stored.Value, time.Now())
+		if err != nil {
 			l.logger.Warn("router's record could not be decoded", zap.String("key", stored.Key), zap.Error(err))
 			continue
 		}
@@ -98,3 +99,19 @@
 	}
 	return vms, nil
 }
+
+// decodeRecord decodes a router's record. Another writer may have left an odd one: a time far in the future would make all
+// other records look old. Errors: *RecordError, and those of the decoder.
+func decodeRecord(data []byte, now time.Time) (routerRecord, error) {
+	var r routerRecord
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, err
+	}
+	if r.Announced < 0 || r.Announced > now.Add(recordLifetime).Unix() {
+		return r, &RecordError{Field: "announced_s"}
+	}
+	if _, err := netip.ParseAddrPort(r.Address); err != nil {
+		return r, &RecordError{Field: "address"}
+	}
+	return r, nil
+}
--- a/router/internal/assembler/records_test.go
+++ b/router/internal/assembler/records_test.go
@@ -43,13 +43,16 @@
 
 // TestRecords guards against records of routers that ended without a planned stop being listed for ever. Once there are
 // as many of them as routers, routers that start together never know half of the listed members and grant only a small
-// part of the allowances.
+// part of the allowances. It also guards against an odd record of another writer that hides those of all routers.
 func TestRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &recordStore{records: map[string][]byte{"foreign": []byte("not a record")}}
+		store := &recordStore{records: map[string][]byte{
+			"foreign": []byte("not a record"), "future": []byte(`{"address":"10.0.0.1:1","announced_s":9223372036854775807}`),
+			"past": []byte(`{"address":"10.0.0.1:1","announced_s":-9223372036854775808}`), "port": []byte(`{"address":"10.0.0.1:70000"}`),
+		}}
 		newGateway := func(name string) *gatewayMode {
 			settings := &loader.Settings{Name: name}
-			settings.Peers.Advertise = name + ":1"
+			settings.Peers.Advertise = "10.0.0.2:1"
 			return &gatewayMode{Router: &Router{settings: settings, logger: &logger.Logger{Logger: zap.NewNop()}}, directory: store}
 		}
 		list := routerList{directory: store, logger: zap.NewNop()}
