Refuse requests whose id can't be sent to the scheduler

Callers saw: nothing that stood out. A request id that isn't valid UTF-8 can't be put into a ticket: encoding the message failed, the stream to the scheduler broke, and with it all other tickets of the router were sent again. The class: one malformed input ends what many requests share. Change: such a request gets 400. Test: a row of TestRefusedRequests, which got 504 before.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -328,6 +328,7 @@
 		{"no key", valid, "/a/", "", map[string]string{"Id": "1"}, 401},
 		{"unknown key", valid, "/a/", "", map[string]string{"Id": "1", "Key": "x"}, 401},
 		{"no id", valid, "/a/", "", map[string]string{"Key": "k"}, 400},
+		{"id that messages between routers can't carry", valid, "/a/", "", map[string]string{"Id": "1\xff", "Key": "k"}, 400},
 		{"body too long", valid, "/a/", strings.Repeat("x", 2<<10), callerHeader, 413},
 		{"upstream known to leave", upstreamLeaving, "/a/", "", callerHeader, 502},
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/connector"
@@ -46,8 +47,8 @@
 	x.version = config.Version
 	metadata, err := f.options.Dialect.ParseRequest(r.Header)
 	x.metadata = metadata
-	if err != nil || metadata.RequestID == "" {
-		return x, invalidRequest("the request has no id, or a header that can't be read")
+	if err != nil || metadata.RequestID == "" || !utf8.ValidString(metadata.RequestID) {
+		return x, invalidRequest("the request has no valid id, or a header that can't be read")
 	}
 	x.target = target(r)
 	path, _, _ := strings.Cut(x.target, "?")
