Resume a stream that delivers no new token, even if other frames come

A stalled stream that sent repeated tokens or tokens of another stream now and then was never resumed, because each frame reset its idle timer. Cause: the timer measured frames instead of progress. Change: only a new token resets it. A slow stream that makes progress is left alone, as before ('slow but alive'). Test: a row of TestStream; the stream wasn't resumed before.

--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -25,7 +25,7 @@
 
 // Settings contains the limits of a dispatch.
 type Settings struct {
-	// IdleTimeout is how long a stream may deliver no frame before it is resumed.
+	// IdleTimeout is how long a stream may deliver no new token before it is resumed.
 	IdleTimeout time.Duration
 	// ResumeAttempts is the maximum number of consecutive resumes that deliver no token.
 	ResumeAttempts int
@@ -168,11 +168,14 @@
 		if err != nil {
 			return err
 		}
-		idle.Reset(r.settings.IdleTimeout)
+		before := r.next
 		done, err := r.accept(frame)
 		if done || err != nil {
 			return err
 		}
+		if r.next > before {
+			idle.Reset(r.settings.IdleTimeout)
+		}
 	}
 }
 
--- a/internal/dispatcher/stream_test.go
+++ b/internal/dispatcher/stream_test.go
@@ -135,6 +135,10 @@
 		{"silence, then resumed", []script{
 			{frames: []kernel.Frame{token(0)}, hang: true}, {frames: []kernel.Frame{token(1), finalFrame(2)}},
 		}, 2, []int{1}, nil},
+		{"only repeated and foreign tokens, then resumed", []script{
+			{frames: []kernel.Frame{token(0), token(0), foreign, token(0), token(1), finalFrame(2)}, frameInterval: 6 * time.Second},
+			{frames: []kernel.Frame{token(1), finalFrame(2)}},
+		}, 2, []int{1}, nil},
 		{"slow but alive", []script{
 			{frames: []kernel.Frame{token(0), token(1), token(2), finalFrame(3)}, frameInterval: 6 * time.Second},
 		}, 3, nil, nil},
