Don't count the time that a slow caller takes as idle time of its stream

Cause: since the last commit the idle timer was reset after a token had been written to the caller, so that a slow write counted. Change: it is reset when a new token arrives, before the write, as it was for each frame before. Tests: those of the dispatcher, the holder and the prover pass.

--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -168,14 +168,13 @@
 		if err != nil {
 			return err
 		}
-		before := r.next
+		if frame.StreamID == r.request.StreamID && frame.Index >= r.next {
+			idle.Reset(r.settings.IdleTimeout)
+		}
 		done, err := r.accept(frame)
 		if done || err != nil {
 			return err
 		}
-		if r.next > before {
-			idle.Reset(r.settings.IdleTimeout)
-		}
 	}
 }
 
