Don't take an engine for down because its load reports can't be read

Callers saw: nothing so far. A load report that isn't valid, such as one with a number beyond its type, or a refusal to make one, counted as a failed poll: evidence of a crash for the requests lost shortly before, and after two of them the engine got no more work. Cause: an answer that can't be used was treated like no answer. The class: one malformed message has the effect of an outage. Change: such an answer shows that the engine runs; it is logged and otherwise ignored. Tests: TestUnusableLoadReport and a row of TestCrashEvidence failed before.

--- a/internal/kernel/errors.go
+++ b/internal/kernel/errors.go
@@ -46,6 +46,24 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// MalformedAnswerError reports an answer that isn't valid JSON or has fields of other types than expected.
+type MalformedAnswerError struct {
+	Cause error
+}
+
+func (e *MalformedAnswerError) Error() string { return fmt.Sprintf("parse answer: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *MalformedAnswerError) Unwrap() error { return e.Cause }
+
+// Answered reports whether err shows that the upstream is running: it answered, but with a status or a content that can't
+// be used.
+func Answered(err error) bool {
+	var rejected *RejectedError
+	var malformed *MalformedAnswerError
+	return errors.As(err, &rejected) || errors.As(err, &malformed)
+}
+
 // NotSent reports whether err proves that no byte of the request was sent. A NotSentError that is only the cause of a
 // later failure, such as a stream resume that could not connect, doesn't prove it.
 func NotSent(err error) bool {
--- a/internal/plugins/requester/client.go
+++ b/internal/plugins/requester/client.go
@@ -139,10 +139,10 @@
 	return c.Decode(answer, into)
 }
 
-// Decode parses the JSON body of an answer. Errors: *kernel.ConnectionLostError with a *MalformedAnswerError.
+// Decode parses the JSON body of an answer. Errors: *kernel.ConnectionLostError with a *kernel.MalformedAnswerError.
 func (c *Client) Decode(answer Answer, into any) error {
 	if err := json.Unmarshal(answer.Body, into); err != nil {
-		return &kernel.ConnectionLostError{Address: c.address, Cause: &MalformedAnswerError{Cause: err}}
+		return &kernel.ConnectionLostError{Address: c.address, Cause: &kernel.MalformedAnswerError{Cause: err}}
 	}
 	return nil
 }
--- a/internal/plugins/requester/errors.go
+++ b/internal/plugins/requester/errors.go
@@ -27,16 +27,6 @@
 	return fmt.Sprintf("build request: invalid path %q", e.Path)
 }
 
-// MalformedAnswerError reports an answer that isn't valid JSON or has fields of other types than expected.
-type MalformedAnswerError struct {
-	Cause error
-}
-
-func (e *MalformedAnswerError) Error() string { return fmt.Sprintf("parse answer: %v", e.Cause) }
-
-// Unwrap returns the cause.
-func (e *MalformedAnswerError) Unwrap() error { return e.Cause }
-
 // AnswerTooLargeError reports an answer that exceeds the size limit.
 type AnswerTooLargeError struct {
 	// Limit is in bytes.
--- a/internal/runner/engine.go
+++ b/internal/runner/engine.go
@@ -230,5 +230,8 @@
 		e.reported = true
 		c.unreported--
 	}
+	if kernel.Answered(err) {
+		c.runner.options.Logger.Warn("load report not usable", zap.String("upstream", name), zap.Error(err))
+	}
 	c.scheduler.ObserveLoad(now, name, report, err)
 }
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -34,6 +34,9 @@
 	}
 	alone := func(c *cell) { c.requests["r1"].alone = true }
 	late := func(c *cell) { c.now = c.now.Add(time.Minute) }
+	unusable := func(c *cell) {
+		c.ObserveLoad(c.now, "e0", kernel.LoadReport{}, &kernel.ConnectionLostError{Cause: &kernel.MalformedAnswerError{Cause: errPoll}})
+	}
 	leave := func(c *cell) { c.SetLeaving(c.now, "e0", true) }
 	remove := func(c *cell) { c.SetEngines(c.now, nil) }
 	cases := []struct {
@@ -56,6 +59,7 @@
 		{"failed report, answered", []func(*cell){fail, answer}, isolator.Clear},
 		{"lost, unreachable, but still the same instance", []func(*cell){lose, unreachable, same}, isolator.Clear},
 		{"still the same instance, then a failed report", []func(*cell){lose, same, fail}, isolator.Clear},
+		{"lost, then an answer that is no load report", []func(*cell){lose, unusable}, isolator.Clear},
 		{"lost while leaving, then restart", []func(*cell){leave, lose, restart}, isolator.Clear},
 		{"lost, then registration ended", []func(*cell){lose, remove}, isolator.Suspect},
 		{"registration ended, then lost", []func(*cell){remove, lose}, isolator.Clear},
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -18,6 +18,11 @@
 	if e == nil {
 		return
 	}
+	if kernel.Answered(err) {
+		// Without a report the engine is judged by its requests alone.
+		e.failedPolls = 0
+		return
+	}
 	if err != nil {
 		e.failedPolls++
 		s.recordCrashEvidence(e, now, evidencePollFailed)
--- a/internal/scheduler/observe_test.go
+++ b/internal/scheduler/observe_test.go
@@ -159,3 +159,19 @@
 	assert.Equal(t, len(refusals), 6)
 	assert.Equal(t, refusals[0].Code, CodeNoUpstream)
 }
+
+// TestUnusableLoadReport guards against an engine that is taken out of use because its load reports can't be read, or
+// because it refuses to make any.
+func TestUnusableLoadReport(t *testing.T) {
+	for _, err := range []error{
+		&kernel.ConnectionLostError{Cause: &kernel.MalformedAnswerError{Cause: errPoll}}, &kernel.RejectedError{Status: 500},
+	} {
+		c := newTestCell(1, 4, nil)
+		for range failedPollsUntilDown + 1 {
+			c.ObserveLoad(c.now, "e0", kernel.LoadReport{}, err)
+		}
+		c.submit(1, 0, "a")
+		grants, _ := c.step()
+		assert.Equal(t, len(grants), 1, "%v", err)
+	}
+}
