List suspect and poison requests and parts in the state dump

Cause: an operator could see refusals with the code poison, but not how close other parts are to it, nor what a poison part is refused together with. Change: the schedulers section of the state dump has the suspects of each pool with their crashes. Test: TestPoison reads the entry of a poison request.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -1,12 +1,11 @@
 package forwarder
 
 import (
-	"strconv"
-
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/logger"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -54,14 +53,6 @@
 		zap.String("upstream", upstream), zap.Int("attempt", x.sends), zap.Int("status", a.status),
 		zap.Int64("length", a.length), zap.Bool("answer_begun", a.answerBegun), zap.String("after", a.after),
 		zap.String("first_event", a.firstID), zap.String("last_event", a.lastID), zap.Int("events", a.events),
-		zap.Int("incomplete_bytes", a.incompleteBytes), zap.NamedError("end", a.end), zap.Strings("parts", hexTexts(x.metadata.PromptParts)),
+		zap.Int("incomplete_bytes", a.incompleteBytes), zap.NamedError("end", a.end), logger.HexList("parts", x.metadata.PromptParts),
 		zap.String("release", result.Kind.String()), zap.Bool("resubmit", result.Resubmit))
 }
-
-func hexTexts(values []uint64) []string {
-	texts := make([]string, len(values))
-	for i, value := range values {
-		texts[i] = strconv.FormatUint(value, 16)
-	}
-	return texts
-}
--- a/internal/isolator/convict.go
+++ b/internal/isolator/convict.go
@@ -43,8 +43,8 @@
 	return evidence{crashes: limit, requests: min(limit, 2), moments: min(limit, 2), interval: 100 * time.Millisecond, share: 0.25}
 }
 
-// charge is a suspect part with the crashes that it is blamed for.
-type charge struct {
+// candidate is a suspect part with the lost runs that it is blamed for.
+type candidate struct {
 	*suspect
 	runs []lostRun
 	// known is set if engines have answered requests with the part.
@@ -78,41 +78,41 @@
 
 // mostBlamed returns the part that explains most crashes among those for which the evidence suffices, with the parts that
 // the crashes don't tell apart from it.
-func (i *Isolator) mostBlamed(now time.Time) []charge {
-	charges := i.charges(now)
-	for _, c := range charges {
-		if !i.sufficient(c) || slices.ContainsFunc(charges, func(other charge) bool { return other.explainsMore(c) }) {
+func (i *Isolator) mostBlamed(now time.Time) []candidate {
+	candidates := i.candidates(now)
+	for _, c := range candidates {
+		if !i.sufficient(c) || slices.ContainsFunc(candidates, func(other candidate) bool { return other.explainsMore(c) }) {
 			continue
 		}
-		return slices.DeleteFunc(charges, func(other charge) bool {
+		return slices.DeleteFunc(candidates, func(other candidate) bool {
 			return other.known != c.known || len(other.runs) != len(c.runs) || common(other.runs, c.runs) < len(c.runs)
 		})
 	}
 	return nil
 }
 
-// charges returns the suspect parts with enough crashes, in a fixed order. Parts with which no run was lost here are left to
+// candidates returns the suspect parts with enough crashes, in a fixed order. Parts with which no run was lost here are left to
 // the other routers.
-func (i *Isolator) charges(now time.Time) []charge {
-	var charges []charge
+func (i *Isolator) candidates(now time.Time) []candidate {
+	var candidates []candidate
 	for _, s := range i.suspects {
 		if !s.part || !s.local || s.poison && len(s.together) == 0 || !now.Before(s.forgottenAt()) {
 			continue
 		}
 		known := !s.soundAt.IsZero() && now.Sub(s.soundAt) < i.settings.SuspectRetention
 		if runs := s.blamedRuns(); len(runs) >= i.required(s, known).crashes {
-			charges = append(charges, charge{s, runs, known})
+			candidates = append(candidates, candidate{s, runs, known})
 		}
 	}
-	slices.SortFunc(charges, func(a, b charge) int {
+	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(len(b.runs), len(a.runs)), cmp.Compare(a.trait, b.trait))
 	})
-	return charges
+	return candidates
 }
 
 // explainsMore reports whether the part explains the crashes of another one, and more likely so. A part on which engines
 // answered requests before is less likely the cause than one on which they never did.
-func (c charge) explainsMore(other charge) bool {
+func (c candidate) explainsMore(other candidate) bool {
 	shared := common(c.runs, other.runs)
 	switch {
 	case c.known != other.known:
@@ -134,7 +134,7 @@
 }
 
 // sufficient reports whether the evidence against a part suffices.
-func (i *Isolator) sufficient(c charge) bool {
+func (i *Isolator) sufficient(c candidate) bool {
 	required := i.required(c.suspect, c.known)
 	byRequest := make(map[uint64]int)
 	var crashes []*crash
--- a/internal/isolator/trial.go
+++ b/internal/isolator/trial.go
@@ -17,11 +17,7 @@
 // test it; the others are refused until the engine has begun to answer that one.
 func (i *Isolator) Admit(now time.Time, requestID string, traits Traits) Verdict {
 	var tested []*suspect
-	for n := range len(traits.Parts) + 1 {
-		trait := traits.Fingerprint
-		if n > 0 {
-			trait = traits.Parts[n-1]
-		}
+	for _, trait := range append([]uint64{traits.Fingerprint}, traits.Parts...) {
 		s := i.find(now, trait)
 		switch {
 		case s == nil || !s.poison || !s.in(traits):
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"coltsfootplank/internal/isolator"
+	"coltsfootplank/internal/logger"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -118,7 +119,7 @@
 
 func (s *Scheduler) logCrash(e *engine, crash isolator.Crash, evidence crashEvidence, lost int) {
 	s.logger.Info("upstream taken for crashed", zap.String("pool", s.pool), zap.String("upstream", e.info.Name),
-		zap.String("evidence", string(evidence)), zap.Int("lost_runs", lost), hexField("crash", crash.ID))
+		zap.String("evidence", string(evidence)), zap.Int("lost_runs", lost), logger.Hex("crash", crash.ID))
 }
 
 // recordAlive records that the engine answers and is still the instance that it was, so that its lost connections weren't
@@ -169,7 +170,7 @@
 	if !l.Begun {
 		s.logger.Info("run suspected of a crash", zap.String("request_id", l.requestID), zap.String("pool", s.pool),
 			zap.String("upstream", e.info.Name), zap.String("evidence", string(evidence)), zap.Duration("lost_for", now.Sub(l.at)),
-			hexField("fingerprint", l.Fingerprint), hexFields("parts", l.Parts), hexField("crash", crash.ID))
+			logger.Hex("fingerprint", l.Fingerprint), logger.HexList("parts", l.Parts), logger.Hex("crash", crash.ID))
 	}
 	s.applyStates(now, s.isolator.RecordCrash(now, crash, l.Run))
 }
@@ -194,7 +195,7 @@
 	}
 	for _, trait := range changed {
 		if s.isolator.State(now, trait) == isolator.Poison {
-			s.logger.Warn("requests refused as poison", zap.String("pool", s.pool), hexField("trait", trait))
+			s.logger.Warn("requests refused as poison", zap.String("pool", s.pool), logger.Hex("trait", trait))
 		}
 	}
 	for _, r := range s.requests {
@@ -239,15 +240,3 @@
 
 // Convictions returns the suspect and poison requests and parts to gossip.
 func (s *Scheduler) Convictions(now time.Time) []*protocol.Conviction { return s.isolator.List(now) }
-
-func hexField(name string, value uint64) zap.Field {
-	return zap.String(name, strconv.FormatUint(value, 16))
-}
-
-func hexFields(name string, values []uint64) zap.Field {
-	texts := make([]string, len(values))
-	for i, value := range values {
-		texts[i] = strconv.FormatUint(value, 16)
-	}
-	return zap.Strings(name, texts)
-}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -135,6 +135,9 @@
 	assert.DeepEqual(t, ids(refusals), []string{refused.RequestId})
 	assert.Equal(t, refusals[0].Code, CodePoison)
 
+	listed := c.Dump().Suspects[0]
+	assert.Assert(t, listed.Poison && listed.Trait == "64" && listed.Crashes > 0, "%+v", listed)
+
 	other := newTestCell(0, 0, nil)
 	ticket := other.ticket(1, "a")
 	ticket.Fingerprint = poison
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/limiter"
 )
 
@@ -21,11 +22,13 @@
 
 // Dump is the state of a scheduler for operators.
 type Dump struct {
-	Pool     string       `json:"pool"`
-	Queue    []DumpQueue  `json:"queue"`
-	Grants   []DumpGrant  `json:"grants"`
-	Engines  []DumpEngine `json:"engines"`
-	Counters Counters     `json:"counters"`
+	Pool    string       `json:"pool"`
+	Queue   []DumpQueue  `json:"queue"`
+	Grants  []DumpGrant  `json:"grants"`
+	Engines []DumpEngine `json:"engines"`
+	// Suspects are the requests and parts of prompts that are suspected of crashing engines or refused for it.
+	Suspects []isolator.DumpEntry `json:"suspects"`
+	Counters Counters             `json:"counters"`
 }
 
 // DumpQueue lists one workspace's queued tickets of one tier, oldest first.
@@ -78,7 +81,7 @@
 
 // Dump returns a copy of the state for operators.
 func (s *Scheduler) Dump() Dump {
-	dump := Dump{Pool: s.pool, Counters: s.counters}
+	dump := Dump{Pool: s.pool, Counters: s.counters, Suspects: s.isolator.Dump()}
 	dump.Counters.Refusals = maps.Clone(s.counters.Refusals)
 	queues := make(map[dumpKey]*DumpQueue)
 	for _, r := range sortedByArrival(s.requests) {
