Count the crashes of one request at all routers together

Cause: crashes have ids now and are merged, but only the limit for parts was checked after a merge. A request that crashed two engines of one cell and two of another was refused only after one more crash. Change: the limit for requests is checked after a merge too. A method is named for what it decides. Test: TestCrashesAtSeveralRouters failed before.

--- a/internal/isolator/gossip.go
+++ b/internal/isolator/gossip.go
@@ -44,6 +44,8 @@
 	switch {
 	case c.GetConvicted() && (len(c.GetCrashIds()) == 0 || s.blamedForAny(c.GetCrashIds())):
 		i.mergePoison(now, s, c, expires)
+	case !s.part && !s.poison && i.crashLimitReached(s):
+		i.convict(now, s, nil)
 	case !s.poison && expires.After(s.expires):
 		s.expires = expires
 	}
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -101,13 +101,16 @@
 	if request == nil {
 		return changed
 	}
-	crashes := len(request.blamedRuns())
-	if run.Alone || i.settings.CrashLimit > 0 && crashes >= i.settings.CrashLimit {
+	if run.Alone || i.crashLimitReached(request) {
 		i.convict(now, request, nil)
 	}
 	return append(changed, run.Fingerprint)
 }
 
+func (i *Isolator) crashLimitReached(s *suspect) bool {
+	return i.settings.CrashLimit > 0 && len(s.blamedRuns()) >= i.settings.CrashLimit
+}
+
 // blame adds a crash to a suspect. It returns nil if the trait is unknown.
 func (i *Isolator) blame(now time.Time, c *crash, trait uint64, part bool, run Run) *suspect {
 	if trait == 0 {
@@ -122,13 +125,16 @@
 	case s.probation:
 		i.convict(now, s, s.together)
 	}
-	c.explained = c.explained || part && s.refused(now) && s.in(run.Traits)
+	c.explained = c.explained || part && s.refused(now) && s.appliesTo(run.Traits)
 	return s
 }
 
 // RecordBegun records that an engine began to answer a request with the parts, and therefore doesn't crash on any of them.
 // It returns the parts whose state may have changed.
 func (i *Isolator) RecordBegun(now, grantedAt time.Time, parts []uint64) (changed []uint64) {
+	if i.settings.PartCrashLimit <= 0 {
+		return nil
+	}
 	cleared := false
 	for _, part := range parts {
 		i.sound.record(part, grantedAt)
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -89,6 +89,19 @@
 	assert.Equal(t, i.State(start.Add(30*time.Minute), 1), Poison)
 }
 
+// TestCrashesAtSeveralRouters guards against a request that crashes engines of several routers and is counted by each of them
+// on its own.
+func TestCrashesAtSeveralRouters(t *testing.T) {
+	settings := Settings{SuspectRetention: time.Minute, PoisonRetention: time.Hour, MaxEntries: 9, CrashLimit: 3}
+	first, second := New(settings), New(settings)
+	for n, i := range []*Isolator{first, first, second, second} {
+		recordCrash(i, start, uint64(n), 1, false)
+	}
+	second.Merge(start, first.List(start))
+	assert.Equal(t, second.State(start, 1), Poison)
+	assert.Equal(t, first.State(start, 1), Clear)
+}
+
 // crashOn records n crashes, a second apart, each of another request with the parts. It returns the time after the last.
 func crashOn(i *Isolator, at time.Time, n int, parts ...uint64) time.Time {
 	for range n {
--- a/internal/isolator/suspect.go
+++ b/internal/isolator/suspect.go
@@ -92,8 +92,8 @@
 	return !slices.ContainsFunc(s.runs, func(r lostRun) bool { return r.grantedAt.After(s.soundAt) })
 }
 
-// in reports whether a request has the suspect, and the parts that it is poison together with.
-func (s *suspect) in(traits Traits) bool {
+// appliesTo reports whether a request with the suspect also has the parts that it is poison together with.
+func (s *suspect) appliesTo(traits Traits) bool {
 	for _, other := range s.together {
 		if !slices.Contains(traits.Parts, other) {
 			return false
--- a/internal/isolator/trial.go
+++ b/internal/isolator/trial.go
@@ -20,7 +20,7 @@
 	for _, trait := range append([]uint64{traits.Fingerprint}, traits.Parts...) {
 		s := i.find(now, trait)
 		switch {
-		case s == nil || !s.poison || !s.in(traits):
+		case s == nil || !s.poison || !s.appliesTo(traits):
 		case s.refused(now):
 			return Verdict{Trait: trait, RetryAfter: s.expires.Sub(now)}
 		case s.trial != "" && s.trial != requestID:
