Wait for the next poll of an engine in one place

Change: awaitPoll waits for the regular or the early poll, with one timer. Tests: those of the runner pass, TestPollAfterLostConnection among them.

--- a/internal/runner/engine.go
+++ b/internal/runner/engine.go
@@ -149,8 +149,6 @@
 		return
 	}
 	defer cleanup()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
 	var after uint64
 	var instance string
 	for {
@@ -163,27 +161,25 @@
 		if err == nil && client.cacheEvents != nil {
 			after = c.pollCache(ctx, client, name, e, after)
 		}
-		select {
-		case <-ctx.Done():
+		if !e.awaitPoll(ctx, polledAt) {
 			return
-		case <-ticker.C:
-		case <-e.suspicious:
-			if !sleep(ctx, time.Until(polledAt.Add(minPollInterval))) {
-				return
-			}
 		}
 	}
 }
 
-// sleep waits for a duration. It returns false if ctx ends before.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
+// awaitPoll waits until the next poll is due. It returns false if ctx ends before.
+func (e *engine) awaitPoll(ctx context.Context, polledAt time.Time) bool {
+	timer := time.NewTimer(time.Until(polledAt.Add(pollInterval)))
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-e.suspicious:
+			timer.Reset(time.Until(polledAt.Add(minPollInterval)))
+		case <-timer.C:
+			return true
+		}
 	}
 }
 
