Measure the search for a poison part against suspicion of whole requests

Change: an experiment in simulated time: one request in 50 is unlike the others but for one part of its prompt, which crashes engines; the first parts are shared with healthy requests.

--- a/loadgen/internal/experimenter/experiments.go
+++ b/loadgen/internal/experimenter/experiments.go
@@ -23,6 +23,7 @@
 	{"engines", measureEngines},
 	{"prefixes", measurePrefixes},
 	{"poison", measurePoison},
+	{"poison_part", measurePoisonPart},
 	{"limits", measureLimits},
 	{"retries", measureRetries},
 	{costName, measureCost},
--- a/loadgen/internal/experimenter/poison.go
+++ b/loadgen/internal/experimenter/poison.go
@@ -52,27 +52,30 @@
 	config = poisonConfig(seed)
 	config.settings.Isolation.SuspectRetention, config.settings.Isolation.PoisonRetention = 0, 0
 	baseline := run(config)
-	crashes := func(sim *simulation) float64 {
-		sum := 0
-		for _, e := range sim.engines {
-			sum += e.crashes
-		}
-		return float64(sum)
-	}
-	// A healthy request counts as held if it was neither answered nor refused, and as refused if the isolation took it
-	// for poison.
-	heldOrRefused := func(sim *simulation) float64 {
-		sum := 0
-		for _, c := range sim.allCalls {
-			if !c.poison && (c.refusal == scheduler.CodePoison || c.doneAt == 0 && c.refusal == "") {
-				sum++
-			}
-		}
-		return float64(sum)
-	}
 	return []Row{
-		newRow("crashes by a request repeated 20 times", "crashes", crashes(policy), "no isolation", crashes(baseline)).atMost(2),
-		newRow("healthy requests held or refused as poison", "requests", heldOrRefused(policy), "no isolation", heldOrRefused(baseline)).atMost(0),
+		newRow("crashes by a request repeated 20 times", "crashes", policy.crashes(), "no isolation", baseline.crashes()).atMost(2),
+		newRow("healthy requests held or refused as poison", "requests", policy.heldOrRefused(), "no isolation", baseline.heldOrRefused()).atMost(0),
 		newRow("goodput beside a poison request", "share", policy.goodput(-1), "no isolation", baseline.goodput(-1)).atLeast(baseline.goodput(-1)),
 	}
 }
+
+// crashes returns the number of crashes of all engines.
+func (sim *simulation) crashes() float64 {
+	sum := 0
+	for _, e := range sim.engines {
+		sum += e.crashes
+	}
+	return float64(sum)
+}
+
+// heldOrRefused returns the number of healthy requests that were neither answered nor refused, or that the isolation took
+// for poison.
+func (sim *simulation) heldOrRefused() float64 {
+	sum := 0
+	for _, c := range sim.allCalls {
+		if !c.poison && (c.refusal == scheduler.CodePoison || c.doneAt == 0 && c.refusal == "") {
+			sum++
+		}
+	}
+	return float64(sum)
+}
--- a/loadgen/internal/experimenter/simulation.go
+++ b/loadgen/internal/experimenter/simulation.go
@@ -239,7 +239,7 @@
 	release := &protocol.Release{RequestId: c.id, Engine: c.engine.name, Kind: kind, PromptTokens: uint32(c.kind.promptTokens),
 		CachedTokens: uint32(c.cachedTokens), OutputTokens: uint32(c.producedTokens),
 		FirstTokenMs: (c.firstTokenAt - c.dispatchedAt).Milliseconds(), TotalMs: (sim.now - c.dispatchedAt).Milliseconds(),
-		Fingerprint: c.fingerprint}
+		Fingerprint: c.fingerprint, Begun: c.producedTokens > 1}
 	sim.after(oneWayLatency, func() {
 		r.scheduler.Release(sim.wallTime(), "h", release)
 		r.scheduleWake(sim.now)
