Push what a router finds about crashes to other members at once

Cause: after all routers had been killed at once, each of them scheduled alone for a while and saw one crash of a part; the crashes of the others came by the regular probes. Test: TestCrashesOfSeveralMembers, in which all members know the crashes after 100 ms; they didn't before.

--- a/internal/detector/conviction.go
+++ b/internal/detector/conviction.go
@@ -18,9 +18,10 @@
 // maxCrashIDs bounds the crashes that are kept for one conviction. Fewer suffice to convict.
 const maxCrashIDs = 8
 
-// mergeConvictions merges convictions into the table. It keeps the larger crash count and the later expiry, and a
-// convicted fingerprint stays convicted. Fingerprints that become convicted are pushed to other members.
-func (t *table) mergeConvictions(now time.Time, convictions []*protocol.Conviction) {
+// mergeConvictions merges convictions into the table and reports whether any of them was new. It keeps the larger crash
+// count and the later expiry, and a convicted fingerprint stays convicted. Fingerprints that become convicted are pushed to
+// other members.
+func (t *table) mergeConvictions(now time.Time, convictions []*protocol.Conviction) (changed bool) {
 	for _, c := range convictions {
 		if c.GetExpiresUnixMs() <= now.UnixMilli() {
 			continue
@@ -38,8 +39,9 @@
 		}
 		t.convictions[c.GetFingerprint()] = merged
 		t.deltas.addConviction(c.GetFingerprint())
-		t.changed = true
+		t.changed, changed = true, true
 	}
+	return changed
 }
 
 // mergeConviction merges a conviction with the known one, which may be nil.
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -102,9 +102,14 @@
 	})
 }
 
-// AddConvictions adds suspect and poison fingerprints that this router found and gossips them.
+// AddConvictions adds suspect and poison fingerprints that this router found. What is new is pushed to other members and
+// gossiped.
 func (d *Detector) AddConvictions(convictions []*protocol.Conviction) {
-	d.update(func(now time.Time, t *table) { t.mergeConvictions(now, convictions) })
+	d.update(func(now time.Time, t *table) {
+		if t.mergeConvictions(now, convictions) {
+			t.push = true
+		}
+	})
 }
 
 // Run probes members and reads the VM list until ctx ends.
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -212,15 +212,17 @@
 	})
 }
 
-// TestCrashesOfSeveralMembers guards against crashes that several members know of being lost or counted twice.
+// TestCrashesOfSeveralMembers guards against crashes that several members know of being lost or counted twice, and against
+// members that learn of them only seconds later.
 func TestCrashesOfSeveralMembers(t *testing.T) {
 	runWithNetwork(t, 6, func(t *testing.T, n *network) {
 		expires := time.Now().Add(time.Minute).UnixMilli()
 		for name, ids := range map[string][]uint64{"m1": {1, 2}, "m2": {2, 3}, "m3": {4}} {
 			n.members[name].AddConvictions([]*protocol.Conviction{{Fingerprint: 9, Part: true, CrashIds: ids, ExpiresUnixMs: expires}})
 		}
-		time.Sleep(6 * time.Second)
+		time.Sleep(100 * time.Millisecond)
 		for name, d := range n.members {
+			assert.Equal(t, len(d.View().Convictions), 1, "as seen by %s", name)
 			c := d.View().Convictions[0]
 			assert.DeepEqual(t, c.GetCrashIds(), []uint64{1, 2, 3, 4})
 			assert.Equal(t, c.GetCrashes(), uint32(4), "as seen by %s", name)
