Don't refuse a request that was only running when several engines ended

Cause: each crash counted against each request on the engine, whether the engine had begun to answer it or not. Change: three crashes count if the answers hadn't begun, as with parts; crashes in the middle of an answer count half. Tests: TestLostStream failed before; TestCrashLimit is unchanged.

--- a/internal/isolator/gossip.go
+++ b/internal/isolator/gossip.go
@@ -85,7 +85,8 @@
 }
 
 // List returns the entries for gossip and removes those that are forgotten. Parts on which engines answered requests
-// before, and requests with one crash that may run with others, are too many to be worth it.
+// before, and requests that may run with others and had one crash at the begin of their answer, are too many to be worth
+// it.
 func (i *Isolator) List(now time.Time) []*protocol.Conviction {
 	var list []*protocol.Conviction
 	for _, s := range i.suspects {
@@ -106,13 +107,15 @@
 	if !s.poison {
 		runs = s.blamedRuns()
 	}
+	counted := !s.part && i.settings.CrashLimit > 0
+	if counted {
+		runs = unbegun(runs)
+	}
 	switch {
 	case s.poison && !s.refused(now):
 		return nil
 	case s.poison:
-	case len(runs) == 0, s.part && !s.soundAt.IsZero():
-		return nil
-	case !s.part && i.settings.CrashLimit > 0 && len(runs) < 2:
+	case len(runs) == 0, s.part && !s.soundAt.IsZero(), counted && len(runs) < 2:
 		return nil
 	}
 	c := &protocol.Conviction{
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -24,8 +24,8 @@
 	PoisonRetention time.Duration
 	// MaxEntries is the maximum number of entries. The suspect that expires first is evicted to make room.
 	MaxEntries int
-	// CrashLimit, if it isn't 0, is the number of crashes after which a request becomes poison. Suspects then don't run
-	// alone.
+	// CrashLimit, if it isn't 0, is the number of crashes at the begin of its answer after which a request becomes poison, or
+	// half the number of crashes at any time. Suspects then don't run alone.
 	CrashLimit int
 	// PartCrashLimit is the number of crashes after which a part can become poison; 0 means never.
 	PartCrashLimit int
@@ -107,8 +107,14 @@
 	return append(changed, run.Fingerprint)
 }
 
+// lateCrashFactor is the factor on CrashLimit for crashes in the middle of an answer. A long answer is often under way when its
+// engine ends for another reason.
+const lateCrashFactor = 2
+
+// crashLimitReached reports whether a request is poison because of the number of its crashes.
 func (i *Isolator) crashLimitReached(s *suspect) bool {
-	return i.settings.CrashLimit > 0 && len(s.blamedRuns()) >= i.settings.CrashLimit
+	limit, runs := i.settings.CrashLimit, s.blamedRuns()
+	return limit > 0 && (len(unbegun(runs)) >= limit || len(runs) >= lateCrashFactor*limit)
 }
 
 // blame adds a crash to a suspect. It returns nil if the trait is unknown.
@@ -117,7 +123,7 @@
 		return nil
 	}
 	s := i.findOrAdd(now, trait, part)
-	s.addRun(lostRun{crash: c, grantedAt: run.GrantedAt, fingerprint: run.Fingerprint})
+	s.addRun(lostRun{crash: c, grantedAt: run.GrantedAt, fingerprint: run.Fingerprint, begun: run.Begun})
 	s.local = true
 	switch {
 	case !s.poison:
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -89,6 +89,21 @@
 	assert.Equal(t, i.State(start.Add(30*time.Minute), 1), Poison)
 }
 
+// TestLostStream guards against the refusal of a request that was lost in several crashes of other causes while its answer
+// was being sent, and against one that crashes each engine late in its answer and is never refused.
+func TestLostStream(t *testing.T) {
+	for _, c := range []struct {
+		begun, unbegun int
+		want           State
+	}{{0, 2, Clear}, {0, 3, Poison}, {3, 0, Clear}, {3, 2, Clear}, {4, 2, Poison}, {6, 0, Poison}} {
+		i := New(Settings{SuspectRetention: time.Minute, PoisonRetention: time.Hour, MaxEntries: 9, CrashLimit: 3})
+		for n := range c.begun + c.unbegun {
+			i.RecordCrash(start, Crash{uint64(n), start}, Run{Traits: Traits{Fingerprint: 1}, GrantedAt: start, Begun: n < c.begun})
+		}
+		assert.Equal(t, i.State(start, 1), c.want, "%+v", c)
+	}
+}
+
 // TestCrashesAtSeveralRouters guards against a request that crashes engines of several routers and is counted by each of them
 // on its own.
 func TestCrashesAtSeveralRouters(t *testing.T) {
--- a/internal/isolator/suspect.go
+++ b/internal/isolator/suspect.go
@@ -25,6 +25,8 @@
 	crash       *crash
 	grantedAt   time.Time
 	fingerprint uint64
+	// begun is set if the engine had begun to answer.
+	begun bool
 }
 
 // suspect is a request or a part of prompts that an engine was running when it crashed.
@@ -87,6 +89,11 @@
 	return runs
 }
 
+// unbegun returns the runs whose answers hadn't begun.
+func unbegun(runs []lostRun) []lostRun {
+	return slices.DeleteFunc(slices.Clone(runs), func(r lostRun) bool { return r.begun })
+}
+
 // refuted reports whether a run that went well was granted after all lost runs.
 func (s *suspect) refuted() bool {
 	return !slices.ContainsFunc(s.runs, func(r lostRun) bool { return r.grantedAt.After(s.soundAt) })
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -64,9 +64,9 @@
 	PoisonRetention time.Duration `yaml:"poison_retention" unit:"duration" min:"1s" max:"24h" help:"time for which a poison request stays refused"`
 	// PoisonEntries bounds the suspects and poison requests that one scheduler remembers.
 	PoisonEntries int `yaml:"poison_entries" unit:"requests" min:"16" max:"1000000" help:"suspect and poison requests that one scheduler remembers"`
-	// PoisonCrashes is the number of crashes after which a request is refused. With 0, suspects run alone instead, and
-	// one crash then suffices.
-	PoisonCrashes int `yaml:"poison_crashes" unit:"crashes" min:"0" max:"100" help:"crashes after which a request is refused; 0 means that suspects run alone and one crash then suffices"`
+	// PoisonCrashes is the number of crashes at the begin of its answer after which a request is refused, or half the number
+	// of crashes at any time. With 0, suspects run alone instead, and one crash then suffices.
+	PoisonCrashes int `yaml:"poison_crashes" unit:"crashes" min:"0" max:"100" help:"crashes at the begin of its answer after which a request is refused, or half the crashes at any time; 0 means that suspects run alone and one crash then suffices"`
 	// PoisonPartCrashes is the number of crashes of unlike requests after which requests are refused because of a part of
 	// their prompts that they have in common.
 	PoisonPartCrashes int `yaml:"poison_part_crashes" unit:"crashes" min:"0" max:"100" help:"crashes after which requests are refused because of a part of their prompts that they have in common; 0 means never"`
