Send nothing to upstreams that say they are leaving or turn this router away

Cause: no code read what an engine asks in its answers. An engine that says in a header that it is leaving, before its registration does, got further requests for as long as the registration allowed, and one that refused a request and asked for a pause got the next one 100 ms later. Change: the abstainer keeps both facts for each process of an upstream, from the answer's head on, and the forwarder asks it before each send. Releases carry the facts to the scheduler, which gives a leaving engine no more work and grants nothing to a router that an engine has turned away; if all engines have, the ticket is refused with the time that is left. Registrations state the start time of their process, which ends the facts.

--- a/internal/cataloguer/entries.go
+++ b/internal/cataloguer/entries.go
@@ -60,6 +60,9 @@
 	DesiredModel   string `yaml:"desired_model,omitempty"`
 	DesiredAdapter string `yaml:"desired_adapter,omitempty"`
 	DesiredRole    string `yaml:"desired_role,omitempty"`
+	// Incarnation distinguishes the starts of an upstream that keeps its name; 0 if it isn't known. Catalogues that
+	// operators edit don't have it.
+	Incarnation int64 `yaml:"-"`
 }
 
 // Pool is a set of upstreams that serve the same work. Protocol is the name of the adapter plug-in.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
+	"coltsfootplank/internal/abstainer"
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/dispatcher"
@@ -60,7 +63,13 @@
 // Send implements holder.Exchange.
 func (x *exchange) Send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
 	x.attempt = attempt{answerBegun: x.headWritten, after: x.sequence.lastID}
+	process := abstainer.Upstream{Name: upstream.Name, Incarnation: upstream.Incarnation}
+	asked := x.forwarder.options.Abstainer.Asked(process)
+	if asked != (kernel.Notice{}) {
+		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_UNUSED, Asked: asked, Incarnation: process.Incarnation}
+	}
 	result := x.send(ctx, upstream)
+	result.Asked, result.Incarnation = x.forwarder.options.Abstainer.Asked(process), process.Incarnation
 	x.logAttempt(upstream.Name, result)
 	return result
 }
@@ -95,6 +104,7 @@
 	}
 	x.attempt.status, x.attempt.length = answer.Status, answer.Length
 	metadata := options.Dialect.ParseAnswer(answer.Status, answer.Header)
+	x.observeNotice(upstream, metadata)
 	switch {
 	case metadata.NotRun:
 		return x.notRunResult(answer)
@@ -110,6 +120,20 @@
 	return x.relayUnary(ctx, answer, start)
 }
 
+// observeNotice records what the upstream asks of this router. An answer that the upstream neither signed nor marked as not
+// run may come from elsewhere.
+func (x *exchange) observeNotice(upstream *cataloguer.Upstream, metadata kernel.AnswerMetadata) {
+	if !metadata.Signed && !metadata.NotRun {
+		return
+	}
+	if metadata.MalformedPause != "" {
+		x.forwarder.options.Logger.Warn("pause that an upstream asks for can't be read", zap.String("upstream", upstream.Name),
+			zap.String("request_id", x.holderRequest.ID), zap.String("value", metadata.MalformedPause))
+	}
+	x.forwarder.options.Abstainer.Observe(
+		abstainer.Upstream{Name: upstream.Name, Incarnation: upstream.Incarnation}, metadata.Notice)
+}
+
 // mayRepeat reports whether the request may be sent to another upstream. If so, it takes one from the repeat budget. A
 // stream of which events without a number were relayed can't be continued.
 func (x *exchange) mayRepeat() bool {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"coltsfootplank/internal/abstainer"
 	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/holder"
 	"coltsfootplank/internal/kernel"
@@ -29,6 +30,12 @@
 	Departed(upstream string) bool
 }
 
+// Abstainer keeps what upstreams ask of this router in their answers.
+type Abstainer interface {
+	Observe(upstream abstainer.Upstream, notice kernel.Notice)
+	Asked(upstream abstainer.Upstream) kernel.Notice
+}
+
 // Options are the dependencies of a forwarder.
 type Options struct {
 	RoutingConfigSource RoutingConfigSource
@@ -36,6 +43,7 @@
 	Dialect             kernel.Dialect
 	Connector           *connector.Connector
 	RepeatBudget        *limiter.RepeatBudget
+	Abstainer           Abstainer
 	// Draining reports whether this router is stopping; callers are then told not to reuse their connections.
 	Draining func() bool
 	// MaxBodyBytes limits the body of a request if the routing configuration states no limit.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/abstainer"
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/holder"
@@ -180,6 +181,13 @@
 
 const lastChunk = "0\r\n\r\n"
 
+// newTestAbstainer returns an abstainer for which no upstream is registered.
+func newTestAbstainer() *abstainer.Abstainer {
+	return abstainer.New(abstainer.Options{
+		Registered: func(string) bool { return false }, Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
+	})
+}
+
 // startTestForwarder starts a forwarder in front of a scripted upstream and returns its URL and the fake holder.
 func startTestForwarder(t *testing.T, source fakeConfigSource, u *scriptedUpstream) (string, *fakeHolder) {
 	t.Helper()
@@ -191,6 +199,7 @@
 	f := New(Options{
 		RoutingConfigSource: source, Holder: server, Dialect: dialect{}, Connector: connections, Draining: func() bool { return false },
 		RepeatBudget: limiter.NewRepeatBudget(limiter.RepeatBudgetSettings{Ratio: 1, Slack: 100, Routers: func() int { return 1 }}),
+		Abstainer:    newTestAbstainer(),
 		MaxBodyBytes: 1 << 10, Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
 	})
 	httpServer := httptest.NewServer(f)
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -166,6 +166,7 @@
 		RoutingConfigSource: configWithRoute(route(kernel.RouteStream), 1), Holder: answerlessHolder{}, Dialect: dialect{},
 		Draining:     func() bool { return false },
 		RepeatBudget: limiter.NewRepeatBudget(limiter.RepeatBudgetSettings{Ratio: 1, Slack: 100, Routers: func() int { return 1 }}),
+		Abstainer:    newTestAbstainer(),
 		MaxBodyBytes: 1 << 10, Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
 	})
 	server := httptest.NewServer(f)
--- a/internal/forwarder/streammatrix_test.go
+++ b/internal/forwarder/streammatrix_test.go
@@ -219,6 +219,7 @@
 		RoutingConfigSource: m.configs[configKey{c.resumable, c.attempts}], Holder: &matrixHolder{fakeHolder{address: m.upstream}},
 		Dialect: matrixDialect{}, Connector: connections, Draining: func() bool { return false },
 		RepeatBudget: limiter.NewRepeatBudget(limiter.RepeatBudgetSettings{Ratio: 1, Slack: 100, Routers: func() int { return 1 }}),
+		Abstainer:    newTestAbstainer(),
 		MaxBodyBytes: 1 << 10, Metrics: m.metrics, Logger: zap.NewNop(),
 	}))
 	got, err := m.call(c)
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -26,7 +26,7 @@
 	}
 	pool, upstream, ok := h.upstream(request.Work.Pool, grant.GetEngine())
 	if !ok {
-		h.requeue(request, grant, Granted, protocol.ReleaseKind_RELEASE_KIND_UNUSED)
+		h.requeue(request, Granted, newRelease(request, grant, protocol.ReleaseKind_RELEASE_KIND_UNUSED))
 		return nil, false
 	}
 	h.table.removeWaiting(request)
@@ -41,10 +41,12 @@
 		result = h.call(ctx, request, pool.Protocol, upstream)
 	}
 	if result.notSent {
-		h.requeue(request, grant, Dispatched, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE)
+		h.requeue(request, Dispatched, newRelease(request, grant, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE))
 		return nil, false
 	}
-	h.releaseWithObservation(request, grant, result)
+	release := newRelease(request, grant, result.releaseKind)
+	addObservation(release, request, result.observation)
+	h.recordRelease(request, release)
 	request.state.transition(Dispatched, result.state)
 	if result.answer != nil {
 		h.recordResult(ctx, request, *result.answer)
@@ -78,32 +80,33 @@
 }
 
 // requeue releases a grant whose request wasn't run and moves the request from the given state back to Waiting.
-func (h *Holder) requeue(request *Request, grant *protocol.Grant, from State, kind protocol.ReleaseKind) {
+func (h *Holder) requeue(request *Request, from State, release *protocol.Release) {
 	request.state.transition(from, Waiting)
-	h.record(request, recorder.Returned, kind.String())
+	h.record(request, recorder.Returned, release.GetKind().String())
 	if from == Dispatched {
 		h.table.addWaiting(request)
 	}
 	request.upstream = ""
 	request.attempt++
-	h.release(request, grant, kind)
+	h.tickets.Release(release)
 }
 
-func (h *Holder) release(request *Request, grant *protocol.Grant, kind protocol.ReleaseKind) {
-	h.tickets.Release(&protocol.Release{
-		RequestId: request.ID, Engine: grant.GetEngine(), Kind: kind, Fingerprint: request.Fingerprint,
-	})
+// newRelease returns the release of a grant without observations.
+func newRelease(request *Request, grant *protocol.Grant, kind protocol.ReleaseKind) *protocol.Release {
+	return &protocol.Release{RequestId: request.ID, Engine: grant.GetEngine(), Kind: kind, Fingerprint: request.Fingerprint}
 }
 
-func (h *Holder) releaseWithObservation(request *Request, grant *protocol.Grant, result dispatchResult) {
-	h.record(request, recorder.Released, result.releaseKind.String())
-	observation := result.observation
-	h.tickets.Release(&protocol.Release{
-		RequestId: request.ID, Engine: grant.GetEngine(), Kind: result.releaseKind, Fingerprint: request.Fingerprint,
-		PromptTokens: uint32(request.PromptTokens), CachedTokens: uint32(observation.CachedTokens),
-		OutputTokens: uint32(observation.OutputTokens), FirstTokenMs: observation.FirstToken.Milliseconds(),
-		TotalMs: observation.Total.Milliseconds(), Begun: observation.Begun,
-	})
+// addObservation adds to a release what was observed while the upstream ran the request.
+func addObservation(release *protocol.Release, request *Request, observation dispatcher.Observation) {
+	release.PromptTokens, release.CachedTokens = uint32(request.PromptTokens), uint32(observation.CachedTokens)
+	release.OutputTokens, release.Begun = uint32(observation.OutputTokens), observation.Begun
+	release.FirstTokenMs, release.TotalMs = observation.FirstToken.Milliseconds(), observation.Total.Milliseconds()
+}
+
+// recordRelease releases the grant of a request that was run.
+func (h *Holder) recordRelease(request *Request, release *protocol.Release) {
+	h.record(request, recorder.Released, release.GetKind().String())
+	h.tickets.Release(release)
 }
 
 func (h *Holder) stream(
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -6,6 +6,7 @@
 
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/dispatcher"
+	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/recorder"
 )
@@ -26,6 +27,9 @@
 	// Kind means that the request was not run; otherwise the caller already has its answer.
 	Refusal     *Refusal
 	Observation dispatcher.Observation
+	// Asked is what the upstream asks of this router now, and Incarnation the process of the upstream that asks it.
+	Asked       kernel.Notice
+	Incarnation int64
 }
 
 // exchange sends an opaque request under a grant. Its results are those of dispatch.
@@ -35,7 +39,7 @@
 		upstream = known
 	}
 	if upstream.Address == "" {
-		h.requeue(request, grant, Granted, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE)
+		h.requeue(request, Granted, newRelease(request, grant, protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE))
 		return nil, false
 	}
 	h.table.removeWaiting(request)
@@ -46,15 +50,15 @@
 	result := request.Exchange.Send(ctx, upstream)
 	switch {
 	case result.Kind.NotRun() && result.Refusal == nil:
-		h.requeue(request, grant, Dispatched, result.Kind)
+		h.requeue(request, Dispatched, exchangeRelease(request, grant, result))
 		return nil, false
 	case result.Kind.NotRun():
-		h.release(request, grant, result.Kind)
+		h.tickets.Release(exchangeRelease(request, grant, result))
 		h.tickets.Cancel(request.ID)
 		request.state.transition(Dispatched, NotRun)
 		return h.refuse(request, result.Refusal), true
 	case result.Resubmit:
-		h.releaseWithObservation(request, grant, dispatchResult{releaseKind: result.Kind, observation: result.Observation})
+		h.recordRelease(request, exchangeRelease(request, grant, result))
 		h.resubmit(request)
 		return nil, false
 	}
@@ -62,11 +66,22 @@
 	if result.Refusal != nil {
 		end = Unknown
 	}
-	h.releaseWithObservation(request, grant, dispatchResult{releaseKind: result.Kind, observation: result.Observation})
+	h.recordRelease(request, exchangeRelease(request, grant, result))
 	request.state.transition(Dispatched, end)
 	return result.Refusal, true
 }
 
+// exchangeRelease returns the release of a grant with what the upstream asks of this router.
+func exchangeRelease(request *Request, grant *protocol.Grant, result SendResult) *protocol.Release {
+	release := newRelease(request, grant, result.Kind)
+	if !result.Kind.NotRun() {
+		addObservation(release, request, result.Observation)
+	}
+	release.Leaving, release.PausedMs = result.Asked.Leaving, result.Asked.Pause.Milliseconds()
+	release.Incarnation = result.Incarnation
+	return release
+}
+
 // resubmit requests another grant for a request that an upstream may already have run and that may be run again. What was
 // decided while the upstream ran it belongs to the ticket that has ended.
 func (h *Holder) resubmit(request *Request) {
--- a/internal/holder/serve.go
+++ b/internal/holder/serve.go
@@ -71,7 +71,7 @@
 				return h.refuse(request, d.refusal)
 			}
 			if wait.Err() != nil {
-				h.release(request, d.grant, protocol.ReleaseKind_RELEASE_KIND_UNUSED)
+				h.tickets.Release(newRelease(request, d.grant, protocol.ReleaseKind_RELEASE_KIND_UNUSED))
 				h.tickets.Cancel(request.ID)
 				return h.refuseAbandoned(ctx, request)
 			}
@@ -93,7 +93,7 @@
 		select {
 		case d := <-request.decisions:
 			if d.grant != nil {
-				h.release(request, d.grant, protocol.ReleaseKind_RELEASE_KIND_UNUSED)
+				h.tickets.Release(newRelease(request, d.grant, protocol.ReleaseKind_RELEASE_KIND_UNUSED))
 			}
 		default:
 			return
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -50,6 +50,18 @@
 	Signed bool
 	// ContentEncoded reports whether the body has a content encoding.
 	ContentEncoded bool
+	// Notice is what the upstream asks of the router that gets the answer.
+	Notice Notice
+	// MalformedPause is the value of a header that should state Notice.Pause and can't be read; empty if there is none.
+	MalformedPause string
+}
+
+// Notice is what an upstream asks of one router in an answer.
+type Notice struct {
+	// Leaving reports whether the upstream is leaving and wants no new requests at all.
+	Leaving bool
+	// Pause is how long the upstream wants no requests; 0 if it doesn't ask for a pause.
+	Pause time.Duration
 }
 
 // Dialect translates between the headers of callers and upstreams and the router's own types.
@@ -151,6 +163,8 @@
 	Slots      int
 	// Leaving upstreams take no new requests.
 	Leaving bool
+	// Incarnation distinguishes the starts of an upstream that keeps its name; 0 if it isn't known.
+	Incarnation int64
 }
 
 // Topic is one kind of record in the directory.
--- a/internal/runner/scheduler.go
+++ b/internal/runner/scheduler.go
@@ -17,6 +17,8 @@
 	PrefillPerSec float64
 	TokensPerSec  float64
 	KVTokens      int
+	// Incarnation distinguishes the starts of an engine that keeps its name; 0 if it isn't known.
+	Incarnation int64
 }
 
 // Decision is one grant or refusal for a holder.
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -14,6 +14,7 @@
 	blockIsolation blockReason = "waits_to_run_alone"
 	blockTurn      blockReason = "behind_other_tickets"
 	blockStall     blockReason = "prefill_would_hold_up_streams"
+	blockPaused    blockReason = "engines_have_turned_the_router_away"
 
 	blockConcurrency blockReason = "concurrency_limit"
 	blockTokens      blockReason = "tokens_per_minute_limit"
@@ -59,6 +60,8 @@
 	switch {
 	case free <= 0:
 		return blockSlots
+	case e.asked.pausedFor(r.holder, *e.clock):
+		return blockPaused
 	case e.reservedFor != nil && e.reservedFor != r && r.tier >= e.reservedFor.tier:
 		return blockReserved
 	case r.class == classAlone && len(e.granted)+e.foreignInFlight > 0:
@@ -125,6 +128,10 @@
 				return found
 			case blockReserved, blockStall:
 				reason = found
+			case blockPaused:
+				if reason != blockStall {
+					reason = found
+				}
 			}
 		}
 	}
@@ -143,7 +150,7 @@
 	}
 	var best *engine
 	for _, e := range s.list {
-		if e.usable() && e.runningAlone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
+		if e.usable() && !e.asked.pausedFor(r.holder, s.now) && e.runningAlone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
 			best = e
 		}
 	}
--- /dev/null
+++ b/internal/scheduler/asked.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"maps"
+	"time"
+
+	"coltsfootplank/internal/protocol"
+)
+
+// asked is what an engine asks of the holders in its answers, as they report it with their releases. It ends with the
+// process of the engine.
+type asked struct {
+	// leaving is set once the engine said to any holder that it is leaving.
+	leaving bool
+	// pauses holds until when the engine wants no requests from a holder. Other holders may send it requests.
+	pauses map[string]time.Time
+}
+
+// pausedFor reports whether the engine wants no requests from a holder now.
+func (a *asked) pausedFor(holder string, now time.Time) bool {
+	return len(a.pauses) > 0 && now.Before(a.pauses[holder])
+}
+
+// expire drops the pauses that are over.
+func (a *asked) expire(now time.Time) {
+	maps.DeleteFunc(a.pauses, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
+// recordAsked records what an engine asks of a holder.
+func (s *engineSet) recordAsked(e *engine, holder string, release *protocol.Release, now time.Time) {
+	if e.info.Incarnation != 0 && release.GetIncarnation() != 0 && e.info.Incarnation != release.GetIncarnation() {
+		return
+	}
+	if release.GetLeaving() && !e.asked.leaving {
+		e.asked.leaving = true
+		e.recordReason(now, "the engine says in its answers that it is leaving")
+		s.refresh()
+	}
+	if release.GetPausedMs() <= 0 {
+		return
+	}
+	e.asked.expire(now)
+	if e.asked.pauses == nil {
+		e.asked.pauses = make(map[string]time.Time)
+	}
+	until := now.Add(secondsToDuration(float64(release.GetPausedMs()) / 1000))
+	if until.After(e.asked.pauses[holder]) {
+		e.asked.pauses[holder] = until
+	}
+}
+
+// nextPauseEnd returns when the first of the engines that want no requests from a holder takes them again; zero if there
+// is none.
+func (s *engineSet) nextPauseEnd(holder string, now time.Time) time.Time {
+	var first time.Time
+	for _, e := range s.list {
+		if end := e.asked.pauses[holder]; now.Before(end) && (first.IsZero() || end.Before(first)) {
+			first = end
+		}
+	}
+	return first
+}
+
+// refuseIfPaused refuses a ticket if all engines have turned its holder away for longer than the ticket can wait, and
+// reports whether it did. The caller is told when the first of them takes requests again.
+func (s *Scheduler) refuseIfPaused(r *request, now time.Time) bool {
+	if r.latestStart.IsZero() {
+		return false
+	}
+	for _, e := range s.engines.list {
+		if !e.gone() && !e.asked.pauses[r.holder].After(r.latestStart) {
+			return false
+		}
+	}
+	end := s.engines.nextPauseEnd(r.holder, now)
+	if end.IsZero() {
+		return false
+	}
+	s.buckets[r.bucket].stats.recordRefusal(now)
+	s.refuse(r, CodeOverloaded, "all engines have turned this router away for some time", end.Sub(now))
+	return true
+}
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -61,22 +61,24 @@
 // DumpEngine is the scheduler's view of one engine. LastExclusion is the last reason to take it out of use; it is kept
 // after the engine's return.
 type DumpEngine struct {
-	Name            string    `json:"name"`
-	Generation      string    `json:"generation"`
-	Usable          bool      `json:"usable"`
-	Slots           int       `json:"slots"`
-	Allowance       int       `json:"allowance,omitempty"`
-	InFlight        int       `json:"in_flight"`
-	ForeignInFlight int       `json:"foreign_in_flight"`
-	Tokens          float64   `json:"tokens_in_flight"`
-	AheadSeconds    float64   `json:"work_ahead_seconds"`
-	Prefill         float64   `json:"prefill_tokens_per_second"`
-	Decode          float64   `json:"output_tokens_per_second"`
-	Baseline        float64   `json:"baseline_output_tokens_per_second"`
-	Prefixes        int       `json:"prefixes"`
-	Leaving         bool      `json:"leaving"`
-	LastExclusion   string    `json:"last_exclusion,omitempty"`
-	LastExclusionAt time.Time `json:"last_exclusion_at,omitzero"`
+	Name            string  `json:"name"`
+	Generation      string  `json:"generation"`
+	Usable          bool    `json:"usable"`
+	Slots           int     `json:"slots"`
+	Allowance       int     `json:"allowance,omitempty"`
+	InFlight        int     `json:"in_flight"`
+	ForeignInFlight int     `json:"foreign_in_flight"`
+	Tokens          float64 `json:"tokens_in_flight"`
+	AheadSeconds    float64 `json:"work_ahead_seconds"`
+	Prefill         float64 `json:"prefill_tokens_per_second"`
+	Decode          float64 `json:"output_tokens_per_second"`
+	Baseline        float64 `json:"baseline_output_tokens_per_second"`
+	Prefixes        int     `json:"prefixes"`
+	Leaving         bool    `json:"leaving"`
+	// Pauses holds until when the engine wants no requests from a router.
+	Pauses          map[string]time.Time `json:"pauses,omitempty"`
+	LastExclusion   string               `json:"last_exclusion,omitempty"`
+	LastExclusionAt time.Time            `json:"last_exclusion_at,omitzero"`
 }
 
 // Dump returns a copy of the state for operators.
@@ -151,5 +153,5 @@
 		Allowance: e.allowance, InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
 		Tokens: e.tokensInFlight, AheadSeconds: e.ahead,
 		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(),
-		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining, LastExclusion: e.reason, LastExclusionAt: e.reasonAt}
+		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining || e.asked.leaving, Pauses: maps.Clone(e.asked.pauses), LastExclusion: e.reason, LastExclusionAt: e.reasonAt}
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -21,6 +21,8 @@
 	PrefillPerSec float64
 	TokensPerSec  float64
 	KVTokens      int
+	// Incarnation distinguishes the starts of an engine that keeps its name; 0 if it isn't known.
+	Incarnation int64
 }
 
 // engine is the scheduler's view of one engine.
@@ -51,6 +53,8 @@
 	excluded bool
 	reason   string
 	reasonAt time.Time
+	// asked is what the engine asks of the holders in its answers.
+	asked asked
 	// allowance bounds the requests in flight while the engine returns to use step by step; 0 means no bound.
 	allowance int
 	// countedInPool reports whether the pool's slots include those of the engine.
@@ -120,7 +124,12 @@
 
 // usable reports whether the engine may receive new work.
 func (e *engine) usable() bool {
-	return !e.leaving && !e.draining && !e.down && !e.excluded && !e.removed
+	return !e.gone() && !e.excluded
+}
+
+// gone reports whether the engine is leaving, down or not in the cell any more.
+func (e *engine) gone() bool {
+	return e.leaving || e.draining || e.asked.leaving || e.down || e.removed
 }
 
 // urgentReserveSlots returns the number of slots that lower tiers leave free for urgent tickets.
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -71,6 +71,9 @@
 			s.byName[info.Name] = e
 		}
 		s.close(e)
+		if info.Incarnation != e.info.Incarnation {
+			e.asked = asked{}
+		}
 		e.info, e.removed = info, false
 		e.generation = s.generation(info.Generation)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,7 +47,8 @@
 	// floorWork is the recent work, in seconds of slot time, that was granted because of the tier floors.
 	floorWork decayingSum
 
-	// recheckAt is when to check again the tickets that wait for prefills of other requests to finish.
+	// recheckAt is when to check again the tickets that wait for prefills of other requests to finish, or for engines that
+	// have turned their holder away.
 	recheckAt time.Time
 	decisions []Decision
 	// dirty is set by every input, so that the next Step looks for grants.
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -131,7 +131,14 @@
 		switch s.engines.blockOf(r) {
 		case blockStall:
 			// The prefills in progress end soon, but no message tells when.
-			s.recheckAt = now.Add(prefillRecheckInterval)
+			s.recheckBy(now, now.Add(prefillRecheckInterval))
+			if !deferred.add(r) {
+				b.flows[f.class].remove(f)
+				skipped = append(skipped, f)
+			}
+		case blockPaused:
+			// Other holders' tickets may still be granted.
+			s.recheckBy(now, s.engines.nextPauseEnd(r.holder, now))
 			if !deferred.add(r) {
 				b.flows[f.class].remove(f)
 				skipped = append(skipped, f)
@@ -150,6 +157,13 @@
 	}
 }
 
+// recheckBy makes the next step come by a time.
+func (s *Scheduler) recheckBy(now, at time.Time) {
+	if !s.recheckAt.After(now) || at.Before(s.recheckAt) {
+		s.recheckAt = at
+	}
+}
+
 // nextFlow returns the flow to serve first among the length classes that aren't blocked.
 func (s *Scheduler) nextFlow(b *bucket, blocked *[classCount]bool) *flow {
 	var first *flow
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -38,7 +38,7 @@
 	if s.refuseIfPoison(r, now) {
 		return
 	}
-	if !s.chargeAllowance(r, now) {
+	if s.refuseIfPaused(r, now) || !s.chargeAllowance(r, now) {
 		return
 	}
 	if s.infeasible(r, now) {
@@ -184,6 +184,7 @@
 	if e == nil {
 		return
 	}
+	s.engines.recordAsked(e, holder, release, now)
 	answered := release.GetKind() == protocol.ReleaseKind_RELEASE_KIND_ANSWERED
 	if r != nil && (answered || release.GetBegun()) {
 		s.recordBegun(now, e, r, answered)
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"coltsfootplank/internal/abstainer"
 	"coltsfootplank/internal/administrator"
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/connector"
@@ -27,6 +28,7 @@
 	directory  kernel.DirectoryProtocol
 	subscriber *subscriber.Subscriber
 	connector  *connector.Connector
+	abstainer  *abstainer.Abstainer
 	forwarder  *forwarder.Forwarder
 }
 
@@ -60,8 +62,9 @@
 	}, func() { connectionsOpened.Inc(1) })
 	closers.add(closeConnector)
 	g.connector = upstreams
+	g.abstainer = abstainer.New(abstainer.Options{Registered: g.registered, Metrics: r.metrics, Logger: log})
 	g.forwarder = forwarder.New(forwarder.Options{
-		RoutingConfigSource: g.subscriber, Holder: r.holder, Dialect: dialect, Connector: upstreams,
+		RoutingConfigSource: g.subscriber, Holder: r.holder, Dialect: dialect, Connector: upstreams, Abstainer: g.abstainer,
 		RepeatBudget: limiter.NewRepeatBudget(limiter.RepeatBudgetSettings{
 			Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack,
 			Routers: func() int { return len(r.detector.View().Eligible()) },
@@ -71,6 +74,12 @@
 	return g, nil
 }
 
+// registered reports whether the catalogue has an upstream with a name.
+func (g *gatewayMode) registered(name string) bool {
+	_, ok := g.subscriber.Current().Upstream(name)
+	return ok
+}
+
 func (g *gatewayMode) Handler() http.Handler { return g.forwarder }
 
 func (g *gatewayMode) Tasks() []func(ctx context.Context) error {
@@ -193,7 +202,7 @@
 		return directoryState{
 			Version: int64(version), Offset: offset, Healthy: g.subscriber.Healthy(), Pools: g.subscriber.Current().Pools,
 		}
-	}}}
+	}}, {"abstentions", func() any { return g.abstainer.Dump() }}}
 }
 
 // readOnlyCatalogue is the catalogue of the administration API in gateway mode, where operators publish in the directory.
