Don't relay the head of another answer as a part of an event

Callers saw: nothing yet; other operators report the text or the whole head of an error in the middle of streams. Cause: a stream without a stated length breaks off within an event, and the engine writes an error answer to the same connection. The lines of that answer's head were taken for further lines of the event, and its empty line for the event's end. The other ways that were tried are not possible here: an error of the next engine, whatever its status, type and framing, and an answer after a whole event or in place of a chunk. Change: an event of which a line is neither a field nor a comment is an error, which breaks off the answer. The names of fields are in lower case, unlike the lines of a head.

--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -40,6 +40,15 @@
 	return fmt.Sprintf("resume the stream: answer with status %d isn't the rest of it", e.Status)
 }
 
+// MalformedEventError reports an event with a line that is neither a field nor a comment. Such bytes belong to another answer.
+type MalformedEventError struct {
+	ID string
+}
+
+func (e *MalformedEventError) Error() string {
+	return fmt.Sprintf("event %s of the stream has a line that is neither a field nor a comment", e.ID)
+}
+
 // IncompleteEventError reports the body of a stream that ended in the regular way in the middle of an event.
 type IncompleteEventError struct {
 	// Bytes is the number of bytes after the last complete event.
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -12,6 +12,9 @@
 	maxEventBytes = 256 << 10
 )
 
+// fieldMark ends the name of a field. A line that begins with it is a comment.
+var fieldMark = []byte(":")
+
 // eventBuffer splits the body of a stream into events. An event ends with an empty line; lines end with LF or CR LF.
 type eventBuffer struct {
 	data []byte
@@ -63,5 +66,17 @@
 	}
 }
 
+// wellFormed reports whether each line of an event is a field or a comment. Names of fields are in lower case, unlike the
+// lines of an answer's head, which may follow an event that broke off.
+func wellFormed(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), fieldMark)
+		if bytes.ContainsFunc(name, func(r rune) bool { return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_' }) {
+			return false
+		}
+	}
+	return true
+}
+
 // rest returns the bytes after the last complete event.
 func (b *eventBuffer) rest() []byte { return b.data[b.next:] }
--- a/internal/forwarder/sequence.go
+++ b/internal/forwarder/sequence.go
@@ -11,9 +11,8 @@
 const minStartID = 1
 
 var (
-	idField     = []byte("id:")
-	dataField   = []byte("data:")
-	commentMark = []byte(":")
+	idField   = []byte("id:")
+	dataField = []byte("data:")
 )
 
 // sequence decides by their ids which events of a stream's attempts the caller gets. Ids are numbers that increase. They
@@ -125,7 +124,7 @@
 // isComment reports whether an event consists of comment lines and empty lines.
 func isComment(event []byte) bool {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if len(bytes.TrimRight(line, "\r")) > 0 && !bytes.HasPrefix(line, commentMark) {
+		if len(bytes.TrimRight(line, "\r")) > 0 && !bytes.HasPrefix(line, fieldMark) {
 			return false
 		}
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -102,13 +102,18 @@
 }
 
 // relayEvents writes the complete events of a buffer to the caller, preceded by the status and header if they aren't
-// written yet. Errors: *CallerWriteError and those of sequence.accept, before which all accepted events are written.
+// written yet. Errors: *CallerWriteError, and *MalformedEventError and those of sequence.accept, before which all accepted
+// events are written.
 func (x *exchange) relayEvents(controller *http.ResponseController, answer *connector.Answer, buffer *eventBuffer) error {
 	written := false
 	var orderErr error
 	for event := buffer.event(); event != nil; event = buffer.event() {
 		id := eventID(event)
 		x.attempt.observe(id)
+		if !wellFormed(event) {
+			orderErr = &MalformedEventError{ID: id}
+			break
+		}
 		var accepted bool
 		if accepted, orderErr = x.sequence.accept(id, event); orderErr != nil {
 			break
