End a planned stop with the grace period and answer the requests that still wait

Callers saw: nothing yet; other operators report requests that were taken late in the grace period and cut at its end. Cause: the template stated times for a grace period of 8 s. With a longer one the router ended after 7.5 s and cut answers off that had time left; with a shorter one it was killed while it waited. And a request that waited for an upstream at the end of the stop, such as one that an engine had lost, was passed on or cut off without an answer. Change: drain.grace_period states the period, from which delay and timeout follow (2.5 s and 5 s at 8 s, as before). At the end the waiting requests are refused as not run, or unknown if they may have run, and grants go back unused. Tests: TestPlannedStopWithinGracePeriod for periods from 2 s to 60 s; TestWaitingAtEndOfDrain, three rows of which failed before. Requests that come after the delay were refused before already (TestDrain).

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -75,6 +75,8 @@
 
 	table    *requestTable
 	draining atomic.Bool
+	// stopping is set at the end of a drain, when the requests that still wait are refused.
+	stopping atomic.Bool
 	// admission guards the check of draining and the increment of inFlight, so that Drain waits for every request that
 	// was accepted before it.
 	admission sync.RWMutex
@@ -98,7 +100,14 @@
 // Draining reports whether new requests are refused.
 func (h *Holder) Draining() bool { return h.draining.Load() }
 
-// Drain refuses new requests and waits until all accepted requests have ended or the context ends.
+// stopRetryAfter is the Retry-After of a router that is stopping. By then the load balancer sends new connections to others.
+const stopRetryAfter = time.Second
+
+// refusalTime is how long Drain waits for its last refusals to reach their callers.
+const refusalTime = 200 * time.Millisecond
+
+// Drain refuses new requests and waits until all accepted requests have ended. When the context ends, it refuses those that
+// still wait for an upstream, because the process may end before they have been answered.
 func (h *Holder) Drain(ctx context.Context) error {
 	h.admission.Lock()
 	h.draining.Store(true)
@@ -115,10 +124,33 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
+	}
+	h.refuseWaiting()
+	timer := time.NewTimer(refusalTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return nil
+	case <-timer.C:
 		return &DrainError{InFlight: len(h.Requests()), Cause: context.Cause(ctx)}
 	}
 }
 
+// refuseWaiting refuses the requests that wait for an upstream. Those that begin to wait later are refused by schedule.
+func (h *Holder) refuseWaiting() {
+	h.stopping.Store(true)
+	for _, request := range h.table.waitingRequests() {
+		request.deliver(decision{refusal: stopRefusal()})
+	}
+}
+
+// stopRefusal returns the refusal of a request that this router can't serve before it stops.
+func stopRefusal() *Refusal {
+	return &Refusal{
+		Outcome: OutcomeNotRun, Code: CodeDraining, Message: "this router is stopping; try another", RetryAfter: stopRetryAfter,
+	}
+}
+
 // admit counts a request as in flight. It returns false if the holder is draining.
 func (h *Holder) admit() bool {
 	h.admission.RLock()
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -330,6 +330,56 @@
 	})
 }
 
+// TestWaitingAtEndOfDrain guards against requests that still wait at the end of a planned stop being cut off without an
+// answer, and against requests being passed on when their answers can't arrive any more.
+func TestWaitingAtEndOfDrain(t *testing.T) {
+	const drainTime = 2 * time.Second
+	lost := SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_LOST, Resubmit: true}
+	for _, c := range []struct {
+		name string
+		// grants are when the scheduler grants the first and the second attempt; 0 means never.
+		grants  []time.Duration
+		script  []SendResult
+		sends   int
+		outcome Outcome
+	}{
+		{"never granted", []time.Duration{0}, nil, 0, OutcomeNotRun},
+		{"granted after the drain", []time.Duration{drainTime + time.Millisecond}, nil, 0, OutcomeNotRun},
+		{"lost and not granted again", []time.Duration{time.Second, 0}, []SendResult{lost}, 1, OutcomeUnknown},
+		{"answered", []time.Duration{time.Second}, []SendResult{{Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED}}, 1, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(DefaultSettings())
+				f.tickets.decide = func(attempt int, handler ticketer.DecisionHandler) {
+					if attempt <= len(c.grants) && c.grants[attempt-1] > 0 {
+						time.AfterFunc(c.grants[attempt-1], func() { handler.Granted(&protocol.Grant{Engine: "elsewhere", Address: "127.0.0.1:1"}) })
+					}
+				}
+				exchange := &scriptedExchange{script: c.script}
+				request := f.request()
+				request.Key, request.Exchange = "", exchange
+				request.Deadline = time.Now().Add(time.Minute)
+				var group sync.WaitGroup
+				var refusal *Refusal
+				group.Go(func() { refusal = f.holder.Serve(t.Context(), request) })
+				synctest.Wait()
+				ctx, cancel := context.WithTimeout(t.Context(), drainTime)
+				defer cancel()
+				assert.NilError(t, f.holder.Drain(ctx))
+				group.Wait()
+				assert.Equal(t, exchange.sends, c.sends)
+				if c.outcome == "" {
+					assert.Assert(t, refusal == nil)
+					return
+				}
+				assert.Equal(t, refusal.Outcome, c.outcome)
+				assert.Equal(t, refusal.Code, CodeDraining)
+			})
+		})
+	}
+}
+
 // TestWaitingLimit guards against shedding a request of a higher priority tier while one of a lower tier waits.
 func TestWaitingLimit(t *testing.T) {
 	cases := []struct {
--- a/internal/holder/serve.go
+++ b/internal/holder/serve.go
@@ -24,10 +24,7 @@
 	request.state.value.Store(int32(Waiting))
 	if !h.admit() {
 		request.state.markNotRun()
-		return h.finish(request, &Refusal{
-			Outcome: OutcomeNotRun, Code: CodeDraining, Message: "this router is stopping; try another",
-			RetryAfter: time.Second,
-		})
+		return h.finish(request, stopRefusal())
 	}
 	defer h.inFlight.Done()
 	h.record(request, recorder.Accepted, "")
@@ -61,6 +58,10 @@
 	h.tickets.Submit(request.ticket(time.Now()), request)
 	h.record(request, recorder.Ticketed, "")
 	for {
+		if h.stopping.Load() {
+			h.tickets.Cancel(request.ID)
+			return h.refuse(request, stopRefusal())
+		}
 		select {
 		case <-wait.Done():
 			h.tickets.Cancel(request.ID)
@@ -70,9 +71,12 @@
 				h.tickets.Cancel(request.ID)
 				return h.refuse(request, d.refusal)
 			}
-			if wait.Err() != nil {
+			if wait.Err() != nil || h.stopping.Load() {
 				h.tickets.Release(newRelease(request, d.grant, protocol.ReleaseKind_RELEASE_KIND_UNUSED))
 				h.tickets.Cancel(request.ID)
+				if wait.Err() == nil {
+					return h.refuse(request, stopRefusal())
+				}
 				return h.refuseAbandoned(ctx, request)
 			}
 			refusal, sent := h.dispatch(ctx, request, d.grant)
--- a/internal/holder/table.go
+++ b/internal/holder/table.go
@@ -43,6 +43,13 @@
 	return nil
 }
 
+// waitingRequests returns the waiting requests.
+func (t *requestTable) waitingRequests() []*Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Concat(t.waiting[:]...)
+}
+
 // removeWaiting removes a request from the waiting list.
 func (t *requestTable) removeWaiting(request *Request) {
 	t.mu.Lock()
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -94,6 +94,27 @@
 	Delay time.Duration `yaml:"delay" unit:"duration" min:"0s" max:"5m" help:"wait for the load balancer before new requests are refused"`
 	// Timeout bounds the wait for accepted requests. It should exceed the longest deadline in the catalogue.
 	Timeout time.Duration `yaml:"timeout" unit:"duration" min:"1s" max:"24h" help:"longest wait for accepted requests to finish"`
+	// GracePeriod is the time from the signal to stop until the process is killed; 0 if it isn't killed.
+	GracePeriod time.Duration `yaml:"grace_period" unit:"duration" min:"0s" max:"24h" help:"time after which the process is killed; the planned stop ends before; 0s means that it isn't killed"`
+}
+
+const (
+	// killMargin is left between the end of a planned stop and the end of the grace period, for the last refusals.
+	killMargin = 500 * time.Millisecond
+	// minStopPerDelay is the least ratio of the planned stop to its delay, so that the requests accepted in the delay have
+	// longer to finish.
+	minStopPerDelay = 3
+)
+
+// WithinGracePeriod returns the delay and the timeout of a planned stop, shortened so that it ends before the process is
+// killed.
+func (d Drain) WithinGracePeriod() (delay, timeout time.Duration) {
+	if d.GracePeriod <= 0 {
+		return d.Delay, d.Timeout
+	}
+	available := max(0, d.GracePeriod-killMargin)
+	delay = min(d.Delay, available/minStopPerDelay)
+	return delay, min(d.Timeout, available-delay)
 }
 
 // Limits bounds the memory that one router uses and states its share of the processor.
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -281,16 +281,17 @@
 // stop performs the planned stop: it announces that the router is leaving, waits for the load balancer to notice, and
 // waits for every accepted request to finish.
 func (r *Router) stop(ctx context.Context) error {
-	r.logger.Info("planned stop started", zap.Duration("delay", r.settings.Drain.Delay))
+	delay, timeout := r.settings.Drain.WithinGracePeriod()
+	r.logger.Info("planned stop started", zap.Duration("delay", delay), zap.Duration("timeout", timeout))
 	r.leaving.Store(true)
 	r.detector.Leave(ctx)
-	timer := time.NewTimer(r.settings.Drain.Delay)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	limited, cancel := context.WithTimeout(ctx, r.settings.Drain.Timeout)
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := r.holder.Drain(limited)
 	r.detector.Depart(ctx)
--- a/router/internal/assembler/template_test.go
+++ b/router/internal/assembler/template_test.go
@@ -62,7 +62,8 @@
 		"listen.frontend": "10.0.0.1:8221", "listen.readiness": "10.0.0.1:8224", "listen.control_plane": "10.0.0.1:8229",
 		"seed_nodes": []string{"10.0.0.1:8229", "10.0.0.2:8229"}, "platform.address": "10.0.1.1:8225",
 		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 129, "bounds.quota_window_s": 8,
-		"limits.cpu_share": 0.272,
+		"bounds.grace_period_s": 8,
+		"limits.cpu_share":      0.272,
 	}
 }
 
@@ -77,6 +78,24 @@
 	assert.Equal(t, settings.Scheduling.AllowanceWindow, time.Duration(0))
 }
 
+// TestPlannedStopWithinGracePeriod guards against a planned stop that takes longer than the grace period of a deployment,
+// which cuts requests off, and against one that ends long before and cuts off requests that could have finished.
+func TestPlannedStopWithinGracePeriod(t *testing.T) {
+	template, err := os.ReadFile(templatePath)
+	assert.NilError(t, err)
+	for _, seconds := range []float64{2, 4, 5, 7.5, 8, 20, 60} {
+		fields := platformFields()
+		fields["bounds.grace_period_s"] = seconds
+		settings, err := loader.Parse("router.yaml", []byte(render(t, string(template), fields)))
+		assert.NilError(t, err)
+		delay, timeout := settings.Drain.WithinGracePeriod()
+		period := time.Duration(seconds * float64(time.Second))
+		assert.Assert(t, delay+timeout < period, "%s and %s in %s", delay, timeout, period)
+		assert.Assert(t, period-delay-timeout <= time.Second, "%s and %s in %s", delay, timeout, period)
+		assert.Assert(t, timeout > delay, "%s and %s in %s", delay, timeout, period)
+	}
+}
+
 // TestTemplate guards against rendered settings that the router refuses, and against a planned stop that takes longer
 // than the platform's grace period or accepts requests that can't finish within it.
 func TestTemplate(t *testing.T) {
@@ -97,7 +116,8 @@
 	assert.Assert(t, settings.Gateway.Enabled())
 	assert.DeepEqual(t, settings.Peers.Seeds, []string{"10.0.0.1:8229", "10.0.0.2:8229"})
 	assert.Equal(t, settings.Scheduling.AllowanceWindow, 8*time.Second)
-	assert.Assert(t, settings.Drain.Delay > balancerDelay && settings.Drain.Delay < refuseAfter)
-	assert.Assert(t, settings.Drain.Delay+settings.Drain.Timeout < gracePeriod)
+	delay, timeout := settings.Drain.WithinGracePeriod()
+	assert.Assert(t, delay > balancerDelay && delay < refuseAfter)
+	assert.Assert(t, delay+timeout < gracePeriod)
 	assert.NilError(t, schedulerSettings(settings.Scheduling, cataloguer.Pool{}).Check())
 }
