Register for SIGHUP before anything else is initialised

Callers saw: requests lost with a router that the platform reloaded right after its start. Cause: the router registered for SIGHUP after it had read its settings and bound its addresses. Until then the signal ends the process. Change: a package that imports next to nothing registers, and is initialised among the first. What remains is the time until the process runs its first own code.

--- a/router/internal/commander/commander.go
+++ b/router/internal/commander/commander.go
@@ -14,6 +14,7 @@
 
 	"coltsfootplank/internal/loader"
 	"coltsfootplank/router/internal/assembler"
+	"coltsfootplank/router/internal/notifier"
 )
 
 // Exit codes of the command.
@@ -101,12 +102,9 @@
 		return exitFailure
 	}
 	defer cleanup()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	var reloads errgroup.Group
 	stopped := make(chan struct{})
-	reloads.Go(func() error { reload(router, file, hangups, stopped, stderr); return nil })
+	reloads.Go(func() error { reload(router, file, notifier.Hangups(), stopped, stderr); return nil })
 	err = router.Run(ctx)
 	close(stopped)
 	_ = reloads.Wait()
