Notice the return of the directory as soon as it answers

Cause: after a failed read the next read of the publications waited in the directory for a change, so that its answer came up to 0.7 s after the pause of up to 1.2 s, and the grace of lapsed registrations counted from then. An upstream that doesn't return was listed up to 4.1 s after the directory's return. Change: reads don't wait while the directory is failing. One more call for each outage.

--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -60,12 +60,17 @@
 			}
 			continue
 		}
-		if topic != kernel.TopicPublication && s.publicationFailing() {
+		if topic != kernel.TopicPublication && s.failing(kernel.TopicPublication) {
 			// Reading one topic is enough to notice when the directory is back, and each call is charged for.
 			sleep(ctx, backoffMin)
 			continue
 		}
-		page, whole, err := s.read(ctx, topic, next, wait)
+		readWait := wait
+		if s.failing(topic) {
+			// A read that waits for a change would only show after its wait that the directory is back.
+			readWait = 0
+		}
+		page, whole, err := s.read(ctx, topic, next, readWait)
 		var trimmed *kernel.TrimmedError
 		if errors.As(err, &trimmed) {
 			s.logger.Warn("directory dropped records that were not read", zap.Stringer("topic", topic), zap.Int64("next", next),
@@ -125,10 +130,11 @@
 	return true
 }
 
-func (s *Subscriber) publicationFailing() bool {
+// failing reports whether the last read of a topic failed.
+func (s *Subscriber) failing(topic kernel.Topic) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.health[kernel.TopicPublication].failing
+	return s.health[topic].failing
 }
 
 func (s *Subscriber) recordFailure(topic kernel.Topic, err error) {
