Run the test in which the race detector fails without it

Cause: the test of a simultaneous start was skipped altogether, because the race detector ends its process with an internal check. It stays in KNOWN-RED.txt for the run with it.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,4 +21,6 @@
   [ "$module" != scenarios ] || fresh=(-count=1)
   (cd "$module" && go test -race -timeout 300s "${fresh[@]}" "${skip[@]}" ./...) || status=1
 done
+# The race detector itself ends the process in this test; see KNOWN-RED.txt. Without it the test has to pass.
+(cd internal && go test -count=1 -run '^TestMembersKnowEachOtherAfterSimultaneousStart$' ./detector) || status=1
 exit $status
