Tell callers to return after an outage if no router has a configuration

Cause: the time until a router has its configuration was taken for that of a start with the directory up. The routers then read the directory again after pauses of up to 1.2 s, so that refusals went on for 0.6 s after its return. Refusals for lack of upstreams, whose registrations lapse in an outage, stated no time at all. Change: a router that can't read the directory and has no configuration states 1.5 s to 2.5 s, one without upstreams 1 s to 1.5 s; the candidates among the readers read every 0.3 s at least until they have the first configuration. Tests: TestRetryAfterWithoutConfig, TestFirstConfigAfterOutage.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -28,6 +28,8 @@
 	AwaitRoutingConfig(ctx context.Context, wait time.Duration) *subscriber.RoutingConfig
 	// Departed reports whether an upstream is known to be leaving or gone.
 	Departed(upstream string) bool
+	// DirectoryFailing reports whether the last read of the configuration failed.
+	DirectoryFailing() bool
 }
 
 // Abstainer keeps what upstreams ask of this router in their answers.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -136,6 +137,8 @@
 	departed string
 	// delay is the time until the first configuration is available.
 	delay time.Duration
+	// failing is set if the directory can't be read.
+	failing bool
 }
 
 func (source fakeConfigSource) AwaitRoutingConfig(ctx context.Context, wait time.Duration) *subscriber.RoutingConfig {
@@ -152,6 +155,7 @@
 }
 
 func (source fakeConfigSource) Departed(name string) bool { return name == source.departed }
+func (source fakeConfigSource) DirectoryFailing() bool    { return source.failing }
 func route(kind kernel.RouteKind) kernel.Route            { return kernel.Route{Kind: kind} }
 
 const (
@@ -352,6 +356,23 @@
 	}
 }
 
+// TestRetryAfterWithoutConfig guards against callers that use up their retries within an outage of the directory, because
+// the routers, which have all lost their configuration, tell them to return while it lasts.
+func TestRetryAfterWithoutConfig(t *testing.T) {
+	for _, c := range []struct {
+		failing   bool
+		low, high time.Duration
+	}{{false, 0, 500 * time.Millisecond}, {true, time.Second, 3 * time.Second}} {
+		base, _ := startTestForwarder(t, fakeConfigSource{delay: time.Hour, failing: c.failing}, newScriptedUpstream(t, okAnswer))
+		status, _, _, header := send(t, base, http.MethodPost, "/a/", "", callerHeader)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		after := time.Duration(seconds * float64(time.Second))
+		assert.Assert(t, after > c.low && after < c.high, "%s", after)
+	}
+}
+
 // TestWaitsForFirstConfig guards against a router refusing a request shortly before it gets its first configuration.
 func TestWaitsForFirstConfig(t *testing.T) {
 	u := newScriptedUpstream(t, okAnswer)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -21,6 +21,11 @@
 const (
 	// noConfigRetryAfter is the Retry-After of a router that has no configuration yet; reading it takes less time.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// outageRetryAfter is the shortest Retry-After of a router that has no configuration and can't read the directory. After
+	// a loss of all routers the others have none either, outages last for seconds, and callers have few retries. Up to
+	// outageRetrySpread more keeps the callers from returning all at once.
+	outageRetryAfter  = 1500 * time.Millisecond
+	outageRetrySpread = time.Second
 	// configWait is how long a request waits for the router's first configuration. The platform's log, if it is
 	// reachable, answers sooner.
 	configWait = 250 * time.Millisecond
@@ -39,10 +44,7 @@
 	// earlier wait for it instead of being refused.
 	config := f.options.RoutingConfigSource.AwaitRoutingConfig(r.Context(), configWait)
 	if config == nil {
-		return x, &holder.Refusal{
-			Outcome: holder.OutcomeNotRun, Code: holder.CodeNoUpstream, Message: "this router has no configuration yet",
-			RetryAfter: noConfigRetryAfter,
-		}
+		return x, f.noConfigRefusal()
 	}
 	x.version = config.Version
 	metadata, err := f.options.Dialect.ParseRequest(r.Header)
@@ -71,6 +73,19 @@
 	return x, nil
 }
 
+// noConfigRefusal returns the refusal of a router without a configuration.
+func (f *Forwarder) noConfigRefusal() *holder.Refusal {
+	refusal := &holder.Refusal{
+		Outcome: holder.OutcomeNotRun, Code: holder.CodeNoUpstream, Message: "this router has no configuration yet",
+		RetryAfter: noConfigRetryAfter,
+	}
+	if f.options.RoutingConfigSource.DirectoryFailing() {
+		refusal.Message = "this router has no configuration and can't read the directory"
+		refusal.RetryAfter = outageRetryAfter + rand.N(outageRetrySpread)
+	}
+	return refusal
+}
+
 // target returns the path and query as the caller sent them, also if the request line has an absolute URI.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -173,6 +173,9 @@
 	return s.table.departed(time.Now(), name)
 }
 
+// DirectoryFailing reports whether the last read of the publications failed.
+func (s *Subscriber) DirectoryFailing() bool { return s.failing(kernel.TopicPublication) }
+
 // Healthy reports whether the last reads of the directory succeeded, by this router or by the one that it follows.
 func (s *Subscriber) Healthy() bool {
 	s.mu.Lock()
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -284,6 +284,23 @@
 	})
 }
 
+// TestFirstConfigAfterOutage guards against routers that start in an outage of the directory and refuse all requests long
+// after its end.
+func TestFirstConfigAfterOutage(t *testing.T) {
+	runWithSubscriber(t, noSnapshot, func(t *testing.T, directory *fakeDirectory, s *Subscriber) {
+		assert.Assert(t, !s.DirectoryFailing())
+		directory.setDown(true)
+		directory.put(kernel.TopicPublication, "config", newPublication(1))
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, s.DirectoryFailing())
+		assert.Assert(t, s.RoutingConfig() == nil)
+		directory.setDown(false)
+		time.Sleep(firstBackoffMax)
+		assert.Assert(t, s.RoutingConfig() != nil)
+		assert.Assert(t, !s.DirectoryFailing())
+	})
+}
+
 // TestRecordsDropped guards against the use of upstreams that are gone but whose removal is no longer in the
 // directory's history.
 func TestRecordsDropped(t *testing.T) {
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -16,6 +16,9 @@
 	// within the time in which a change must take effect.
 	backoffMin = 150 * time.Millisecond
 	backoffMax = 1200 * time.Millisecond
+	// firstBackoffMax is backoffMax for the candidates among the readers while they have no configuration. All requests are
+	// refused until one of them has read it.
+	firstBackoffMax = 300 * time.Millisecond
 	// readerBackoffFactor is the factor by which a router with readers extends its backoff, since its readers notice when
 	// the directory is back. If they can't read it either, the longest pause is still shorter than the time after an outage
 	// in which the guaranteed bounds don't apply.
@@ -81,7 +84,7 @@
 		if err != nil {
 			s.recordFailure(topic, err)
 			s.backOff(ctx, readers, backoff)
-			backoff = min(2*backoff, backoffMax)
+			backoff = min(2*backoff, s.longestBackoff(readers))
 			continue
 		}
 		backoff = backoffMin
@@ -97,6 +100,14 @@
 	return ctx.Err()
 }
 
+// longestBackoff returns the bound of the pause between failed reads.
+func (s *Subscriber) longestBackoff(readers Readers) time.Duration {
+	if s.config.Load() == nil && (readers.Candidate || len(readers.Addresses) == 0) {
+		return firstBackoffMax
+	}
+	return backoffMax
+}
+
 // backOff waits after a failed read. A router with readers waits longer, or until it follows one of them.
 func (s *Subscriber) backOff(ctx context.Context, readers Readers, backoff time.Duration) {
 	wait := backoff/2 + rand.N(backoff/2)
--- a/internal/ticketer/placement.go
+++ b/internal/ticketer/placement.go
@@ -1,6 +1,7 @@
 package ticketer
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -9,6 +10,14 @@
 	"coltsfootplank/internal/ranker"
 )
 
+const (
+	// noUpstreamRetryAfter is the shortest Retry-After for a pool without upstreams. After an outage of the directory
+	// upstreams register again within about two seconds. Up to noUpstreamRetrySpread more keeps the callers from returning
+	// all at once.
+	noUpstreamRetryAfter  = time.Second
+	noUpstreamRetrySpread = 500 * time.Millisecond
+)
+
 // cellCount returns the number of cells of a pool, 0 if the pool isn't in the catalogue.
 func (t *Ticketer) cellCount(pool string) int {
 	for i := range t.catalogue.Pools {
@@ -164,7 +173,9 @@
 func (t *Ticketer) refuse(tk *ticket, code, message string) decision {
 	t.withdraw(tk)
 	delete(t.tickets, tk.message.GetRequestId())
-	return decision{handler: tk.handler, refusal: &protocol.Refusal{
-		RequestId: tk.message.GetRequestId(), Code: code, Message: message, Attempt: tk.attempt,
-	}}
+	refusal := &protocol.Refusal{RequestId: tk.message.GetRequestId(), Code: code, Message: message, Attempt: tk.attempt}
+	if code == codeNoUpstream {
+		refusal.RetryAfterMs = (noUpstreamRetryAfter + rand.N(noUpstreamRetrySpread)).Milliseconds()
+	}
+	return decision{handler: tk.handler, refusal: refusal}
 }
