Let no request through before the first catalogue is in force

Cause: the subscriber declared itself ready before it had made the catalogue of the first publication, and the ticketer used the catalogue of its last refresh. Requests that had waited for the configuration were refused for lack of the pool. Change: ready comes after the catalogue, and a ticket is submitted under the latest catalogue. Tests: TestReadyBeforeCatalogue, TestPoolOfNewCatalogue; both failed before.

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -139,7 +139,8 @@
 	return s.config.Load()
 }
 
-// updateReady closes ready once the configuration and the registrations are known.
+// updateReady closes ready once the configuration and the registrations are known. The requests that wait for it need the
+// catalogue, which must have been rebuilt.
 func (s *Subscriber) updateReady() {
 	if s.isReady || !s.registrationsKnown || s.config.Load() == nil {
 		return
@@ -241,10 +242,10 @@
 	}
 	s.publication, s.compressed = record, nil
 	s.config.Store(NewRoutingConfig(publication))
-	s.updateReady()
 	s.logger.Info("publication in force", zap.Int64("version", publication.Version), zap.Int("routes", len(publication.Routes)),
 		zap.Int("workspaces", len(publication.Workspaces)), zap.String("source", source))
 	s.rebuild(source)
+	s.updateReady()
 }
 
 // version returns the version of the current publication, 0 before the first one.
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/loader"
 )
@@ -301,6 +302,41 @@
 	})
 }
 
+// TestReadyBeforeCatalogue guards against requests that are let through as soon as the first configuration is known, and
+// refused because the catalogue made of it isn't in force yet.
+func TestReadyBeforeCatalogue(t *testing.T) {
+	for _, publicationFirst := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := New(Options{Directory: newFakeDirectory(), Logger: zap.NewNop()})
+			readyTooSoon := false
+			defer s.Subscribe(func(*cataloguer.Catalogue) {
+				select {
+				case <-s.ready:
+					readyTooSoon = true
+				default:
+				}
+			})()
+			registration, _ := json.Marshal(newRegistration("a"))
+			publication, _ := json.Marshal(newPublication(1))
+			steps := []func(){
+				func() {
+					s.applyUpstreams(kernel.DirectoryPage{Records: []kernel.DirectoryRecord{{Key: "a", Value: registration}}, Next: 1}, true)
+				},
+				func() { s.publish(kernel.DirectoryRecord{Key: "config", Value: publication}, sourceDirectory) },
+			}
+			if publicationFirst {
+				steps[0], steps[1] = steps[1], steps[0]
+			}
+			for _, step := range steps {
+				step()
+			}
+			assert.Assert(t, s.AwaitRoutingConfig(t.Context(), 0) != nil)
+			assert.Assert(t, !readyTooSoon)
+			assert.DeepEqual(t, upstreamNames(s), []string{"a"})
+		})
+	}
+}
+
 // TestRecordsDropped guards against the use of upstreams that are gone but whose removal is no longer in the
 // directory's history.
 func TestRecordsDropped(t *testing.T) {
--- a/internal/ticketer/ticketer.go
+++ b/internal/ticketer/ticketer.go
@@ -82,9 +82,7 @@
 func (t *Ticketer) refresh() {
 	t.mu.Lock()
 	now := time.Now()
-	if current := t.options.Catalogue.Current(); current != t.catalogue {
-		t.catalogue, t.cellsChanged = current, true
-	}
+	t.updateCatalogue()
 	decisions := append(t.deferred, t.reassign(now)...)
 	t.deferred = nil
 	t.maintainLinks(now)
@@ -92,12 +90,20 @@
 	deliver(decisions)
 }
 
+// updateCatalogue takes over the latest catalogue. The waiting tickets are assigned to its cells by the next refresh.
+func (t *Ticketer) updateCatalogue() {
+	if current := t.options.Catalogue.Current(); current != t.catalogue {
+		t.catalogue, t.cellsChanged = current, true
+	}
+}
+
 // Submit sends a ticket to its scheduler. The handler receives at most one grant until a Release returns it as not run;
 // after such a Release the ticket waits again. A refusal ends the ticket.
 func (t *Ticketer) Submit(message *protocol.Ticket, handler DecisionHandler) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	t.updateCatalogue()
 	tk := &ticket{message: message, handler: handler, submitted: now, attempt: message.GetAttempt()}
 	t.tickets[message.GetRequestId()] = tk
 	if !t.chooseCell(tk) {
--- a/internal/ticketer/ticketer_test.go
+++ b/internal/ticketer/ticketer_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -167,6 +168,19 @@
 	})
 }
 
+// TestPoolOfNewCatalogue guards against refusing a request, accepted under a new catalogue, because the ticketer hasn't taken
+// it over yet.
+func TestPoolOfNewCatalogue(t *testing.T) {
+	runWithTicketer(t, func(t *testing.T, s *fixture) {
+		s.ticketer.mu.Lock()
+		pools := []cataloguer.Pool{{Name: "chat", Upstreams: []cataloguer.Upstream{{Name: "e"}}}, {Name: "new"}}
+		s.ticketer.options.Catalogue = fakeCatalogue{(&cataloguer.Catalogue{Pools: pools}).Index()}
+		s.ticketer.mu.Unlock()
+		s.ticketer.Submit(&protocol.Ticket{RequestId: "r", Pool: "new"}, s.handler)
+		assert.DeepEqual(t, s.handler.decisions(), []string{})
+	})
+}
+
 // TestUnknownPool guards against a ticket that waits although its pool isn't in the catalogue.
 func TestUnknownPool(t *testing.T) {
 	runWithTicketer(t, func(t *testing.T, s *fixture) {
