Give the cells of a pool work and allowances in proportion to their engines

The smaller cell refuses requests while the larger one has engines free. Since that part changes with each engine, an allowance counts as lowered only below 0.8 of the last one. Tests: TestWorkCell, TestAllowancesOfCells, TestAllowanceOfChangingCell. Pools of one cell (up to 64 engines) are unchanged.

--- a/internal/limiter/allowance.go
+++ b/internal/limiter/allowance.go
@@ -13,6 +13,9 @@
 	// refillShare is the share of the burst that is refilled in each window in addition to the rate. The remainder
 	// keeps the total within the platform's tolerance of 10% if one scheduler takes over from another during a window.
 	refillShare = 0.75
+	// loweredShare is the part of a limit below which a new limit counts as lowered. Smaller changes come from a cell whose
+	// part of the engines, and so of the allowances, has changed.
+	loweredShare = 0.8
 )
 
 // Allowances limits what the requests of each workspace use. In each window, a workspace may use its rate over the
@@ -50,7 +53,7 @@
 		b = &balance{units: limit.Burst * initialShare, updatedAt: a.createdAt, limit: limit}
 		a.balances[workspace] = b
 	}
-	if limit.Rate < b.limit.Rate || limit.Burst < b.limit.Burst {
+	if limit.Rate < loweredShare*b.limit.Rate || limit.Burst < loweredShare*b.limit.Burst {
 		// What was used under the higher limit doesn't count against the lower one.
 		b.recent = windowUsage{}
 	}
--- a/internal/limiter/allowance_test.go
+++ b/internal/limiter/allowance_test.go
@@ -75,6 +75,36 @@
 	assert.Assert(t, granted >= 20, "%d granted", granted)
 }
 
+// TestAllowanceOfChangingCell guards against a workspace that uses much more than its allowance because the part of it that a
+// cell may grant changes with each engine that comes or leaves.
+func TestAllowanceOfChangingCell(t *testing.T) {
+	const window = 8 * time.Second
+	a := NewAllowances(start, window)
+	used := make([]float64, 0, 6000)
+	for step := range 6000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		share := 1 - 0.02*float64(step/50%2)
+		taken := 0.0
+		// The workspace sends nothing in every other window.
+		for step/800%2 == 1 {
+			if _, ok := a.Take(now, "w", cataloguer.Allowance{Rate: 1000 * share, Burst: 2000 * share}, 10); !ok {
+				break
+			}
+			taken += 10
+		}
+		used = append(used, taken)
+	}
+	steps := int(window / (10 * time.Millisecond))
+	limit := 1000*window.Seconds() + 2000
+	sum := 0.0
+	for i, taken := range used {
+		if sum += taken; i >= steps {
+			sum -= used[i-steps]
+		}
+		assert.Assert(t, sum <= 1.1*limit, "%.0f of %.0f in the window that ends with step %d", sum, limit, i)
+	}
+}
+
 // TestAllowanceRefund guards against an allowance that is used up by requests that weren't run, and against limiting
 // workspaces that have no limit.
 func TestAllowanceRefund(t *testing.T) {
--- a/internal/ranker/rank_test.go
+++ b/internal/ranker/rank_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/cataloguer"
 )
 
 func memberNames(n int) []string {
@@ -58,6 +61,35 @@
 	}
 }
 
+// TestWorkCell guards against cells that get more work than their engines can take while others have engines free, and
+// against work that moves between cells because an engine came or left that doesn't get it.
+func TestWorkCell(t *testing.T) {
+	const cells, keys = 2, 20_000
+	for seed := range 8 {
+		var engines []cataloguer.Upstream
+		share := make([]float64, cells)
+		for i := range 70 {
+			name := fmt.Sprintf("engine-%d-%d", seed, i)
+			engines = append(engines, cataloguer.Upstream{Name: name})
+			share[Cell(name, cells)] += 1.0 / 70
+		}
+		work, moved := make([]float64, cells), 0
+		for i := range keys {
+			key := fmt.Sprintf("request-%d", i)
+			cell := WorkCell(key, engines, cells)
+			work[cell] += 1.0 / keys
+			if WorkCell(key, engines[1:], cells) != cell {
+				moved++
+			}
+		}
+		for cell := range cells {
+			assert.Assert(t, math.Abs(work[cell]-share[cell]) < 0.02, "cell %d has %.3f of the engines and gets %.3f of the work", cell, share[cell], work[cell])
+		}
+		assert.Assert(t, moved < keys/35, "%d of %d moved", moved, keys)
+	}
+	assert.Equal(t, WorkCell("request", nil, 1), 0)
+}
+
 // TestTop guards against a result of Top that differs from the beginning of the full ranking.
 func TestTop(t *testing.T) {
 	for count := range 12 {
--- a/internal/runner/catalogue.go
+++ b/internal/runner/catalogue.go
@@ -10,25 +10,20 @@
 // cellPool returns a pool reduced to one cell: the cell's engines and its part of the queue limit. It returns false if
 // the catalogue has no such cell.
 func cellPool(catalogue *cataloguer.Catalogue, name string, index, cellEngines int) (cataloguer.Pool, bool) {
-	for _, pool := range catalogue.Pools {
-		if pool.Name != name {
-			continue
-		}
-		cells := ranker.Cells(len(pool.Upstreams), cellEngines)
-		if index >= cells {
-			return cataloguer.Pool{}, false
-		}
-		part := pool
-		part.MaxQueue = divide(pool.MaxQueue, cells)
-		part.Upstreams = nil
-		for _, upstream := range pool.Upstreams {
-			if ranker.Cell(upstream.Name, cells) == index {
-				part.Upstreams = append(part.Upstreams, upstream)
-			}
+	pool, ok := findPool(catalogue, name)
+	cells := ranker.Cells(len(pool.Upstreams), cellEngines)
+	if !ok || index >= cells {
+		return cataloguer.Pool{}, false
+	}
+	part := pool
+	part.MaxQueue = divide(pool.MaxQueue, cells)
+	part.Upstreams = nil
+	for _, upstream := range pool.Upstreams {
+		if ranker.Cell(upstream.Name, cells) == index {
+			part.Upstreams = append(part.Upstreams, upstream)
 		}
-		return part, true
 	}
-	return cataloguer.Pool{}, false
+	return part, true
 }
 
 // divide splits a limit evenly among cells and rounds up. 0 means no limit and stays 0.
@@ -56,10 +51,8 @@
 func (c *cell) applyCatalogue(now time.Time, catalogue *cataloguer.Catalogue) {
 	part, _ := c.currentPool()
 	cells := 1
-	for _, pool := range catalogue.Pools {
-		if pool.Name == c.pool {
-			cells = ranker.Cells(len(pool.Upstreams), c.runner.options.CellEngines)
-		}
+	if pool, ok := findPool(catalogue, c.pool); ok {
+		cells = ranker.Cells(len(pool.Upstreams), c.runner.options.CellEngines)
 	}
 	infos := make([]EngineInfo, len(part.Upstreams))
 	for i, u := range part.Upstreams {
@@ -72,10 +65,9 @@
 	weights := make(map[string]float64, len(catalogue.Workspaces))
 	allowances := make(map[string]cataloguer.Allowance, len(catalogue.Workspaces))
 	c.limited = false
-	share := allowanceShare(catalogue, part) / float64(cells)
 	for _, w := range catalogue.Workspaces {
 		weights[w.Name] = w.Weight
-		allowances[w.Name] = w.Allowance.Scale(share)
+		allowances[w.Name] = cellAllowance(w, catalogue, part)
 		c.limited = c.limited || w.Allowance.Rate > 0
 	}
 	works := make(map[string]cataloguer.Work)
@@ -98,6 +90,25 @@
 	c.setEngines(part)
 }
 
+func findPool(catalogue *cataloguer.Catalogue, name string) (cataloguer.Pool, bool) {
+	for _, pool := range catalogue.Pools {
+		if pool.Name == name {
+			return pool, true
+		}
+	}
+	return cataloguer.Pool{}, false
+}
+
+// cellAllowance returns the part of a workspace's allowance that the scheduler of one cell may grant. Holders give each
+// cell work in proportion to its engines.
+func cellAllowance(workspace cataloguer.Workspace, catalogue *cataloguer.Catalogue, part cataloguer.Pool) cataloguer.Allowance {
+	share := allowanceShare(catalogue, part)
+	if pool, ok := findPool(catalogue, part.Name); ok && len(pool.Upstreams) > 0 {
+		share *= float64(len(part.Upstreams)) / float64(len(pool.Upstreams))
+	}
+	return workspace.Allowance.Scale(share)
+}
+
 // serviceShare is the part of a workspace's allowance that all service pools together may grant if the catalogue has
 // model pools too. Service requests use little of an allowance, and each scheduler counts only its own grants.
 const serviceShare = 0.06
--- a/internal/runner/cell_test.go
+++ b/internal/runner/cell_test.go
@@ -160,6 +160,29 @@
 	return fifo{engines: f.engines, loads: maps.Clone(f.loads), leaving: maps.Clone(f.leaving), convictions: f.convictions}
 }
 
+// TestAllowancesOfCells guards against cells that together grant more or less than the allowances, or that grant another
+// part of them than they have of the engines, and so of the requests.
+func TestAllowancesOfCells(t *testing.T) {
+	const cellEngines = 64
+	pool := cataloguer.Pool{Name: "chat", Opaque: true, ModelEngines: true}
+	for i := range 130 {
+		pool.Upstreams = append(pool.Upstreams, cataloguer.Upstream{Name: fmt.Sprintf("engine-%d", i), Slots: 1})
+	}
+	catalogue := &cataloguer.Catalogue{
+		Pools:      []cataloguer.Pool{pool},
+		Workspaces: []cataloguer.Workspace{{Name: "w", Allowance: cataloguer.Allowance{Rate: 1300, Burst: 2600}}},
+	}
+	total := 0.0
+	for index := range 3 {
+		part, _ := cellPool(catalogue, "chat", index, cellEngines)
+		allowance := cellAllowance(catalogue.Workspaces[0], catalogue, part)
+		assert.Equal(t, allowance.Rate, 10*float64(len(part.Upstreams)))
+		assert.Equal(t, allowance.Burst, 20*float64(len(part.Upstreams)))
+		total += allowance.Rate
+	}
+	assert.Equal(t, total, 1300.0)
+}
+
 // TestCellPool guards against engines that belong to no cell or to several, and against cells whose limits together
 // exceed the pool's limits by more than rounding.
 func TestCellPool(t *testing.T) {
--- a/internal/ticketer/placement.go
+++ b/internal/ticketer/placement.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/messenger"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/ranker"
@@ -18,28 +19,30 @@
 	noUpstreamRetrySpread = 500 * time.Millisecond
 )
 
-// cellCount returns the number of cells of a pool, 0 if the pool isn't in the catalogue.
-func (t *Ticketer) cellCount(pool string) int {
+// pool returns a pool of the catalogue, or nil.
+func (t *Ticketer) pool(name string) *cataloguer.Pool {
 	for i := range t.catalogue.Pools {
-		if t.catalogue.Pools[i].Name == pool {
-			return ranker.Cells(len(t.catalogue.Pools[i].Upstreams), t.options.CellEngines)
+		if t.catalogue.Pools[i].Name == name {
+			return &t.catalogue.Pools[i]
 		}
 	}
-	return 0
+	return nil
 }
 
-// chooseCell assigns a ticket to a cell by the hash of its shortest prefix, which it shares with the most other
-// requests, or by its request ID if it has no prefix. It returns false if the pool isn't in the catalogue.
+// chooseCell assigns a ticket to a cell by the hash of its shortest prefix, which it shares with the most other requests. A
+// ticket without prefixes goes to the cells in proportion to their engines. It returns false if the pool isn't in the
+// catalogue.
 func (t *Ticketer) chooseCell(tk *ticket) bool {
-	cells := t.cellCount(tk.message.GetPool())
-	if cells == 0 {
+	pool := t.pool(tk.message.GetPool())
+	if pool == nil {
 		return false
 	}
-	key := tk.message.GetRequestId()
+	cells := ranker.Cells(len(pool.Upstreams), t.options.CellEngines)
 	if prefixes := tk.message.GetPrefixHashes(); len(prefixes) > 0 {
-		key = strconv.FormatUint(prefixes[0], 16)
+		tk.cell = ranker.Cell(strconv.FormatUint(prefixes[0], 16), cells)
+	} else {
+		tk.cell = ranker.WorkCell(tk.message.GetRequestId(), pool.Upstreams, cells)
 	}
-	tk.cell = ranker.Cell(key, cells)
 	tk.role = ranker.Role(tk.message.GetPool(), tk.cell)
 	return true
 }
