--- a/internal/scheduler/asked_test.go
+++ b/internal/scheduler/asked_test.go
@@ -43,6 +43,7 @@
 			c.SetEngines(c.now, []EngineInfo{{Name: "e0", Slots: 2, Incarnation: 1}, {Name: "e1", Slots: 1}})
 			c.SetEngines(c.now, []EngineInfo{{Name: "e0", Slots: 2, Incarnation: 1}})
 		}, "h", false},
+		{"leaving, registered without a start time", []*protocol.Release{leaving}, set(0), "h", false},
 		{"leaving, next process", []*protocol.Release{leaving}, set(2), "h", true},
 		{"leaving, load report that says nothing of it", []*protocol.Release{leaving},
 			func(c *cell) { c.ObserveLoad(c.now, "e0", kernel.LoadReport{Instance: "1"}, nil) }, "h", false},
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -71,7 +71,7 @@
 			s.byName[info.Name] = e
 		}
 		s.close(e)
-		if info.Incarnation != e.info.Incarnation {
+		if info.Incarnation != e.info.Incarnation && info.Incarnation != 0 && e.info.Incarnation != 0 {
 			e.asked = asked{}
 		}
 		e.info, e.removed = info, false
