--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -262,10 +262,22 @@
 // stop ends all processes.
 func (d *deployment) stop() {
 	close(d.stopped)
-	for _, r := range d.routers {
-		r.signal(syscall.SIGKILL)
+	ended := make(chan struct{})
+	go func() {
+		d.group.Wait()
+		close(ended)
+	}()
+	// A router may just be starting again, so the signal is repeated.
+	for running := true; running; {
+		for _, r := range d.routers {
+			r.signal(syscall.SIGKILL)
+		}
+		select {
+		case <-ended:
+			running = false
+		case <-time.After(100 * time.Millisecond):
+		}
 	}
-	d.group.Wait()
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		_ = os.CopyFS(keep, os.DirFS(d.folder))
 	}
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -112,10 +112,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	e.report("arrived", id, r.URL.Path)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	e.report("arrived", id, r.URL.Path)
 	select {
 	case e.slots <- struct{}{}:
 		defer func() { <-e.slots }()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,7 +17,8 @@
 
 // cases maps the names of the cases to their functions, which return whether the rule held.
 var cases = map[string]func(d *deployment, trouble bool) (held bool, err error){
-	"deadly": playDeadly,
+	"deadly":  playDeadly,
+	"uploads": playUploads,
 }
 
 func main() {
