--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,5 @@
 #!/usr/bin/env bash
 # Plays the case for a minute. Needs the build of deploy/system.toml and review/build.sh. TROUBLE=0 leaves out the crashes.
-cd "$(dirname "$0")" && exec ../target/rig deadly .
+cd "$(dirname "$0")" || exit 2
+[ -x ../target/rig ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec ../target/rig deadly .
