Count crashes that only the registrations of engines show

Cause: a lost connection counts as a crash only with further evidence. A plain service has no load reports, nobody else connects while the engine is away, and the engine is back under its name before its registration expires. Its new start time was read, but not taken for evidence. On related paths, evidence from the directory that came more than 5 s after the loss was ignored, and crashes of an engine that came back after its registration had ended had one id and counted once. Change: a registration with another start time is evidence of a crash for engines of which no load report shows the process. Evidence from the directory counts up to a minute after the loss. The id of a crash includes the start time.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -16,14 +16,18 @@
 type crashEvidence string
 
 const (
-	evidencePollFailed  crashEvidence = "load report failed"
-	evidenceRestart     crashEvidence = "restart"
-	evidenceUnreachable crashEvidence = "a holder could not connect"
-	evidenceRemoved     crashEvidence = "registration ended"
+	evidencePollFailed   crashEvidence = "load report failed"
+	evidenceRestart      crashEvidence = "restart"
+	evidenceUnreachable  crashEvidence = "a holder could not connect"
+	evidenceRemoved      crashEvidence = "registration ended"
+	evidenceReregistered crashEvidence = "registered by another process"
 	// evidenceEarlier is for runs whose loss is reported after the evidence of the crash.
 	evidenceEarlier crashEvidence = "earlier evidence"
 )
 
+// maxLostRuns bounds the lost runs that are kept for one engine. The latest ones are the likeliest cause of a crash.
+const maxLostRuns = 256
+
 // lostRun is a request whose connection to the engine broke.
 type lostRun struct {
 	isolator.Run
@@ -38,7 +42,7 @@
 	// of the same crash.
 	open     bool
 	openedAt time.Time
-	// number distinguishes the crashes of an engine whose load reports don't show its restarts.
+	// number distinguishes the crashes of an engine of which neither load reports nor registrations show its restarts.
 	number int
 }
 
@@ -52,14 +56,15 @@
 	return isolator.Traits{Fingerprint: ticket.GetFingerprint(), Parts: parts}
 }
 
-// openCrash returns the crash that new evidence belongs to.
-func (e *engine) openCrash(now time.Time) isolator.Crash {
+// openCrash returns the crash that new evidence belongs to, in which the given runs were lost.
+func (e *engine) openCrash(now time.Time, lost []lostRun) isolator.Crash {
 	if !e.crash.open {
 		at := now
-		if len(e.lost) > 0 {
-			at = e.lost[len(e.lost)-1].at
+		if len(lost) > 0 {
+			at = lost[len(lost)-1].at
 		}
-		id := isolator.Fingerprint(nil, e.info.Name, e.instance, strconv.Itoa(e.crash.number))
+		process := strconv.FormatInt(e.info.Incarnation, 10)
+		id := isolator.Fingerprint(nil, e.info.Name, process, e.instance, strconv.Itoa(e.crash.number))
 		e.crash.Crash, e.crash.open, e.crash.openedAt = isolator.Crash{ID: id, At: at}, true, now
 	}
 	return e.crash.Crash
@@ -73,25 +78,53 @@
 	}
 }
 
-// expireLost drops the lost runs that are too old to belong to a crash that is noticed now.
-func (e *engine) expireLost(now time.Time) {
-	e.lost = slices.DeleteFunc(e.lost, func(l lostRun) bool { return now.Sub(l.at) > e.settings.CrashWindow })
+// window returns the longest time between a lost connection and the evidence for them to count as one crash.
+func (s *Settings) window(evidence crashEvidence) time.Duration {
+	if evidence == evidenceRemoved || evidence == evidenceReregistered {
+		return s.RegistrationWindow
+	}
+	return s.CrashWindow
+}
+
+// takeLost removes and returns the lost runs that the evidence explains, and drops those that are too old for any.
+func (e *engine) takeLost(now time.Time, evidence crashEvidence) (taken []lostRun) {
+	var kept []lostRun
+	for _, l := range e.lost {
+		age := now.Sub(l.at)
+		switch {
+		case evidence == evidenceUnreachable && l.Alone, age > e.settings.window(evidence):
+			if age <= e.settings.RegistrationWindow {
+				kept = append(kept, l)
+			}
+		default:
+			taken = append(taken, l)
+		}
+	}
+	e.lost = kept
+	return taken
+}
+
+// addLost keeps a lost run until there is evidence of a crash.
+func (e *engine) addLost(l lostRun) {
+	if len(e.lost) >= maxLostRuns {
+		e.lost = slices.Delete(e.lost, 0, 1)
+	}
+	e.lost = append(e.lost, l)
 }
 
-// recordCrashEvidence records that a load report failed or showed a restart, or that the registration of the engine ended.
+// recordCrashEvidence records that a load report failed or showed a restart, or what the registration of the engine shows.
 // Requests that were lost shortly before become suspects; those in flight become suspects when their loss is reported.
 func (s *Scheduler) recordCrashEvidence(e *engine, now time.Time, evidence crashEvidence) {
-	e.expireLost(now)
+	lost := e.takeLost(now, evidence)
 	e.crashEvidenceAt = now
-	crash := e.openCrash(now)
-	for _, l := range e.lost {
+	crash := e.openCrash(now, lost)
+	for _, l := range lost {
 		s.recordCrashedRun(now, e, crash, l, evidence)
 	}
-	if len(e.lost) > 0 {
-		s.logCrash(e, crash, evidence, len(e.lost))
+	if len(lost) > 0 {
+		s.logCrash(e, crash, evidence, len(lost))
 	}
-	e.lost = nil
-	if evidence == evidenceRestart {
+	if evidence == evidenceRestart || evidence == evidenceReregistered {
 		for _, r := range e.granted {
 			r.crashed = true
 		}
@@ -103,18 +136,15 @@
 // load report fails. The cause may also be the holder's network, so requests that were lost shortly before become
 // suspects, but one that ran alone becomes poison only after a failed load report or a restart.
 func (s *Scheduler) recordUnreachable(e *engine, now time.Time) {
-	e.expireLost(now)
-	before := len(e.lost)
-	e.lost = slices.DeleteFunc(e.lost, func(l lostRun) bool {
-		if l.Alone {
-			return false
-		}
-		s.recordCrashedRun(now, e, e.openCrash(now), l, evidenceUnreachable)
-		return true
-	})
-	if lost := before - len(e.lost); lost > 0 {
-		s.logCrash(e, e.crash.Crash, evidenceUnreachable, lost)
+	lost := e.takeLost(now, evidenceUnreachable)
+	if len(lost) == 0 {
+		return
 	}
+	crash := e.openCrash(now, lost)
+	for _, l := range lost {
+		s.recordCrashedRun(now, e, crash, l, evidenceUnreachable)
+	}
+	s.logCrash(e, crash, evidenceUnreachable, len(lost))
 }
 
 func (s *Scheduler) logCrash(e *engine, crash isolator.Crash, evidence crashEvidence, lost int) {
@@ -132,17 +162,37 @@
 	}
 }
 
-// recordRemovals takes the end of an engine's registration for evidence of a crash if requests were lost before it. An
-// engine that leaves as planned loses none until then.
-func (s *Scheduler) recordRemovals(now time.Time, engines []EngineInfo) {
-	for name, e := range s.engines.byName {
-		kept := slices.ContainsFunc(engines, func(info EngineInfo) bool { return info.Name == name })
-		if !kept && !e.removed && len(e.lost) > 0 {
+// observeRegistrations looks for crashes in the new registrations of the engines. The end of a registration is evidence if
+// requests were lost before it, since an engine that leaves as planned loses none until then.
+func (s *Scheduler) observeRegistrations(now time.Time, engines []EngineInfo) {
+	registered := make(map[string]EngineInfo, len(engines))
+	for _, info := range engines {
+		registered[info.Name] = info
+	}
+	for _, e := range s.engines.list {
+		info, kept := registered[e.info.Name]
+		switch {
+		case !kept && !e.removed && len(e.lost) > 0:
 			s.recordCrashEvidence(e, now, evidenceRemoved)
+		case kept && e.info.restartedAs(info):
+			s.observeReregistration(e, now)
 		}
 	}
 }
 
+// observeReregistration handles the registration of another process under the engine's name. Load reports show the same
+// restart, so it is evidence of a crash only if there are none.
+func (s *Scheduler) observeReregistration(e *engine, now time.Time) {
+	e.asked = asked{}
+	if e.instance != "" {
+		return
+	}
+	s.recordCrashEvidence(e, now, evidenceReregistered)
+	e.crash.number = 0
+	s.engines.prefixes.clear(e)
+	e.recordReason(now, "the engine registered as another process")
+}
+
 // observeLoss handles a connection to the engine that broke during a request. A broken connection counts as a crash
 // only together with further evidence. Engines that leave end their connections without a crash.
 func (s *Scheduler) observeLoss(now time.Time, e *engine, r *request, release *protocol.Release) {
@@ -160,8 +210,7 @@
 		s.recordCrashedRun(now, e, e.crash.Crash, l, evidenceEarlier)
 		return
 	}
-	e.expireLost(now)
-	e.lost = append(e.lost, l)
+	e.addLost(l)
 }
 
 // recordCrashedRun records a crash during a request and applies the new states to the queued tickets.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -25,6 +25,11 @@
 	Incarnation int64
 }
 
+// restartedAs reports whether another registration under the same name is that of another process.
+func (i EngineInfo) restartedAs(other EngineInfo) bool {
+	return i.Incarnation != other.Incarnation && i.Incarnation != 0 && other.Incarnation != 0
+}
+
 // engine is the scheduler's view of one engine.
 type engine struct {
 	info     EngineInfo
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -71,9 +71,6 @@
 			s.byName[info.Name] = e
 		}
 		s.close(e)
-		if info.Incarnation != e.info.Incarnation && info.Incarnation != 0 && e.info.Incarnation != 0 {
-			e.asked = asked{}
-		}
 		e.info, e.removed = info, false
 		e.generation = s.generation(info.Generation)
 	}
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -21,6 +21,10 @@
 	if kernel.Answered(err) {
 		// Without a report the engine is judged by its requests alone.
 		e.failedPolls = 0
+		if e.info.Incarnation != 0 {
+			// The reports don't show restarts any more, but the registrations do.
+			e.instance = ""
+		}
 		return
 	}
 	if err != nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -101,7 +101,7 @@
 // SetEngines replaces the engines of the cell.
 func (s *Scheduler) SetEngines(now time.Time, engines []EngineInfo) {
 	s.recordInput(now)
-	s.recordRemovals(now, engines)
+	s.observeRegistrations(now, engines)
 	s.engines.replace(engines)
 }
 
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -76,6 +76,9 @@
 	// CrashWindow is the longest time between a lost connection and the evidence of a crash for them to count as one
 	// crash.
 	CrashWindow time.Duration
+	// RegistrationWindow is the same for evidence from the directory. It learns of a crash only when the engine starts
+	// again or hasn't renewed its registration for some time, and tells nothing during an outage.
+	RegistrationWindow time.Duration
 	// Isolation configures when requests that crash engines become poison, and how long they stay suspect or poison.
 	Isolation isolator.Settings
 	// NoUpstreamAfter is how long tickets wait in a pool without usable engines. It is well above ProbeAfter, so that a
@@ -114,19 +117,20 @@
 		Retries: limiter.RetryBudgetSettings{
 			Ratio: 0.2, PerSecond: 0.5, Burst: 20, FailureRetention: time.Minute, MaxEntries: 4096,
 		},
-		PrefillSample:   64,
-		OutputSample:    8,
-		OutputMargin:    1,
-		ConnectionIdle:  8 * time.Second,
-		StragglerRatio:  0.5,
-		StragglerCap:    0.34,
-		ProbeAfter:      5 * time.Second,
-		ProbeAfterMax:   time.Minute,
-		MaxReportAge:    2 * time.Second,
-		CacheEventLag:   2 * time.Second,
-		PrefixEntries:   2048,
-		CrashWindow:     5 * time.Second,
-		NoUpstreamAfter: 15 * time.Second,
+		PrefillSample:      64,
+		OutputSample:       8,
+		OutputMargin:       1,
+		ConnectionIdle:     8 * time.Second,
+		StragglerRatio:     0.5,
+		StragglerCap:       0.34,
+		ProbeAfter:         5 * time.Second,
+		ProbeAfterMax:      time.Minute,
+		MaxReportAge:       2 * time.Second,
+		CacheEventLag:      2 * time.Second,
+		PrefixEntries:      2048,
+		CrashWindow:        5 * time.Second,
+		RegistrationWindow: time.Minute,
+		NoUpstreamAfter:    15 * time.Second,
 		Isolation: isolator.Settings{
 			SuspectRetention: 10 * time.Minute, PoisonRetention: time.Hour, MaxEntries: 4096, PartCrashLimit: 3,
 		},
