--- a/internal/runner/cell.go
+++ b/internal/runner/cell.go
@@ -49,8 +49,10 @@
 	// unreported is the number of polled engines without a first load report.
 	unreported int
 	idleSince  time.Time
-	share      float64
-	firstProbe firstRankProbe
+	// share and allowanceShare are the parts of the engines' capacity and of the workspaces' allowances in use.
+	share          float64
+	allowanceShare float64
+	firstProbe     firstRankProbe
 	// resigned is set once the holders have been told that this router is leaving.
 	resigned bool
 	// limited is set if any workspace has an allowance. Tickets are then deferred, until allowanceWaitUntil at the
@@ -182,12 +184,14 @@
 
 // cellDump is the state of one cell in the state dump.
 type cellDump struct {
-	Scheduler any       `json:"scheduler"`
-	Share     float64   `json:"share"`
-	Holders   int       `json:"holders"`
-	ReadyAt   time.Time `json:"ready_at"`
+	Scheduler any     `json:"scheduler"`
+	Share     float64 `json:"share"`
+	// AllowanceShare is the part of the workspaces' allowances that the scheduler may grant.
+	AllowanceShare float64   `json:"allowance_share"`
+	Holders        int       `json:"holders"`
+	ReadyAt        time.Time `json:"ready_at"`
 }
 
 func (c *cell) dump() cellDump {
-	return cellDump{Scheduler: c.scheduler.Dump(), Share: c.share, Holders: len(c.holders), ReadyAt: c.readyAt}
+	return cellDump{Scheduler: c.scheduler.Dump(), Share: c.share, AllowanceShare: c.allowanceShare, Holders: len(c.holders), ReadyAt: c.readyAt}
 }
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootplank/internal/detector"
@@ -62,14 +63,25 @@
 // updateShare sets the parts of the workspaces' allowances and of the engines' capacity that the scheduler may use. The
 // latter is limited while another scheduler may use the same engines.
 func (c *cell) updateShare(now time.Time) {
+	allowanceShare := c.runner.options.Members.View().AllowanceShare()
 	if limiter, ok := c.scheduler.(allowanceLimiter); ok {
-		limiter.SetAllowanceShare(c.runner.options.Members.View().AllowanceShare())
+		limiter.SetAllowanceShare(allowanceShare)
 	}
 	share := c.targetShare(now)
 	if share != c.share {
-		c.share = share
 		c.scheduler.SetCapacityShare(share)
 	}
+	if share != c.share || allowanceShare != c.allowanceShare {
+		c.share, c.allowanceShare = share, allowanceShare
+		c.logShares()
+	}
+}
+
+// logShares logs the parts of the engines' capacity and of the allowances that the scheduler uses from now on, and the
+// routers that send it tickets.
+func (c *cell) logShares() {
+	c.runner.options.Logger.Info("shares of scheduler changed", zap.String("pool", c.pool), zap.Int("cell", c.index),
+		zap.Float64("capacity_share", c.share), zap.Float64("allowance_share", c.allowanceShare), zap.Int("holders", len(c.holders)))
 }
 
 // targetShare returns the part of the engines' capacity that the scheduler may use:
