Grant only the part of the allowances that belongs to the routers served

Cause: a scheduler that had just started computed its share before its first ticket and took the whole, so each router that was cut off granted 0.3 of the whole burst at once. A router among the first ranks kept the whole share until half of the members were declared dead, and the scheduler of the others left nothing to those that it no longer heard of. Change: each router stands for an equal part of every allowance, which belongs to the scheduler that gets its tickets. One that is ranked first also counts routers without tickets, unless they are silent or their stream broke within 10 s. Charges are taken from the whole allowance, scaled by the part, so that a change of the part keeps proportions. First tickets wait for the holders to connect, in the 100 ms in which a new scheduler grants nothing anyway. Why it works: parts of schedulers that can't know of each other add up to one whole.

--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -116,6 +116,27 @@
 	})
 }
 
+// TestSilentMember guards against a member that counts as reachable at a router that it doesn't answer because others still
+// reach it, and against one that stays silent after it answers again.
+func TestSilentMember(t *testing.T) {
+	runWithNetwork(t, 6, func(t *testing.T, n *network) {
+		silent := func(observer string) bool {
+			m, _ := n.members[observer].View().Member("m2")
+			return m.Silent
+		}
+		n.setCut([]string{"m1"}, []string{"m2"}, true, true)
+		assert.ErrorContains(t, n.members["m1"].Check(t.Context(), "m2"), "m2")
+		assert.Assert(t, silent("m1"))
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, silent("m1") && !silent("m3"))
+		assert.Equal(t, n.members["m1"].View().AllowanceShare(func(m Member) bool { return !m.Silent }), 5.0/6)
+		n.setCut([]string{"m1"}, []string{"m2"}, true, false)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !silent("m1"))
+		assert.Equal(t, n.members["m1"].View().AllowanceShare(func(m Member) bool { return !m.Silent }), 1.0)
+	})
+}
+
 // TestPartition guards against the two sides of a partition that never rejoin after it heals, and against the smaller
 // side using the full capacity of the engines.
 func TestPartition(t *testing.T) {
--- a/internal/detector/handle.go
+++ b/internal/detector/handle.go
@@ -37,7 +37,7 @@
 ) {
 	if from.GetName() != t.self.GetName() {
 		t.mergeRow(now, from)
-		t.recordAnswer(from.GetName())
+		t.recordContact(from.GetName())
 	}
 	t.merge(now, members)
 	t.mergeConvictions(now, convictions)
--- a/internal/detector/probe.go
+++ b/internal/detector/probe.go
@@ -15,6 +15,8 @@
 const (
 	// indirectProbes is the number of other members asked to probe a member that didn't answer directly.
 	indirectProbes = 2
+	// silentProbes is the number of silent members that are probed in each interval.
+	silentProbes = 2
 	// pushMembers is the number of members that are notified directly of a planned stop.
 	pushMembers = 8
 	// joinInterval is the time between full table exchanges after the start of a router. Each exchange about doubles the
@@ -118,20 +120,28 @@
 		return
 	}
 	err := d.exchange(ctx, name, member.Address, full)
-	if err == nil || d.probeThroughOthers(ctx, name) || ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	d.update(func(_ time.Time, t *table) { t.recordSilence(name) })
+	if d.probeThroughOthers(ctx, name) || ctx.Err() != nil {
 		return
 	}
 	d.settings.Logger.Info("member did not answer", zap.Error(&NoAnswerError{Member: name, Cause: err}))
 	d.update(func(now time.Time, t *table) { t.suspect(now, name, member.Incarnation) })
 }
 
-// Check sends one direct probe to a member. Errors: *UnknownMemberError, *NoAnswerError.
+// Check sends one direct probe to a member, which counts as silent if it doesn't answer. Errors: *UnknownMemberError,
+// *NoAnswerError.
 func (d *Detector) Check(ctx context.Context, name string) error {
 	member, ok := d.View().Member(name)
 	if !ok {
 		return &UnknownMemberError{Member: name}
 	}
 	if err := d.exchange(ctx, name, member.Address, false); err != nil {
+		if ctx.Err() == nil {
+			d.update(func(_ time.Time, t *table) { t.recordSilence(name) })
+		}
 		return &NoAnswerError{Member: name, Cause: err}
 	}
 	return nil
--- a/internal/detector/table.go
+++ b/internal/detector/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -28,8 +29,10 @@
 	deadline time.Time
 	// probeFailed reports whether the suspicion comes from a failed probe by this router.
 	probeFailed bool
-	deadSince   time.Time
-	left        bool
+	// silent is set while the member doesn't answer this router, whatever other routers know of it.
+	silent    bool
+	deadSince time.Time
+	left      bool
 }
 
 // table is the membership state machine. Callers pass the current time. It is not safe for concurrent use.
@@ -188,24 +191,46 @@
 // suspectsToProbe returns the suspect members to probe now: those whose probe by this router failed, and those that
 // would be declared dead by the next tick. On a lossy network a first probe often fails by chance, and the refutation
 // may arrive later than the suspicion. Therefore a router probes a member itself before it declares the member dead.
+// It adds a few members that are alive but silent, so that the end of their silence is noticed soon.
 func (t *table) suspectsToProbe(now time.Time) []string {
-	var names []string
+	var names, silent []string
 	for name, known := range t.records {
-		if !known.deadline.IsZero() && (known.probeFailed || known.deadline.Sub(now) <= t.settings.ProbeInterval) {
+		switch {
+		case !known.deadline.IsZero() && (known.probeFailed || known.deadline.Sub(now) <= t.settings.ProbeInterval):
 			names = append(names, name)
+		case known.silent && known.member.GetState() != dead:
+			silent = append(silent, name)
 		}
 	}
-	return names
+	rand.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
+	return append(names, silent[:min(len(silent), silentProbes)]...)
 }
 
-// recordAnswer records that a member answered directly, which ends the suspicion of a leaving member. Other suspect
-// members change state only by their own refutation, which the same exchange carries.
-func (t *table) recordAnswer(name string) {
-	if known, ok := t.records[name]; ok && known.member.GetState() == leaving {
+// recordContact records a message that came from the member itself, which ends the suspicion of a leaving member. Other
+// suspect members change state only by their own refutation, which the same exchange carries.
+func (t *table) recordContact(name string) {
+	known, ok := t.records[name]
+	if !ok {
+		return
+	}
+	t.setSilent(known, false)
+	if known.member.GetState() == leaving {
 		known.deadline = time.Time{}
 	}
 }
 
+// recordSilence records that a member didn't answer a message of this router.
+func (t *table) recordSilence(name string) {
+	if known, ok := t.records[name]; ok {
+		t.setSilent(known, true)
+	}
+}
+
+func (t *table) setSilent(known *record, silent bool) {
+	t.changed = t.changed || known.silent != silent
+	known.silent = silent
+}
+
 // tick declares members dead whose suspicion has timed out, and removes dead members and convictions that have expired.
 // If the time since the last tick exceeds ProbeInterval, this process was paused and couldn't receive refutations, so
 // all suspicions are extended by that time.
@@ -252,7 +277,7 @@
 		Name: m.GetName(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Processor: m.GetProcessor(),
 		Incarnation: m.GetIncarnation(), State: state,
 		CatalogueRevision: m.GetCatalogueRevision(), CatalogueOffset: m.GetCatalogueOffset(),
-		Known: known.firstSeen, Left: known.left,
+		Known: known.firstSeen, Left: known.left, Silent: known.silent,
 	}
 }
 
--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -21,6 +21,14 @@
 	Known time.Time
 	// Left reports whether a dead member had announced its departure.
 	Left bool
+	// Silent reports whether the member doesn't answer this router, whatever other routers know of it.
+	Silent bool
+}
+
+// expected reports whether the member counts among the routers between which allowances are divided: all but those that are
+// starting, leaving or have left as planned.
+func (m Member) expected() bool {
+	return isEligible(m.State) || m.State == protocol.MemberState_MEMBER_STATE_DEAD && !m.Left
 }
 
 // View is an immutable snapshot of the member table.
@@ -112,32 +120,41 @@
 // assumedRouters is the assumed number of routers while the VM list is unknown.
 const assumedRouters = 32
 
-// AllowanceShare returns the share of the workspaces' allowances that a scheduler on this router may grant: 1 if this
-// router knows at least half of the listed routers, otherwise one router's share. Routers that start at the same time
-// know only themselves at first; without this limit each of them would grant the full allowances.
-func (v *View) AllowanceShare() float64 {
-	known, present := v.countMembers()
+// KnowsMostRouters reports whether this router knows at least half of the listed routers. Routers that start at the same
+// time know only themselves at first.
+func (v *View) KnowsMostRouters() bool {
+	_, present := v.countMembers()
+	return v.vms.read && 2*present >= len(v.vms.routers)
+}
+
+// AllowanceShare returns the share of the workspaces' allowances that a scheduler on this router may grant: the share of
+// the members that send it their tickets, according to served, among all expected members. While this router doesn't know
+// most of the other routers, it is one router's share.
+func (v *View) AllowanceShare(served func(Member) bool) float64 {
+	known, _ := v.countMembers()
 	switch {
-	case v.vms.read && 2*present >= len(v.vms.routers):
-		return 1
-	case v.vms.read:
-		return 1 / float64(max(1, known, len(v.vms.routers)))
-	default:
+	case !v.vms.read:
 		return 1 / float64(max(known, assumedRouters))
+	case !v.KnowsMostRouters():
+		return 1 / float64(max(1, known, len(v.vms.routers)))
 	}
+	count := 0
+	for _, m := range v.Members {
+		if isEligible(m.State) && served(m) {
+			count++
+		}
+	}
+	return float64(max(1, count)) / float64(max(1, known))
 }
 
 // countMembers returns the number of members that are alive, suspect or dead, and how many of them aren't dead. It
 // excludes dead members that had left as planned.
 func (v *View) countMembers() (known, present int) {
 	for _, m := range v.Members {
-		switch m.State {
-		case protocol.MemberState_MEMBER_STATE_DEAD:
-			if !m.Left {
-				known++
-			}
-		case protocol.MemberState_MEMBER_STATE_ALIVE, protocol.MemberState_MEMBER_STATE_SUSPECT:
+		if m.expected() {
 			known++
+		}
+		if isEligible(m.State) {
 			present++
 		}
 	}
--- a/internal/detector/vmlist_test.go
+++ b/internal/detector/vmlist_test.go
@@ -98,7 +98,7 @@
 					assert.NilError(t, err)
 				}
 				time.Sleep(time.Millisecond)
-				assert.Equal(t, d.View().AllowanceShare(), c.want)
+				assert.Equal(t, d.View().AllowanceShare(func(Member) bool { return true }), c.want)
 			})
 		})
 	}
--- a/internal/runner/catalogue.go
+++ b/internal/runner/catalogue.go
@@ -45,6 +45,7 @@
 		c.applyCatalogue(now, current)
 	}
 	c.applyView(now)
+	c.logShares(now)
 	c.startPolling()
 }
 
--- a/internal/runner/cell.go
+++ b/internal/runner/cell.go
@@ -52,7 +52,11 @@
 	// share and allowanceShare are the parts of the engines' capacity and of the workspaces' allowances in use.
 	share          float64
 	allowanceShare float64
+	// sharesChanged is set until a change of the shares is logged.
+	sharesChanged  bool
+	sharesLoggedAt time.Time
 	firstProbe     firstRankProbe
+	presence       presence
 	// resigned is set once the holders have been told that this router is leaving.
 	resigned bool
 	// limited is set if any workspace has an allowance. Tickets are then deferred, until allowanceWaitUntil at the
@@ -80,6 +84,7 @@
 		readyAt:            now.Add(firstReportTimeout),
 		allowanceWaitUntil: now.Add(allowanceWait),
 		idleSince:          now,
+		presence:           newPresence(now),
 	}
 }
 
--- a/internal/runner/deferred.go
+++ b/internal/runner/deferred.go
@@ -19,10 +19,11 @@
 	deferredAt time.Time
 }
 
-// defersTickets reports whether new tickets have to wait. Without the wait, a scheduler that still uses only one router's
-// part of the allowances would refuse requests that it could serve a moment later.
+// defersTickets reports whether new tickets have to wait. Without the wait, a scheduler that doesn't know yet which routers
+// send it their tickets would refuse requests that it could serve a moment later.
 func (c *cell) defersTickets(now time.Time) bool {
-	return c.limited && now.Before(c.allowanceWaitUntil) && c.runner.options.Members.View().AllowanceShare() < 1
+	return c.limited && (now.Before(c.adoptionDeadline) ||
+		now.Before(c.allowanceWaitUntil) && !c.runner.options.Members.View().KnowsMostRouters())
 }
 
 // submitDeferred passes the deferred tickets to the scheduler once the wait is over. It adds the wait to their age and
--- a/internal/runner/holder.go
+++ b/internal/runner/holder.go
@@ -13,6 +13,8 @@
 	session *session
 	// brokenAt is when the session's stream broke, or zero while the stream is open.
 	brokenAt time.Time
+	// ticketAt is when the last tickets came.
+	ticketAt time.Time
 	records  map[string]*record
 }
 
@@ -91,6 +93,7 @@
 		return
 	}
 	h.brokenAt = now
+	c.holderLost(now, s.holder)
 	for id, r := range h.records {
 		if !r.granted {
 			c.dropRecord(now, s.holder, h, id)
@@ -105,6 +108,7 @@
 	if h == nil {
 		return
 	}
+	c.recordTickets(now, h)
 	for _, ticket := range tickets {
 		id := ticket.GetRequestId()
 		if r, known := h.records[id]; known {
--- a/internal/runner/testcluster_test.go
+++ b/internal/runner/testcluster_test.go
@@ -28,6 +28,8 @@
 	cuts  map[[2]string]bool
 	vms   []kernel.VM
 	group errgroup.Group
+	// factory returns the factory of a router's schedulers.
+	factory func(*node) Factory
 }
 
 // node is one router with its detector, runner and ticketer.
@@ -61,7 +63,12 @@
 // newTestCluster starts count routers with the names a, b, c and so on and waits until they know each other.
 func newTestCluster(t *testing.T, count int, catalogue *fakeCatalogue, vms ...kernel.VM) *testCluster {
 	t.Helper()
-	tc := &testCluster{nodes: make(map[string]*node), cuts: make(map[[2]string]bool), vms: vms}
+	return newClusterOf(t, count, catalogue, func(n *node) Factory { return n.factory }, vms...)
+}
+
+func newClusterOf(t *testing.T, count int, catalogue *fakeCatalogue, factory func(*node) Factory, vms ...kernel.VM) *testCluster {
+	t.Helper()
+	tc := &testCluster{nodes: make(map[string]*node), cuts: make(map[[2]string]bool), vms: vms, factory: factory}
 	for i := range count {
 		tc.start(string(rune('a'+i)), catalogue)
 	}
@@ -86,7 +93,7 @@
 	n.detector = detector.New(detector.Settings{
 		Name: name, Address: name, Seeds: seeds, VMList: endpoint{tc, name},
 	}, endpoint{tc, name})
-	n.runner = New(Options{Self: name, Members: n.detector, Catalogue: catalogue, Factory: n.factory, Reporter: "fake"})
+	n.runner = New(Options{Self: name, Members: n.detector, Catalogue: catalogue, Factory: tc.factory(n), Reporter: "fake"})
 	n.ticketer = ticketer.New(ticketer.Options{
 		Self: name, Incarnation: uint64(time.Now().UnixMilli()), Members: n.detector, Catalogue: catalogue,
 		Remote: endpoint{tc, name}, Local: n.runner,
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -63,7 +63,7 @@
 // updateShare sets the parts of the workspaces' allowances and of the engines' capacity that the scheduler may use. The
 // latter is limited while another scheduler may use the same engines.
 func (c *cell) updateShare(now time.Time) {
-	allowanceShare := c.runner.options.Members.View().AllowanceShare()
+	allowanceShare := c.grantableShare(now)
 	if limiter, ok := c.scheduler.(allowanceLimiter); ok {
 		limiter.SetAllowanceShare(allowanceShare)
 	}
@@ -72,14 +72,17 @@
 		c.scheduler.SetCapacityShare(share)
 	}
 	if share != c.share || allowanceShare != c.allowanceShare {
-		c.share, c.allowanceShare = share, allowanceShare
-		c.logShares()
+		c.share, c.allowanceShare, c.sharesChanged = share, allowanceShare, true
 	}
 }
 
-// logShares logs the parts of the engines' capacity and of the allowances that the scheduler uses from now on, and the
-// routers that send it tickets.
-func (c *cell) logShares() {
+// logShares logs the parts of the engines' capacity and of the allowances that the scheduler uses, if they have changed, and
+// the number of its holders, at most once every reconcileInterval.
+func (c *cell) logShares(now time.Time) {
+	if !c.sharesChanged || now.Sub(c.sharesLoggedAt) < reconcileInterval {
+		return
+	}
+	c.sharesChanged, c.sharesLoggedAt = false, now
 	c.runner.options.Logger.Info("shares of scheduler changed", zap.String("pool", c.pool), zap.Int("cell", c.index),
 		zap.Float64("capacity_share", c.share), zap.Float64("allowance_share", c.allowanceShare), zap.Int("holders", len(c.holders)))
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -138,8 +138,8 @@
 	s.allowances = allowances
 }
 
-// SetAllowanceShare sets the part of each allowance that this scheduler may grant. It is applied on top of the capacity
-// share.
+// SetAllowanceShare sets the part of each allowance that this scheduler may grant, above 0. A smaller capacity share applies
+// to the allowances too.
 func (s *Scheduler) SetAllowanceShare(share float64) { s.allowanceShare = share }
 
 // SetCapacityShare sets the part of every engine's capacity that this scheduler may use: 1, or 1/members when a router
@@ -218,7 +218,9 @@
 	if r.engine != nil {
 		s.endGrant(r, s.engines.now)
 	}
-	s.allowanceUse.Refund(r.ticket.GetWorkspace(), r.allowanceCharge)
+	if !r.allowanceSpent {
+		s.allowanceUse.Refund(r.ticket.GetWorkspace(), r.allowanceCharge)
+	}
 	r.allowanceCharge = 0
 	s.engines.unreserve(r)
 	id := r.ticket.GetRequestId()
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -77,19 +77,21 @@
 	return r
 }
 
-// chargeAllowance takes the request's charge from its workspace's allowance, or refuses the request and returns false.
-// A scheduler that uses only a share of the capacity grants only that share of the allowance.
+// chargeAllowance takes the request's charge from its workspace's allowance, or refuses the request and returns false. A
+// scheduler that may grant only a part of the allowance takes so much more from the whole, as if the others granted as much.
+// What it has granted, and what is left, so keep their proportion when its part changes.
 func (s *Scheduler) chargeAllowance(r *request, now time.Time) bool {
 	charge, workspace := float64(r.ticket.GetCharge()), r.ticket.GetWorkspace()
-	allowance := s.allowances[workspace].Scale(s.engines.share * s.allowanceShare)
-	wait, ok := s.allowanceUse.Take(now, workspace, allowance, charge)
+	allowance, share := s.allowances[workspace], min(s.engines.share, s.allowanceShare)
+	wait, ok := s.allowanceUse.Take(now, workspace, allowance, charge/share)
 	if !ok {
+		part := allowance.Scale(share)
 		s.refuse(r, CodeAllowanceExceeded,
 			fmt.Sprintf("the workspace's allowance is used up: %.0f a second and %.0f at once here, "+
-				"%.0f asked, enough in %d ms", allowance.Rate, allowance.Burst, charge, wait.Milliseconds()), s.jitter(wait))
+				"%.0f asked, enough in %d ms", part.Rate, part.Burst, charge, wait.Milliseconds()), s.jitter(wait))
 		return false
 	}
-	r.allowanceCharge = charge
+	r.allowanceCharge = charge / share
 	return true
 }
 
@@ -165,7 +167,7 @@
 	switch kind := release.GetKind(); {
 	case kind.NotRun():
 		s.refund(r)
-		r.allowanceCharge = float64(r.ticket.GetCharge())
+		r.allowanceSpent = false
 		s.endGrant(r, now)
 		s.enqueue(r)
 	case kind == protocol.ReleaseKind_RELEASE_KIND_FAILED, kind == protocol.ReleaseKind_RELEASE_KIND_LOST:
