--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -60,7 +60,7 @@
 		encoder = zapcore.NewConsoleEncoder(config)
 	}
 	l := &Logger{level: level, queue: &queue{out: out}}
-	core := zapcore.NewSamplerWithOptions(zapcore.NewCore(encoder, l.queue, level), time.Second, sampledPerSecond, sampleRest,
+	core := zapcore.NewSamplerWithOptions(boundedCore{zapcore.NewCore(encoder, l.queue, level)}, time.Second, sampledPerSecond, sampleRest,
 		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
 			if decision&zapcore.LogDropped != 0 {
 				l.sampled.Add(1)
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 )
@@ -65,3 +66,36 @@
 	assert.Assert(t, !strings.Contains(out.written.String(), "one"))
 	assert.Assert(t, strings.Contains(out.written.String(), "two"))
 }
+
+// TestLongTexts guards against lines of any length from errors and texts that quote what an upstream or a caller sent, and
+// against cutting the usual ones.
+func TestLongTexts(t *testing.T) {
+	long := strings.Repeat("é", 100_000)
+	cases := []struct {
+		name  string
+		field zap.Field
+		want  int
+	}{
+		{"text", zap.String("field", long), maxTextBytes + len(cutMark)},
+		{"error", zap.Error(errs.New("%s", long)), maxTextBytes + len(cutMark)},
+		{"text at the limit", zap.String("field", long[:maxTextBytes]), maxTextBytes},
+	}
+	for _, c := range cases {
+		for _, with := range []bool{false, true} {
+			var out bytes.Buffer
+			l, closeLogger, err := New(Settings{Level: "info", Format: "json", Name: "r"}, &out)
+			assert.NilError(t, err)
+			if with {
+				l.With(c.field).Info("message")
+			} else {
+				l.Info("message", c.field)
+			}
+			closeLogger()
+			var line map[string]string
+			assert.NilError(t, json.Unmarshal(out.Bytes(), &line), c.name)
+			assert.Equal(t, len(line["field"]+line["error"]), c.want, c.name)
+			assert.Equal(t, line["errorVerbose"], "", c.name)
+			assert.Equal(t, line["msg"], "message")
+		}
+	}
+}
