Count long events of streams towards the memory for answers

Cause: bodies that are kept whole share a budget of 16 MiB; the buffers of streams had a limit each, but none together. Change: an event buffer above 64 KiB takes its memory from the same budget. If there is none left, the stream ends as if its engine had lost it.

--- a/internal/connector/body.go
+++ b/internal/connector/body.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxBufferedBytes is the memory that the bodies read by ReadBody may take together, beyond freeBodyBytes each.
+	// maxBufferedBytes is the memory that the buffers of all answers may take together, beyond freeBodyBytes each.
 	maxBufferedBytes = 16 << 20
 	// freeBodyBytes is the size up to which a body doesn't count towards maxBufferedBytes, so that a few long bodies don't
 	// keep the usual ones from being read.
@@ -22,7 +22,7 @@
 	discardTimeout = 150 * time.Millisecond
 )
 
-// bodyBudget limits the memory of all bodies that are read at the same time.
+// bodyBudget limits the memory of the buffers of all answers that are read at the same time.
 type bodyBudget struct {
 	used atomic.Int64
 }
@@ -36,38 +36,57 @@
 	return false
 }
 
+// Memory is what the buffer of one answer takes from the connector's budget. It isn't safe for concurrent use.
+type Memory struct {
+	budget   *bodyBudget
+	reserved int64
+}
+
+// Memory returns the memory of a new buffer for the answer. It takes nothing from the budget until Grow is called.
+func (a *Answer) Memory() *Memory { return &Memory{budget: &a.connector.budget} }
+
+// Grow reserves the memory for a buffer of the given size in place of the smaller one before. Errors: *BodyBudgetError if the
+// buffers of all answers would take too much.
+func (m *Memory) Grow(size int64) error {
+	more := max(0, size-freeBodyBytes) - m.reserved
+	if !m.budget.reserve(more) {
+		return &BodyBudgetError{Limit: maxBufferedBytes}
+	}
+	m.reserved += more
+	return nil
+}
+
+// Release returns the memory to the budget.
+func (m *Memory) Release() {
+	m.budget.used.Add(-m.reserved)
+	m.reserved = 0
+}
+
 // ReadBody reads the whole body. release returns its memory to the connector's budget and must be called once the body
 // isn't needed any more, also after an error. Errors: *BodyTooLargeError if the body exceeds limit,
-// *BodyBudgetError if the bodies of all requests take too much memory, and those of the connection.
+// *BodyBudgetError if the buffers of all answers take too much memory, and those of the connection.
 func (a *Answer) ReadBody(limit int64) (body []byte, release func(), err error) {
-	budget := &a.connector.budget
-	reserved := int64(0)
-	release = func() {
-		budget.used.Add(-reserved)
-		reserved = 0
-	}
+	memory := a.Memory()
 	body = make([]byte, 0, initialBodyBytes)
 	for {
 		n, err := a.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if int64(len(body)) > limit || a.Length > limit {
-			return nil, release, &BodyTooLargeError{Limit: limit}
+			return nil, memory.Release, &BodyTooLargeError{Limit: limit}
 		}
 		if errors.Is(err, io.EOF) {
-			return body, release, nil
+			return body, memory.Release, nil
 		}
 		if err != nil {
-			return nil, release, err
+			return nil, memory.Release, err
 		}
 		if len(body) < cap(body) {
 			continue
 		}
 		size := min(2*int64(cap(body)), limit+1)
-		more := max(0, size-freeBodyBytes) - reserved
-		if !budget.reserve(more) {
-			return nil, release, &BodyBudgetError{Limit: maxBufferedBytes}
+		if err := memory.Grow(size); err != nil {
+			return nil, memory.Release, err
 		}
-		reserved += more
 		body = append(make([]byte, 0, size), body...)
 	}
 }
--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -42,12 +42,12 @@
 	return fmt.Sprintf("read body of answer: larger than %d bytes", e.Limit)
 }
 
-// BodyBudgetError reports a body that wasn't read to its end because the bodies of all answers take too much memory.
+// BodyBudgetError reports a body that wasn't read to its end because the buffers of all answers take too much memory.
 type BodyBudgetError struct {
 	// Limit is in bytes.
 	Limit int64
 }
 
 func (e *BodyBudgetError) Error() string {
-	return fmt.Sprintf("read body of answer: the bodies of all answers exceed %d bytes", e.Limit)
+	return fmt.Sprintf("read body of answer: the buffers of all answers exceed %d bytes", e.Limit)
 }
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,3 +76,35 @@
 		})
 	}
 }
+
+// TestEndlessEventsTogether guards against many streams using up the memory, each with an event that stays below the limit of
+// one event.
+func TestEndlessEventsTogether(t *testing.T) {
+	const (
+		streams = 120
+		held    = 200 << 10
+		// maxHeld is the number of such events that 16 MiB hold, of which each buffer takes 192 KiB.
+		maxHeld = 86
+		early   = 1500 * time.Millisecond
+	)
+	u := newEndlessUpstream(t, eventsHead+"data: "+strings.Repeat("x", held), "x", 10*time.Millisecond)
+	base := newEndlessForwarder(t, kernel.RouteStream, u)
+	var endedEarly atomic.Int64
+	var group sync.WaitGroup
+	for range streams {
+		group.Go(func() {
+			start := time.Now()
+			status, body, whole, _ := send(t, base, http.MethodPost, "/a/", "", callerHeader)
+			assert.Check(t, whole)
+			switch elapsed := time.Since(start); {
+			case elapsed < early:
+				endedEarly.Add(1)
+				assert.Check(t, status == 502 && body == "upstream_lost\n", "%d %q", status, body)
+			default:
+				assert.Check(t, status == 504 && body == "deadline_expired\n", "%d %q", status, body)
+			}
+		})
+	}
+	group.Wait()
+	assert.Assert(t, endedEarly.Load() >= streams-maxHeld, "%d of %d streams ended early", endedEarly.Load(), streams)
+}
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+
+	"coltsfootplank/internal/connector"
 )
 
 const (
@@ -20,17 +22,25 @@
 	data []byte
 	// next is the offset of the next event. No event ends before the line end at offset scanned.
 	next, scanned int
+	memory        *connector.Memory
 }
 
-func newEventBuffer() *eventBuffer { return &eventBuffer{data: make([]byte, 0, eventBufferBytes)} }
+func newEventBuffer(memory *connector.Memory) *eventBuffer {
+	return &eventBuffer{data: make([]byte, 0, eventBufferBytes), memory: memory}
+}
 
-// fill reads once from the body. The events returned before become invalid. Errors: those of the reader.
+// fill reads once from the body. The events returned before become invalid. Errors: *connector.BodyBudgetError if a longer
+// event would take too much memory, and those of the reader.
 func (b *eventBuffer) fill(reader io.Reader) error {
 	b.data = b.data[:copy(b.data, b.data[b.next:])]
 	b.scanned -= b.next
 	b.next = 0
 	if len(b.data) == cap(b.data) {
-		b.data = append(b.data, 0)[:len(b.data)]
+		size := min(2*cap(b.data), maxEventBytes+1)
+		if err := b.memory.Grow(int64(size)); err != nil {
+			return err
+		}
+		b.data = append(make([]byte, 0, size), b.data...)
 	}
 	n, err := reader.Read(b.data[len(b.data):cap(b.data)])
 	b.data = b.data[:len(b.data)+n]
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -46,10 +46,12 @@
 }
 
 // relayBody relays the events of one answer. It returns nil if the body ended in the regular way after a complete event.
-// Errors: those of relayEvents and finishStream, *EventTooLargeError, and those of the connection.
+// Errors: those of relayEvents and finishStream, *EventTooLargeError, and those of eventBuffer.fill.
 func (x *exchange) relayBody(answer *connector.Answer, start time.Time, observation *dispatcher.Observation) error {
 	controller := http.NewResponseController(x.w)
-	buffer := newEventBuffer()
+	memory := answer.Memory()
+	defer memory.Release()
+	buffer := newEventBuffer(memory)
 	x.sequence.beginAttempt()
 	for {
 		readErr := buffer.fill(answer)
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -190,7 +190,7 @@
 	}
 	for _, c := range cases {
 		for size := 1; size <= len(c.body); size++ {
-			buffer, reader := newEventBuffer(), strings.NewReader(c.body)
+			buffer, reader := newEventBuffer(nil), strings.NewReader(c.body)
 			var events []string
 			for {
 				err := buffer.fill(io.LimitReader(reader, int64(size)))
