Run the soak in each test run

Cause: the soak builds and starts the router, which go test's cache doesn't see, so a run after a change of the router could report the result of an earlier one. Change: the tests of platform run without the cache, as those of scenarios do.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,10 +15,10 @@
 fi
 status=0
 for module in "$@"; do
-  # The scenarios build and start the programs, which the test cache of go test doesn't track, so it could return an
-  # outdated result.
+  # The scenarios and the soak build and start the programs, which the test cache of go test doesn't track, so it could
+  # return an outdated result.
   fresh=()
-  [ "$module" != scenarios ] || fresh=(-count=1)
+  case $module in scenarios | platform) fresh=(-count=1) ;; esac
   (cd "$module" && go test -race -timeout 300s "${fresh[@]}" "${skip[@]}" ./...) || status=1
 done
 # The race detector itself ends the process in this test; see KNOWN-RED.txt. Without it the test has to pass.
