Reset connections whose request isn't acknowledged before the kernel gives up

Cause: keep-alive probes and TCP_USER_TIMEOUT let the kernel end a connection silently while the request isn't acknowledged. What it has sent may still arrive when the path is back; the router's reset comes too late. Change: until the upstream has acknowledged the request, these checks are off, and the router resets the connection itself if no byte is acknowledged for 2.5 s. They are on for the answer and while the connection is idle. Tests: TestHeldRequestArrivesLater fails before (unexpected EOF in place of the own reset); TestSlowDelivery and TestKernelChecksResume hold before and after.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -33,16 +34,26 @@
 	idleLimit time.Duration
 }
 
+// maxWriteBytes is the size of one write of a long body, so that the bytes written are counted while it is under way.
+const maxWriteBytes = 16 << 10
+
 // countingConn counts the bytes written, which decides whether a request may have reached the upstream.
 type countingConn struct {
 	net.Conn
-	written int64
+	written atomic.Int64
 }
 
 func (c *countingConn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
-	c.written += int64(n)
-	return n, err
+	total := 0
+	for {
+		part := data[total:min(len(data), total+maxWriteBytes)]
+		n, err := c.Conn.Write(part)
+		total += n
+		c.written.Add(int64(n))
+		if err != nil || total == len(data) {
+			return total, err
+		}
+	}
 }
 
 func newConnection(conn net.Conn, idleLimit time.Duration) *connection {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -150,15 +151,22 @@
 	}
 	a := &Answer{connector: c, connection: connection, address: address, requestID: request.ID, writing: &errgroup.Group{}}
 	a.stopReset = context.AfterFunc(ctx, connection.reset)
-	writtenBefore := connection.counter.written
+	writtenBefore := connection.counter.written.Load()
+	watch := newDelivery(connection, &a.writePending)
 	if err := a.write(request); err != nil {
+		err = cmp.Or(watch.stop(), err)
 		a.Abort()
-		if connection.counter.written == writtenBefore {
+		if connection.counter.written.Load() == writtenBefore {
 			return nil, &kernel.NotSentError{Address: address, Cause: err}
 		}
 		return nil, &kernel.ConnectionLostError{Address: address, Cause: err}
 	}
 	if err := a.readHead(request, c.settings.EchoedRequestID); err != nil {
+		err = cmp.Or(watch.stop(), err)
+		a.Abort()
+		return nil, &kernel.ConnectionLostError{Address: address, Cause: err}
+	}
+	if err := watch.stop(); err != nil {
 		a.Abort()
 		return nil, &kernel.ConnectionLostError{Address: address, Cause: err}
 	}
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// userTimeout is TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged before the connection is closed. It
-	// leaves time for two retransmissions on a lossy link.
+	// userTimeout is how long sent bytes may stay unacknowledged before the connection is closed. It leaves time for two
+	// retransmissions on a lossy link.
 	userTimeout = 2500 * time.Millisecond
 	// Keep-alive probes detect a peer that vanished while nothing is sent to it, after keepAliveIdle + 3 intervals.
 	keepAliveIdle     = time.Second
@@ -40,10 +40,26 @@
 	}
 }
 
-func setOptions(descriptor int) error {
-	err := unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+// setUserTimeout sets TCP_USER_TIMEOUT of an open connection. 0 leaves the time to the kernel.
+func setUserTimeout(tcp *net.TCPConn, timeout time.Duration) error {
+	rawConn, err := tcp.SyscallConn()
 	if err != nil {
 		return err
 	}
+	var optionErr error
+	if err := rawConn.Control(func(descriptor uintptr) { optionErr = setTimeoutOption(int(descriptor), timeout) }); err != nil {
+		return err
+	}
+	return optionErr
+}
+
+func setTimeoutOption(descriptor int, timeout time.Duration) error {
+	return unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
+
+func setOptions(descriptor int) error {
+	if err := setTimeoutOption(descriptor, userTimeout); err != nil {
+		return err
+	}
 	return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
 }
--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -1,6 +1,9 @@
 package connector
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // MismatchedAnswerError reports that the answers on a connection belong to other requests than the one sent.
 type MismatchedAnswerError struct {
@@ -51,3 +54,12 @@
 func (e *BodyBudgetError) Error() string {
 	return fmt.Sprintf("read body of answer: the buffers of all answers exceed %d bytes", e.Limit)
 }
+
+// UnacknowledgedError reports a connection that was reset because the upstream acknowledged no more bytes of a request.
+type UnacknowledgedError struct {
+	Waited time.Duration
+}
+
+func (e *UnacknowledgedError) Error() string {
+	return fmt.Sprintf("send request: the upstream acknowledged no bytes for %s", e.Waited)
+}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -77,7 +77,7 @@
 	}
 	a.writePending.Store(true)
 	a.writing.Go(func() error {
-		_, err := a.connection.conn.Write(request.Body)
+		_, err := a.connection.counter.Write(request.Body)
 		if err == nil {
 			a.writePending.Store(false)
 		}
