Limit the memory of the bodies of all requests together

Cause: each body had a limit, all together had none; they are kept until their answers have ended. Change: they share half of limits.memory_mb.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -30,14 +30,16 @@
 
 // exchange is one request as the caller sent it, with the progress of its answer.
 type exchange struct {
-	forwarder     *Forwarder
-	w             http.ResponseWriter
-	method        string
-	target        string
-	host          string
-	header        http.Header
-	body          []byte
-	hasBody       bool
+	forwarder *Forwarder
+	w         http.ResponseWriter
+	method    string
+	target    string
+	host      string
+	header    http.Header
+	body      []byte
+	hasBody   bool
+	// releaseBody frees the memory that is reserved for the body. It must be called once, after the last use of the body.
+	releaseBody   func()
 	metadata      kernel.RequestMetadata
 	route         *kernel.Route
 	version       int64
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -50,17 +50,22 @@
 	Draining func() bool
 	// MaxBodyBytes limits the body of a request if the routing configuration states no limit.
 	MaxBodyBytes int64
-	Metrics      metrics.Registry
-	Logger       *zap.Logger
+	// MaxBodyMemory limits the memory of the bodies of all requests together, in bytes; 0 means no limit.
+	MaxBodyMemory int64
+	Metrics       metrics.Registry
+	Logger        *zap.Logger
 }
 
 // Forwarder is the HTTP handler for requests to published routes.
 type Forwarder struct {
 	options Options
+	bodies  *bodyMemory
 }
 
 // New returns a forwarder.
-func New(options Options) *Forwarder { return &Forwarder{options: options} }
+func New(options Options) *Forwarder {
+	return &Forwarder{options: options, bodies: newBodyMemory(options.MaxBodyMemory)}
+}
 
 // ServeHTTP serves one request. If an answer that has begun can't be completed, ServeHTTP aborts the connection, so
 // that the caller doesn't take the answer for a complete one.
@@ -70,6 +75,7 @@
 	}
 	arrived := time.Now()
 	x, refusal := f.acceptRequest(w, r, arrived)
+	defer x.releaseBody()
 	if refusal != nil {
 		f.refuseRequest(w, r, x, refusal)
 		return
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -39,7 +39,7 @@
 // acceptRequest reads and authenticates a request and builds the holder's request from it. The returned exchange is
 // never nil, even if the request is refused.
 func (f *Forwarder) acceptRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange, *holder.Refusal) {
-	x := &exchange{forwarder: f, w: w, method: r.Method, host: r.Host, header: r.Header}
+	x := &exchange{forwarder: f, w: w, method: r.Method, host: r.Host, header: r.Header, releaseBody: func() {}}
 	// A router that has just started gets its first configuration within configWait. Requests that arrive
 	// earlier wait for it instead of being refused.
 	config := f.options.RoutingConfigSource.AwaitRoutingConfig(r.Context(), configWait)
@@ -126,6 +126,15 @@
 	if !x.hasBody {
 		return nil
 	}
+	size := limit
+	if r.ContentLength >= 0 {
+		size = min(r.ContentLength, limit)
+	}
+	release, refusal := x.forwarder.bodies.acquire(r.Context(), size)
+	if refusal != nil {
+		return refusal
+	}
+	x.releaseBody = release
 	controller := http.NewResponseController(x.w)
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeCallerGone, Message: err.Error()}
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -22,6 +22,9 @@
 	"coltsfootplank/internal/subscriber"
 )
 
+// bodyMemoryParts divides limits.memory_mb: one part is for the bodies of requests. The rest is for answers and connections.
+const bodyMemoryParts = 2
+
 // gatewayMode is the mode in which a router serves the routes published in the platform's directory.
 type gatewayMode struct {
 	*Router
@@ -69,7 +72,8 @@
 			Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack,
 			Routers: func() int { return len(r.detector.View().Eligible()) },
 		}),
-		Draining: r.leaving.Load, MaxBodyBytes: r.settings.Limits.MaxBodyBytes, Metrics: r.metrics, Logger: log,
+		Draining: r.leaving.Load, MaxBodyBytes: r.settings.Limits.MaxBodyBytes,
+		MaxBodyMemory: int64(r.settings.Limits.MemoryMB) << 20 / bodyMemoryParts, Metrics: r.metrics, Logger: log,
 	})
 	return g, nil
 }
