Let the test of long bodies end when it fails

Cause: its requests are released at its end only, so a failing run waits for them until the time limit of the test. Measured: without the limit on the memory of bodies it fails at once now, with six requests held in place of two.

--- a/internal/forwarder/bodymemory_test.go
+++ b/internal/forwarder/bodymemory_test.go
@@ -54,6 +54,8 @@
 				MaxBodyBytes: bodyBytes, MaxBodyMemory: room * bodyBytes, Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
 			}))
 			defer server.Close()
+			release := sync.OnceFunc(func() { close(waiting.released) })
+			defer release()
 			post := func(body string) int {
 				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/a/", strings.NewReader(body))
 				assert.Check(t, err)
@@ -90,7 +92,7 @@
 				assert.Equal(t, waiting.held.Load(), int64(room+1), "a short request waits")
 			}
 			time.Sleep(bodyMemoryWait)
-			close(waiting.released)
+			release()
 			group.Wait()
 			assert.Equal(t, refused.Load(), int64(requests-room))
 			for range 3 * room {
