Share the calls on a connection's descriptor, and end the watch of a request in one place

Cause: three functions each unpacked the two errors of a call on a descriptor, and Send stopped the watch and aborted the answer on three paths. Change: control serves the dialer, the kernel's checks and the unacknowledged bytes; Send has one path for a failed exchange. A request of which no byte was written is still told from one that may have arrived. Behaviour is the same.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -153,22 +153,16 @@
 	a.stopReset = context.AfterFunc(ctx, connection.reset)
 	writtenBefore := connection.counter.written.Load()
 	watch := newDelivery(connection, &a.writePending)
-	if err := a.write(request); err != nil {
-		err = cmp.Or(watch.stop(), err)
+	err = a.write(request)
+	if err == nil {
+		err = a.readHead(request, c.settings.EchoedRequestID)
+	}
+	if err = cmp.Or(watch.stop(), err); err != nil {
 		a.Abort()
 		if connection.counter.written.Load() == writtenBefore {
 			return nil, &kernel.NotSentError{Address: address, Cause: err}
 		}
 		return nil, &kernel.ConnectionLostError{Address: address, Cause: err}
 	}
-	if err := a.readHead(request, c.settings.EchoedRequestID); err != nil {
-		err = cmp.Or(watch.stop(), err)
-		a.Abort()
-		return nil, &kernel.ConnectionLostError{Address: address, Cause: err}
-	}
-	if err := watch.stop(); err != nil {
-		a.Abort()
-		return nil, &kernel.ConnectionLostError{Address: address, Cause: err}
-	}
 	return a, nil
 }
--- a/internal/connector/delivery.go
+++ b/internal/connector/delivery.go
@@ -96,25 +96,28 @@
 		timeout = userTimeout
 	}
 	_ = tcp.SetKeepAlive(on)
-	_ = setUserTimeout(tcp, timeout)
+	_ = c.control(func(descriptor int) error { return setUserTimeout(descriptor, timeout) })
 }
 
 // unackedBytes returns the number of bytes that were written and that the upstream hasn't acknowledged.
 func (c *connection) unackedBytes() (int64, error) {
+	unacked := 0
+	err := c.control(func(descriptor int) (err error) {
+		unacked, err = unix.IoctlGetInt(descriptor, unix.SIOCOUTQ)
+		return err
+	})
+	return int64(unacked), err
+}
+
+// control calls a function with the descriptor of the connection, if it has one.
+func (c *connection) control(call func(descriptor int) error) error {
 	syscallConn, ok := c.conn.(syscall.Conn)
 	if !ok {
-		return 0, nil
+		return nil
 	}
 	rawConn, err := syscallConn.SyscallConn()
 	if err != nil {
-		return 0, err
-	}
-	var unacked int
-	var ioctlErr error
-	if err := rawConn.Control(func(descriptor uintptr) {
-		unacked, ioctlErr = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
-	}); err != nil {
-		return 0, err
+		return err
 	}
-	return int64(unacked), ioctlErr
+	return control(rawConn, call)
 }
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -29,36 +29,26 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, rawConn syscall.RawConn) error {
-			var optionErr error
-			err := rawConn.Control(func(descriptor uintptr) { optionErr = setOptions(int(descriptor)) })
-			if err != nil {
-				return err
-			}
-			return optionErr
-		},
+		Control: func(_, _ string, rawConn syscall.RawConn) error { return control(rawConn, setOptions) },
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT of an open connection. 0 leaves the time to the kernel.
-func setUserTimeout(tcp *net.TCPConn, timeout time.Duration) error {
-	rawConn, err := tcp.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var optionErr error
-	if err := rawConn.Control(func(descriptor uintptr) { optionErr = setTimeoutOption(int(descriptor), timeout) }); err != nil {
+// control calls a function with the descriptor of a connection.
+func control(rawConn syscall.RawConn, call func(descriptor int) error) error {
+	var callErr error
+	if err := rawConn.Control(func(descriptor uintptr) { callErr = call(int(descriptor)) }); err != nil {
 		return err
 	}
-	return optionErr
+	return callErr
 }
 
-func setTimeoutOption(descriptor int, timeout time.Duration) error {
+// setUserTimeout sets TCP_USER_TIMEOUT. 0 leaves the time to the kernel.
+func setUserTimeout(descriptor int, timeout time.Duration) error {
 	return unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 }
 
 func setOptions(descriptor int) error {
-	if err := setTimeoutOption(descriptor, userTimeout); err != nil {
+	if err := setUserTimeout(descriptor, userTimeout); err != nil {
 		return err
 	}
 	return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
