Keep the kernel from ending connections that were idle when a path was cut

Cause: the kernel's checks were on while a connection was idle. A check that begins while the path is cut ends the connection 4 s after the cut, also if the checks are turned off before the next request. That request is then left to arrive later. Change: the kernel's checks are on from the acknowledgement of a request to the end of its answer only. If no byte of a request is acknowledged for 1 s, the other idle connections to its upstream are reset, since nothing else notices there that it vanished.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -26,6 +26,8 @@
 	reused bool
 	// closing is set if the connection must not be used for another request.
 	closing bool
+	// kernelChecks is set while the kernel checks whether the upstream is there.
+	kernelChecks bool
 	// discarded holds the IDs of the requests whose answers were discarded. Such a request may be sent again, but not on
 	// this connection, where a repeated answer to it could be taken for that to the new attempt.
 	discarded []string
@@ -60,7 +62,7 @@
 	limit := &limitedReader{reader: conn, left: unlimitedBytes}
 	return &connection{
 		conn: conn, counter: &countingConn{Conn: conn}, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit,
-		idleLimit: idleLimit,
+		idleLimit: idleLimit, kernelChecks: true,
 	}
 }
 
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -118,6 +118,7 @@
 
 // putIdle keeps a connection for another request, or closes it if MaxIdle connections are kept already.
 func (c *Connector) putIdle(address string, connection *connection) {
+	connection.setKernelChecks(false)
 	connection.reused, connection.idleSince = true, time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -128,6 +129,18 @@
 	c.idle[address] = append(c.idle[address], connection)
 }
 
+// dropIdle closes the idle connections to an upstream that seems to have vanished. The next request opens a new connection,
+// which fails sooner than a request on a dead one, and without having sent anything.
+func (c *Connector) dropIdle(address string) {
+	c.mu.Lock()
+	list := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, connection := range list {
+		connection.reset()
+	}
+}
+
 // acquire returns an idle connection or opens a new one. Errors: *kernel.NotSentError.
 func (c *Connector) acquire(ctx context.Context, address, requestID string) (*connection, error) {
 	if connection := c.takeIdle(address, requestID); connection != nil {
@@ -152,7 +165,7 @@
 	a := &Answer{connector: c, connection: connection, address: address, requestID: request.ID, writing: &errgroup.Group{}}
 	a.stopReset = context.AfterFunc(ctx, connection.reset)
 	writtenBefore := connection.counter.written.Load()
-	watch := newDelivery(connection, &a.writePending)
+	watch := newDelivery(connection, &a.writePending, func() { c.dropIdle(address) })
 	err = a.write(request)
 	if err == nil {
 		err = a.readHead(request, c.settings.EchoedRequestID)
--- a/internal/connector/delivery.go
+++ b/internal/connector/delivery.go
@@ -10,14 +10,22 @@
 	"golang.org/x/sys/unix"
 )
 
-// deliveryInterval is the time between checks whether the upstream has acknowledged a request.
-const deliveryInterval = 250 * time.Millisecond
+const (
+	// deliveryInterval is the time between checks whether the upstream has acknowledged a request.
+	deliveryInterval = 250 * time.Millisecond
+	// stallTimeout is how long no byte of a request may be acknowledged before the idle connections to the upstream are
+	// taken for dead too. A lost segment is sent again sooner.
+	stallTimeout = time.Second
+)
 
 // delivery resets the connection of a request that the upstream doesn't acknowledge, so that the request can't arrive later.
-// The kernel gives up on a connection without a reset, and what it has sent may still arrive. Until the upstream has
-// acknowledged the request, the kernel's own checks are therefore off.
+// The kernel gives up on a connection without a reset, and what it has sent may still arrive. The kernel's own checks are
+// therefore off from the end of one answer until the upstream has acknowledged the next request: a check that began on the
+// idle connection would end it in the middle of the request.
 type delivery struct {
 	connection *connection
+	// onStall is called once if no byte is acknowledged for stallTimeout.
+	onStall func()
 	// pending is set while a long body is being written.
 	pending *atomic.Bool
 
@@ -25,12 +33,13 @@
 	timer   *time.Timer
 	ended   bool
 	failed  bool
+	stalled bool
 	acked   int64
 	ackedAt time.Time
 }
 
-func newDelivery(c *connection, pending *atomic.Bool) *delivery {
-	d := &delivery{connection: c, pending: pending, acked: c.counter.written.Load(), ackedAt: time.Now()}
+func newDelivery(c *connection, pending *atomic.Bool, onStall func()) *delivery {
+	d := &delivery{connection: c, pending: pending, onStall: onStall, acked: c.counter.written.Load(), ackedAt: time.Now()}
 	c.setKernelChecks(false)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -56,6 +65,10 @@
 	if acked := written - unacked; acked > d.acked {
 		d.acked, d.ackedAt = acked, now
 	}
+	if !d.stalled && now.Sub(d.ackedAt) >= stallTimeout {
+		d.stalled = true
+		d.onStall()
+	}
 	if now.Sub(d.ackedAt) >= userTimeout {
 		d.ended, d.failed = true, true
 		d.connection.reset()
@@ -88,9 +101,10 @@
 // TCP_USER_TIMEOUT for bytes that aren't acknowledged. An error means that the connection has ended.
 func (c *connection) setKernelChecks(on bool) {
 	tcp, ok := c.conn.(*net.TCPConn)
-	if !ok {
+	if !ok || on == c.kernelChecks {
 		return
 	}
+	c.kernelChecks = on
 	timeout := time.Duration(0)
 	if on {
 		timeout = userTimeout
