Keep slots in use while releases and grants cross the network

Cause: a slot stays empty from the end of a run until the release, the next grant and the request have crossed the network. With runs of 15 ms behind links of 3.4 ms this takes about as long as the run, and the plain service refused requests meanwhile. They are only used while no engine has a free slot; the pool's expected wait still counts the real slots. No run of the whole system was made.

--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -46,6 +46,8 @@
 	// ConnectionCost is the time that a new connection to an engine counts in the choice of an engine, so that a router
 	// uses fewer engines.
 	ConnectionCost time.Duration `yaml:"connection_cost" unit:"duration" min:"0s" max:"10s" help:"what a new connection of a router to an engine counts in the choice of an engine; 0s means nothing"`
+	// Turnaround keeps slots in use while releases and grants cross the network.
+	Turnaround bool `yaml:"turnaround" unit:"true or false" help:"whether an engine with short runs gets as many requests beyond its slots as cover the time between a release and the next run; only for engines that queue requests"`
 	// ConnectionIdle is how long idle connections to engines are assumed to stay open.
 	ConnectionIdle time.Duration `yaml:"connection_idle" unit:"duration" min:"100ms" max:"10m" help:"time for which the scheduler counts on a router's idle connection to an engine"`
 	// DefaultOutputTokens is the output length assumed for work for which the catalogue states none.
--- a/internal/scheduler/adopt.go
+++ b/internal/scheduler/adopt.go
@@ -30,7 +30,7 @@
 	} else {
 		e.prefillUntil = e.prefillUntil.Add(-running)
 	}
-	r.grantedAt = now.Add(-running)
+	r.grantedAt, r.adopted = now.Add(-running), true
 	s.engines.reindex(e)
 	return true
 }
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -38,7 +38,7 @@
 		if e.admits(r) != blockNone {
 			return
 		}
-		t := e.expectedFirstToken(r, engines.now) + engines.connections.cost(r.holder, e, engines.now)
+		t := e.expectedFirstToken(r, engines.now) + engines.connections.cost(r.holder, e, engines.now) + e.queueCost()
 		if best == nil || t < bestTime || t == bestTime && e.info.Name < best.info.Name {
 			best, bestTime = e, t
 		}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -38,6 +38,9 @@
 	clock *time.Time
 	// slots is the number of requests that this scheduler may have in flight on the engine.
 	slots int
+	// extraSlots is the number of requests that it may have in flight beyond slots, to cover the turnaround.
+	extraSlots int
+	turnaround turnaround
 
 	granted        map[string]*request
 	longInFlight   int
@@ -119,12 +122,12 @@
 	return e
 }
 
-// freeSlots returns the number of free slots.
+// freeSlots returns the number of free slots, with those beyond the engine's own.
 func (e *engine) freeSlots() int {
 	if !e.usable() || e.runningAlone != nil {
 		return 0
 	}
-	return max(0, min(e.slots-len(e.granted), e.info.Slots-len(e.granted)-e.foreignInFlight))
+	return max(0, min(e.slots-len(e.granted), e.info.Slots-len(e.granted)-e.foreignInFlight)+e.extraSlots)
 }
 
 // usable reports whether the engine may receive new work.
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -135,6 +135,7 @@
 	}
 	for _, e := range s.list {
 		e.slots, e.urgentReserveShare = s.slotsOf(e), s.urgentReserveShare()
+		e.extraSlots = s.turnaroundSlots(e)
 		if e.countedInPool = e.usable(); e.countedInPool {
 			s.slots += max(0, e.info.Slots)
 		}
@@ -154,6 +155,7 @@
 		return
 	}
 	e.slots = s.slotsOf(e)
+	e.extraSlots = s.turnaroundSlots(e)
 	s.reindex(e)
 }
 
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -76,6 +76,8 @@
 	// alone is set if the request has its engine to itself; crashed if the engine restarted during the run.
 	alone   bool
 	crashed bool
+	// adopted is set if another scheduler made the grant.
+	adopted bool
 }
 
 // lengthKey returns the key of the requests whose output lengths are estimated together.
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -58,6 +58,9 @@
 	ConnectionCost time.Duration
 	// ConnectionIdle is how long a holder keeps an idle connection open.
 	ConnectionIdle time.Duration
+	// Turnaround lets engines have as many requests beyond their slots in flight as cover the time that a slot stays empty
+	// between two runs. The engines must queue such requests.
+	Turnaround bool
 	// StragglerRatio is the part of its own baseline speed below which an engine is excluded.
 	StragglerRatio float64
 	// StragglerCap bounds the share of the pool's engines that are excluded or returning to use when one more is
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -42,6 +42,7 @@
 	result.TierFloor = settings.TierFloor
 	result.AllowanceWindow = settings.AllowanceWindow
 	result.ConnectionCost, result.ConnectionIdle = settings.ConnectionCost, settings.ConnectionIdle
+	result.Turnaround = settings.Turnaround
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
 	result.ProbeAfter = settings.ProbeAfter
