Grant requests beyond the slots of plain services only

Cause: with most answers of a model pool short, its usual run is under 75 ms, and its engines got requests beyond their slots too. These waited behind long answers. Change: engines with KV memory get none.

--- a/internal/scheduler/turnaround.go
+++ b/internal/scheduler/turnaround.go
@@ -88,9 +88,10 @@
 }
 
 // turnaroundSlots returns the number of requests that the engine may have in flight beyond its slots. An engine that has
-// less than all of its slots for any reason gets none: it returns step by step, or others use it too.
+// less than all of its slots for any reason gets none: it returns step by step, or others use it too. Neither does a model
+// engine, on which short answers run beside long ones: a request in its queue may wait for one of those.
 func (s *engineSet) turnaroundSlots(e *engine) int {
-	if !s.settings.Turnaround || s.share < 1 || e.allowance > 0 || e.runningAlone != nil || e.slots < e.info.Slots {
+	if !s.settings.Turnaround || e.info.KVTokens > 0 || s.share < 1 || e.allowance > 0 || e.runningAlone != nil || e.slots < e.info.Slots {
 		return 0
 	}
 	return e.turnaround.slots(e.info.Slots, s.now)
--- a/internal/scheduler/turnaround_test.go
+++ b/internal/scheduler/turnaround_test.go
@@ -165,6 +165,7 @@
 	}{
 		{"full use", func(*cell, *engine) {}, 6},
 		{"share of the capacity", func(c *cell, _ *engine) { c.SetCapacityShare(0.95) }, 0},
+		{"model engine", func(c *cell, e *engine) { e.info.KVTokens = 1 << 20; c.engines.refreshOne(e) }, 0},
 		{"probe", func(c *cell, e *engine) { c.engines.probe(e, c.now) }, 0},
 		{"smaller batch", func(c *cell, e *engine) { e.batchSlots = 5; c.engines.refreshOne(e) }, 0},
 		{"runs alone", func(c *cell, e *engine) { e.runningAlone = &request{}; c.engines.refreshOne(e) }, 0},
