Bind a failed connection to the router that it failed for

Cause: one holder that could not connect to an engine excluded it for all holders for probe_after. With three engines that is a third of the pool, though the others had answers from it meanwhile. Change: the holder's own grants avoid the engine for probe_after, twice as long with each further failure up to eight times that; its first grant afterwards is the only one until it has reached the engine or given up (reach.go). The engine is excluded for all when a second holder fails without an answer to another in between, or when no other holder had an answer in the last 0.5 s, the longest time that connecting takes. Never more than half of the pool's engines are excluded this way; tickets are refused with no_upstream once no engine has answered anybody for NoUpstreamAfter, so that those without a deadline don't wait for ever in a pool whose engines the cap keeps in use. A ticket whose holder reaches none of the engines in time is refused at once. Test: TestUnreachableForOneHolder fails before ("one holder": no holder gets the engine; run against the commit before). TestUnreachablePool covers the cap and the attempts after a pause. No assertion of an existing test changed. TestRandomInputs found that refuseIfPaused refused in a pool without engines; mended.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -60,7 +60,7 @@
 	switch {
 	case free <= 0:
 		return blockSlots
-	case e.asked.pausedFor(r.holder, *e.clock):
+	case e.pausedFor(r.holder, *e.clock):
 		return blockPaused
 	case e.reservedFor != nil && e.reservedFor != r && r.tier >= e.reservedFor.tier:
 		return blockReserved
@@ -150,7 +150,7 @@
 	}
 	var best *engine
 	for _, e := range s.list {
-		if e.usable() && !e.asked.pausedFor(r.holder, s.now) && e.runningAlone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
+		if e.usable() && !e.pausedFor(r.holder, s.now) && e.runningAlone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
 			best = e
 		}
 	}
--- a/internal/scheduler/asked.go
+++ b/internal/scheduler/asked.go
@@ -16,11 +16,6 @@
 	pauses map[string]time.Time
 }
 
-// pausedFor reports whether the engine wants no requests from a holder now.
-func (a *asked) pausedFor(holder string, now time.Time) bool {
-	return len(a.pauses) > 0 && now.Before(a.pauses[holder])
-}
-
 // expire drops the pauses that are over.
 func (a *asked) expire(now time.Time) {
 	maps.DeleteFunc(a.pauses, func(_ string, until time.Time) bool { return !now.Before(until) })
@@ -49,34 +44,45 @@
 	}
 }
 
-// nextPauseEnd returns when the first of the engines that want no requests from a holder takes them again; zero if there
-// is none.
+// nextPauseEnd returns when the first of the engines that a holder gets no grants of is granted to it again; zero if there is
+// none.
 func (s *engineSet) nextPauseEnd(holder string, now time.Time) time.Time {
 	var first time.Time
 	for _, e := range s.list {
-		if end := e.asked.pauses[holder]; now.Before(end) && (first.IsZero() || end.Before(first)) {
+		if end := e.pausedUntil(holder); now.Before(end) && (first.IsZero() || end.Before(first)) {
 			first = end
 		}
 	}
 	return first
 }
 
-// refuseIfPaused refuses a ticket if all engines have turned its holder away for longer than the ticket can wait, and
-// reports whether it did. The caller is told when the first of them takes requests again.
+// refuseIfPaused refuses a ticket if its holder gets no grants of any engine for longer than the ticket can wait, and reports
+// whether it did. The caller is told when that ends for the first of them.
 func (s *Scheduler) refuseIfPaused(r *request, now time.Time) bool {
 	if r.latestStart.IsZero() {
 		return false
 	}
+	var code, message string
 	for _, e := range s.engines.list {
-		if !e.gone() && !e.asked.pauses[r.holder].After(r.latestStart) {
+		switch {
+		case e.gone():
+		case !e.pausedUntil(r.holder).After(r.latestStart):
 			return false
+		case !e.asked.pauses[r.holder].After(r.latestStart):
+			code, message = CodeNoUpstream, "this router could not connect to the engines"
+		case code == "":
+			code, message = CodeOverloaded, "all engines have turned this router away for some time"
 		}
 	}
+	if code == "" {
+		// A pool without engines may have some again in time.
+		return false
+	}
 	end := s.engines.nextPauseEnd(r.holder, now)
 	if end.IsZero() {
 		return false
 	}
 	s.buckets[r.bucket].stats.recordRefusal(now)
-	s.refuse(r, CodeOverloaded, "all engines have turned this router away for some time", end.Sub(now))
+	s.refuse(r, code, message, end.Sub(now))
 	return true
 }
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -175,7 +175,7 @@
 // observeReregistration handles the registration of another process under the engine's name. Load reports show the same
 // restart, so it is evidence of a crash only if there are none.
 func (s *Scheduler) observeReregistration(e *engine, now time.Time) {
-	e.asked = asked{}
+	e.asked, e.reach = asked{}, reach{}
 	if e.instance != "" {
 		return
 	}
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -77,7 +77,9 @@
 	Prefixes        int     `json:"prefixes"`
 	Leaving         bool    `json:"leaving"`
 	// Pauses holds until when the engine wants no requests from a router.
-	Pauses          map[string]time.Time `json:"pauses,omitempty"`
+	Pauses map[string]time.Time `json:"pauses,omitempty"`
+	// Unreachable holds until when a router that could not connect gets no grants of the engine.
+	Unreachable     map[string]time.Time `json:"unreachable,omitempty"`
 	LastExclusion   string               `json:"last_exclusion,omitempty"`
 	LastExclusionAt time.Time            `json:"last_exclusion_at,omitzero"`
 }
@@ -154,5 +156,6 @@
 		Allowance: e.allowance, BeyondSlots: e.extraSlots, InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
 		Tokens: e.tokensInFlight, AheadSeconds: e.ahead,
 		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(),
-		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining || e.asked.leaving, Pauses: maps.Clone(e.asked.pauses), LastExclusion: e.reason, LastExclusionAt: e.reasonAt}
+		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining || e.asked.leaving, Pauses: maps.Clone(e.asked.pauses),
+		Unreachable: e.reach.pauses(), LastExclusion: e.reason, LastExclusionAt: e.reasonAt}
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -63,6 +63,8 @@
 	reasonAt time.Time
 	// asked is what the engine asks of the holders in its answers.
 	asked asked
+	// reach is what the holders report about connecting to the engine.
+	reach reach
 	// allowance bounds the requests in flight while the engine returns to use step by step; 0 means no bound.
 	allowance int
 	// countedInPool reports whether the pool's slots include those of the engine.
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -232,6 +232,7 @@
 func (s *engineSet) start(e *engine, r *request, now time.Time) {
 	s.unreserve(r)
 	e.start(r, now)
+	e.reach.recordGrant(r.holder, now)
 	s.prefixes.recordGrant(e, r, now)
 	s.connections.recordUse(r.holder, e, now)
 	s.granted++
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -43,6 +43,7 @@
 	}
 	if e.instance != "" && report.Instance != e.instance {
 		s.recordCrashEvidence(e, now, evidenceRestart)
+		e.reach = reach{}
 		s.engines.prefixes.clear(e)
 		s.engines.probe(e, now)
 		e.recordReason(now, "the engine restarted")
@@ -51,7 +52,7 @@
 		e.instance, e.crash.number = report.Instance, 0
 	}
 	if e.down {
-		e.down = false
+		e.down, e.reach = false, reach{}
 		s.engines.probe(e, now)
 	}
 	e.draining = report.Draining
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -51,15 +51,18 @@
 	if at := s.engines.nextProbe(); !at.IsZero() {
 		wakeBy(at)
 	}
-	if s.engines.slots == 0 && s.queued() > 0 {
-		wakeBy(s.engines.noUsableSince.Add(s.settings.NoUpstreamAfter))
+	if s.queued() > 0 {
+		if since := s.engines.unreachableSince(); !since.IsZero() {
+			wakeBy(since.Add(s.settings.NoUpstreamAfter))
+		}
 	}
 	return wake
 }
 
-// refuseWithoutUpstream refuses all queued tickets once the pool has had no usable engine for NoUpstreamAfter.
+// refuseWithoutUpstream refuses all queued tickets once the pool has had no usable engine for NoUpstreamAfter. An
+// engine that holders fail to connect to doesn't count as usable until it answers.
 func (s *Scheduler) refuseWithoutUpstream(now time.Time) {
-	if s.engines.slots > 0 || now.Sub(s.engines.noUsableSince) < s.settings.NoUpstreamAfter {
+	if since := s.engines.unreachableSince(); since.IsZero() || now.Sub(since) < s.settings.NoUpstreamAfter {
 		return
 	}
 	for _, r := range s.requests {
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -123,7 +123,7 @@
 
 // probe returns an engine to use with one request at a time.
 func (s *engineSet) probe(e *engine, now time.Time) {
-	e.excluded, e.allowance, e.probedAt = false, 1, now
+	e.excluded, e.allowance, e.probedAt, e.reach.failingSince = false, 1, now, time.Time{}
 	s.refresh()
 }
 
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -186,6 +186,7 @@
 		return
 	}
 	s.engines.recordAsked(e, holder, release, now)
+	s.engines.observeReach(e, holder, release, now)
 	s.engines.observeTurnaround(e, r, release, now)
 	answered := release.GetKind() == protocol.ReleaseKind_RELEASE_KIND_ANSWERED
 	if r != nil && (answered || release.GetBegun()) {
@@ -203,9 +204,6 @@
 		s.engines.recordLoss(e, now)
 	case protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
 		s.recordUnreachable(e, now)
-		if !e.excluded {
-			s.engines.exclude(e, now, "a holder could not connect")
-		}
 	case protocol.ReleaseKind_RELEASE_KIND_SHED:
 		if !e.excluded {
 			s.engines.excludeFor(e, now, shedPause, "the engine was full")
