Grant repeats an engine that hasn't failed the request

Cause: an idempotent request that got 500 from an engine was sent to the same engine 10 ms later. An engine that fails at once always has a free slot, so that the choice tends to return to it. Change: the holder names in Ticket.avoid the engines that failed or lost the request, each as often as it did. TestExchange keeps its assertions and compares the engines of the last ticket too.

--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -82,10 +82,11 @@
 	return release
 }
 
-// resubmit requests another grant for a request that an upstream may already have run and that may be run again. What was
-// decided while the upstream ran it belongs to the ticket that has ended.
+// resubmit requests another grant for a request that an upstream may already have run and that may be run again, from another
+// upstream if there is one. What was decided while the upstream ran it belongs to the ticket that has ended.
 func (h *Holder) resubmit(request *Request) {
 	h.returnUnusedGrants(request)
+	request.failedUpstreams = append(request.failedUpstreams, request.upstream)
 	request.mayHaveRun, request.upstream = true, ""
 	request.attempt++
 	request.state.transition(Dispatched, Waiting)
--- a/internal/holder/exchange_test.go
+++ b/internal/holder/exchange_test.go
@@ -25,7 +25,7 @@
 }
 
 // TestExchange guards against a request that may have run being refused as not run, and against a request that waits
-// for a grant although no ticket is open for it.
+// for a grant although no ticket is open for it. It also guards against a repeat that is sent to the engine that failed it.
 func TestExchange(t *testing.T) {
 	full := &Refusal{Outcome: OutcomeNotRun, Code: CodeOverloaded}
 	lost := &Refusal{Outcome: OutcomeUnknown, Code: CodeUpstreamLost}
@@ -40,14 +40,18 @@
 		script  []SendResult
 		outcome Outcome
 		sends   int
+		// avoided are the engines that the last ticket names as failed.
+		avoided []string
 	}{
-		{"answered", []SendResult{{Kind: answered}}, "", 1},
-		{"unreachable, then answered", []SendResult{{Kind: unreachable}, {Kind: answered}}, "", 2},
-		{"full", []SendResult{{Kind: shed, Refusal: full}}, OutcomeNotRun, 1},
-		{"full, then answered", []SendResult{{Kind: shed}, {Kind: answered}}, "", 2},
-		{"lost", []SendResult{{Kind: lostKind, Refusal: lost}}, OutcomeUnknown, 1},
-		{"lost and sent again", []SendResult{{Kind: lostKind, Resubmit: true}, {Kind: answered}}, "", 2},
-		{"full after a lost run", []SendResult{{Kind: lostKind, Resubmit: true}, {Kind: shed, Refusal: full}}, OutcomeUnknown, 2},
+		{"answered", []SendResult{{Kind: answered}}, "", 1, nil},
+		{"unreachable, then answered", []SendResult{{Kind: unreachable}, {Kind: answered}}, "", 2, nil},
+		{"full", []SendResult{{Kind: shed, Refusal: full}}, OutcomeNotRun, 1, nil},
+		{"full, then answered", []SendResult{{Kind: shed}, {Kind: answered}}, "", 2, nil},
+		{"lost", []SendResult{{Kind: lostKind, Refusal: lost}}, OutcomeUnknown, 1, nil},
+		{"lost and sent again", []SendResult{{Kind: lostKind, Resubmit: true}, {Kind: answered}}, "", 2, []string{"elsewhere"}},
+		{"full after a lost run", []SendResult{{Kind: lostKind, Resubmit: true}, {Kind: shed, Refusal: full}}, OutcomeUnknown, 2, []string{"elsewhere"}},
+		{"failed twice", []SendResult{{Kind: lostKind, Resubmit: true}, {Kind: lostKind, Resubmit: true}, {Kind: answered}}, "", 3,
+			[]string{"elsewhere", "elsewhere"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -61,6 +65,7 @@
 			request.Exchange = exchange
 			refusal := f.holder.Serve(t.Context(), request)
 			assert.Equal(t, exchange.sends, c.sends)
+			assert.DeepEqual(t, f.tickets.avoided, c.avoided)
 			if c.outcome == "" {
 				assert.Assert(t, refusal == nil)
 				return
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -30,10 +30,11 @@
 	attempts int
 	releases []protocol.ReleaseKind
 	cancels  int
+	avoided  []string
 }
 
-func (f *fakeTickets) Submit(_ *protocol.Ticket, handler ticketer.DecisionHandler) {
-	f.handler = handler
+func (f *fakeTickets) Submit(ticket *protocol.Ticket, handler ticketer.DecisionHandler) {
+	f.handler, f.avoided = handler, ticket.GetAvoid()
 	f.next()
 }
 
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootplank/internal/cataloguer"
@@ -59,6 +60,8 @@
 	claimID   string
 	// mayHaveRun is set if an upstream may have run the request under an earlier grant.
 	mayHaveRun bool
+	// failedUpstreams lists the upstreams that failed or lost the request, each as often as it did.
+	failedUpstreams []string
 }
 
 // decision is a grant or refusal by the scheduler, or a refusal by the limit on waiting requests.
@@ -112,6 +115,7 @@
 		Attempt:      r.attempt,
 		Charge:       uint32(r.Charge),
 		PauseMs:      r.MaxPause.Milliseconds(),
+		Avoid:        slices.Clone(r.failedUpstreams),
 	}
 	if !r.StartBy.IsZero() {
 		ticket.StartMs = max(r.StartBy.Sub(now).Milliseconds(), 1)
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -16,6 +16,8 @@
 	blockStall     blockReason = "prefill_would_hold_up_streams"
 	blockPaused    blockReason = "engines_have_turned_the_router_away"
 
+	blockAvoided blockReason = "engine_failed_this_request"
+
 	blockConcurrency blockReason = "concurrency_limit"
 	blockTokens      blockReason = "tokens_per_minute_limit"
 )
@@ -62,6 +64,8 @@
 		return blockSlots
 	case e.pausedFor(r.holder, *e.clock):
 		return blockPaused
+	case e.avoids(r):
+		return blockAvoided
 	case e.reservedFor != nil && e.reservedFor != r && r.tier >= e.reservedFor.tier:
 		return blockReserved
 	case r.class == classAlone && len(e.granted)+e.foreignInFlight > 0:
@@ -128,7 +132,7 @@
 				return found
 			case blockReserved, blockStall:
 				reason = found
-			case blockPaused:
+			case blockPaused, blockAvoided:
 				if reason != blockStall {
 					reason = found
 				}
@@ -150,7 +154,7 @@
 	}
 	var best *engine
 	for _, e := range s.list {
-		if e.usable() && !e.pausedFor(r.holder, s.now) && e.runningAlone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
+		if e.usable() && !e.pausedFor(r.holder, s.now) && !e.avoids(r) && e.runningAlone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
 			best = e
 		}
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -61,7 +61,10 @@
 	// engine is nil while the ticket is queued.
 	engine    *engine
 	grantedAt time.Time
-	charged   float64
+	// hasAlternative is set if an engine that hasn't failed the request is usable; avoidUntil is until when it waits for one.
+	hasAlternative bool
+	avoidUntil     time.Time
+	charged        float64
 	// allowanceCharge is what was taken from the workspace's allowance. It is refunded if the request ends without a grant.
 	allowanceCharge float64
 	// workDone is the work in tokens that the release reported, and the estimate until then.
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -109,6 +109,7 @@
 		if !s.withinLimits(r, now) {
 			continue
 		}
+		s.engines.updateAlternative(r, now)
 		if s.engines.fitsNowhere(r) {
 			s.engines.reserve(r)
 			b.flows[f.class].remove(f)
@@ -146,6 +147,15 @@
 				b.flows[f.class].remove(f)
 				skipped = append(skipped, f)
 			}
+		case blockAvoided:
+			// Engines that haven't failed the request are in use.
+			if r.avoidUntil.After(now) {
+				s.recheckBy(now, r.avoidUntil)
+			}
+			if !deferred.add(r) {
+				b.flows[f.class].remove(f)
+				skipped = append(skipped, f)
+			}
 		case blockRoom, blockIsolation:
 			s.engines.reserve(r)
 			b.flows[f.class].remove(f)
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -35,7 +35,7 @@
 			max(s.jitter(s.retries.RetryAfter(workspace)), s.retryAfter(r, now)))
 		return
 	}
-	if s.refuseIfPoison(r, now) {
+	if s.refuseIfPoison(r, now) || s.refuseIfFailedEverywhere(r) {
 		return
 	}
 	if s.refuseIfPaused(r, now) || !s.chargeAllowance(r, now) {
@@ -65,6 +65,7 @@
 		r.latestStart = r.deadline.Add(-secondsToDuration(s.engines.bestRunSeconds(r)))
 		r.requiredOutput = s.engines.requiredOutput(r, r.deadline.Sub(now))
 	}
+	r.setAvoidUntil(now)
 	r.maxStall = stallShare * float64(ticket.GetPauseMs()) / 1000
 	r.fastestPrefill = s.engines.bestFirstToken(r)
 	if ticket.GetStartMs() > 0 {
