--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -35,7 +35,7 @@
 			max(s.jitter(s.retries.RetryAfter(workspace)), s.retryAfter(r, now)))
 		return
 	}
-	if s.refuseIfPoison(r, now) {
+	if s.refuseIfPoison(r, now) || s.refuseIfFailedEverywhere(r) {
 		return
 	}
 	if s.refuseIfPaused(r, now) || !s.chargeAllowance(r, now) {
@@ -65,6 +65,7 @@
 		r.latestStart = r.deadline.Add(-secondsToDuration(s.engines.bestRunSeconds(r)))
 		r.requiredOutput = s.engines.requiredOutput(r, r.deadline.Sub(now))
 	}
+	r.setAvoidUntil(now)
 	r.maxStall = stallShare * float64(ticket.GetPauseMs()) / 1000
 	r.fastestPrefill = s.engines.bestFirstToken(r)
 	if ticket.GetStartMs() > 0 {
@@ -186,6 +187,7 @@
 		return
 	}
 	s.engines.recordAsked(e, holder, release, now)
+	s.engines.observeReach(e, holder, release, now)
 	s.engines.observeTurnaround(e, r, release, now)
 	answered := release.GetKind() == protocol.ReleaseKind_RELEASE_KIND_ANSWERED
 	if r != nil && (answered || release.GetBegun()) {
@@ -203,9 +205,6 @@
 		s.engines.recordLoss(e, now)
 	case protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
 		s.recordUnreachable(e, now)
-		if !e.excluded {
-			s.engines.exclude(e, now, "a holder could not connect")
-		}
 	case protocol.ReleaseKind_RELEASE_KIND_SHED:
 		if !e.excluded {
 			s.engines.excludeFor(e, now, shedPause, "the engine was full")
