Carry the load that engines state in answers to the scheduler

Engines state their running and waiting requests, their slots and, on some deployments, the slowdown of their machine in X-Instance-Load. Nothing read the header.

Each release of an answer with a load carries it, also if the answer failed, was shed or was cut after its head; age_ms counts from the arrival of the head.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -1,10 +1,13 @@
 package forwarder
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"coltsfootplank/internal/holder"
+	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/logger"
 	"coltsfootplank/internal/protocol"
 )
@@ -24,6 +27,9 @@
 	events          int
 	// incompleteBytes is the number of bytes after the last complete event at the end of the body.
 	incompleteBytes int
+	// load is what the head of the answer stated about the upstream's load, and loadAt when the head arrived.
+	load   kernel.StatedLoad
+	loadAt time.Time
 	// end is the error with which the answer ended, or nil if it ended in the regular way.
 	end error
 }
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -72,6 +72,7 @@
 	}
 	result := x.send(ctx, upstream)
 	result.Asked, result.Incarnation = x.forwarder.options.Abstainer.Asked(process), process.Incarnation
+	result.Load, result.LoadAt = x.attempt.load, x.attempt.loadAt
 	x.logAttempt(upstream.Name, result)
 	return result
 }
@@ -122,7 +123,7 @@
 	return x.relayUnary(ctx, answer, start)
 }
 
-// observeNotice records what the upstream asks of this router. An answer that the upstream neither signed nor marked as not
+// observeNotice records what the upstream asks of this router and what it states about its load. An answer that the upstream neither signed nor marked as not
 // run may come from elsewhere.
 func (x *exchange) observeNotice(upstream *cataloguer.Upstream, metadata kernel.AnswerMetadata) {
 	if !metadata.Signed && !metadata.NotRun {
@@ -132,6 +133,12 @@
 		x.forwarder.options.Logger.Warn("pause that an upstream asks for can't be read", zap.String("upstream", upstream.Name),
 			zap.String("request_id", x.holderRequest.ID), zap.String("value", metadata.MalformedPause))
 	}
+	if metadata.MalformedLoad != "" {
+		// The logger bounds the lines with the same message per second.
+		x.forwarder.options.Logger.Warn("load that an upstream states can't be read", zap.String("upstream", upstream.Name),
+			zap.String("request_id", x.holderRequest.ID), zap.String("value", metadata.MalformedLoad))
+	}
+	x.attempt.load, x.attempt.loadAt = metadata.Load, time.Now()
 	x.forwarder.options.Abstainer.Observe(
 		abstainer.Upstream{Name: upstream.Name, Incarnation: upstream.Incarnation}, metadata.Notice)
 }
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -30,6 +30,10 @@
 	// Asked is what the upstream asks of this router now, and Incarnation the process of the upstream that asks it.
 	Asked       kernel.Notice
 	Incarnation int64
+	// Load is what the head of the answer stated about the upstream's load, and LoadAt when the head arrived. Load.Slots is
+	// 0 if there was no answer or it stated nothing.
+	Load   kernel.StatedLoad
+	LoadAt time.Time
 }
 
 // exchange sends an opaque request under a grant. Its results are those of dispatch.
@@ -71,7 +75,8 @@
 	return result.Refusal, true
 }
 
-// exchangeRelease returns the release of a grant with what the upstream asks of this router.
+// exchangeRelease returns the release of a grant with what the upstream asks of this router and states about its load. That
+// is also known if the answer failed, was cut or stated that the request was not run.
 func exchangeRelease(request *Request, grant *protocol.Grant, result SendResult) *protocol.Release {
 	release := newRelease(request, grant, result.Kind)
 	if !result.Kind.NotRun() {
@@ -79,6 +84,12 @@
 	}
 	release.Leaving, release.PausedMs = result.Asked.Leaving, result.Asked.Pause.Milliseconds()
 	release.Incarnation = result.Incarnation
+	if load := result.Load; load.Slots > 0 {
+		release.Load = &protocol.EngineLoad{
+			Running: uint32(load.Running), Waiting: uint32(load.Waiting), Slots: uint32(load.Slots),
+			WorkPercent: uint32(load.WorkPercent), AgeMs: time.Since(result.LoadAt).Milliseconds(),
+		}
+	}
 	return release
 }
 
--- a/internal/holder/exchange_test.go
+++ b/internal/holder/exchange_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/internal/cataloguer"
+	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/ticketer"
 )
@@ -87,3 +89,18 @@
 	refusal := f.holder.Serve(t.Context(), request)
 	assert.Equal(t, refusal.Outcome, OutcomeUnknown)
 }
+
+// TestReleaseOfStatedLoad guards against releases without the load that the upstream stated, in particular those of answers
+// that failed or were shed, with a load that is stated by nobody, and with the time of the release as that of the statement.
+func TestReleaseOfStatedLoad(t *testing.T) {
+	f := newFixture(DefaultSettings())
+	load := kernel.StatedLoad{Running: 3, Waiting: 1, Slots: 7, WorkPercent: 250}
+	for kind := range protocol.ReleaseKind_name {
+		result := SendResult{Kind: protocol.ReleaseKind(kind), Load: load, LoadAt: time.Now().Add(-time.Second)}
+		got := exchangeRelease(f.request(), &protocol.Grant{}, result).GetLoad()
+		assert.DeepEqual(t, []uint32{got.GetRunning(), got.GetWaiting(), got.GetSlots(), got.GetWorkPercent()}, []uint32{3, 1, 7, 250})
+		assert.Assert(t, got.GetAgeMs() >= 1000 && got.GetAgeMs() < 60_000)
+		result.Load = kernel.StatedLoad{}
+		assert.Assert(t, exchangeRelease(f.request(), &protocol.Grant{}, result).GetLoad() == nil)
+	}
+}
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -54,6 +54,20 @@
 	Notice Notice
 	// MalformedPause is the value of a header that should state Notice.Pause and can't be read; empty if there is none.
 	MalformedPause string
+	// Load is what the upstream states about its load. MalformedLoad is the value of the header that should state it and
+	// can't be read; empty if there is none.
+	Load          StatedLoad
+	MalformedLoad string
+}
+
+// StatedLoad is what an upstream states about its load in an answer.
+type StatedLoad struct {
+	// Running and Waiting are the requests that the upstream has. Slots is 0 if it states nothing.
+	Running int
+	Waiting int
+	Slots   int
+	// WorkPercent is how long work takes on the upstream's machine now, in percent of the usual time; 0 if it isn't stated.
+	WorkPercent int
 }
 
 // Notice is what an upstream asks of one router in an answer.
