Scale the expected times of an engine by the slowdown that it states

Machines that engines share take 2.5 times as long for about 600 ms. The scheduler learnt such a phase as the speed of the engine, which then got no requests and so no runs that would have shown its recovery; once all engines had been slow, tickets were refused as infeasible.

The scheduler keeps for each engine a decaying mean of the stated work percentages (workFactor). It stretches the expected prefill, decode and run times by it, for as long as the slowdown is expected to last, and learns speeds without it. Answers that are newer than the last load report also show requests of other schedulers; they take at most half of the slots and expire after 500 ms. The factor is in the state dump.

With recordStated and runFactor turned off, TestStatedWork fails for slow phases of 600 ms and 3 s, for random phases and for wrong counts, and TestStatedForeign in the four cases in which others have requests. The cases of stale, missing and low figures and of speeds that change each 100 ms guard the new code and pass without it.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -95,7 +95,7 @@
 		return false
 	}
 	limit := max(r.maxStall, r.fastestPrefill*stallTolerance)
-	return e.prefillAhead(*e.clock)+e.prefillTime(r) > limit
+	return e.firstTokenSeconds(r, *e.clock) > limit
 }
 
 // fitsNowhere reports whether no engine with a free slot has room for the ticket's tokens. It doesn't look at each
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -61,7 +61,7 @@
 // expectedFirstToken returns the expected time to first token in seconds: the work ahead of the request plus its own
 // prefill.
 func (e *engine) expectedFirstToken(r *request, now time.Time) float64 {
-	return e.decodeAhead + e.prefillAhead(now) + e.prefillTime(r)
+	return e.stretch(e.decodeAhead+e.prefillAhead(now)+e.prefillTime(r), now)
 }
 
 // chooseRandom returns a random engine that admits the ticket.
--- a/internal/scheduler/deadlines.go
+++ b/internal/scheduler/deadlines.go
@@ -68,13 +68,19 @@
 	if !r.deadline.IsZero() && now.Add(secondsToDuration(e.runSeconds(r, r.requiredOutput, now))).After(r.deadline) {
 		return false
 	}
-	return r.startBy.IsZero() || !now.Add(secondsToDuration(e.prefillAhead(now)+e.prefillTime(r))).After(r.startBy)
+	return r.startBy.IsZero() || !now.Add(secondsToDuration(e.firstTokenSeconds(r, now))).After(r.startBy)
 }
 
 // runSeconds returns the expected time in seconds until the given number of output tokens has been generated, if the
 // request is granted at now.
 func (e *engine) runSeconds(r *request, output float64, now time.Time) float64 {
-	return e.prefillAhead(now) + e.prefillTime(r) + output/e.decodeSpeed()
+	return e.stretch(e.prefillAhead(now)+e.prefillTime(r)+output/e.decodeSpeed(), now)
+}
+
+// firstTokenSeconds returns the expected time in seconds until the prompt has been prefilled, if the request is granted at
+// now.
+func (e *engine) firstTokenSeconds(r *request, now time.Time) float64 {
+	return e.stretch(e.prefillAhead(now)+e.prefillTime(r), now)
 }
 
 // reachableShare is the part of the remaining time that a required output may take on the fastest engine. The rest is
@@ -124,6 +130,16 @@
 // speedsInterval is the time after which the pool's speeds are recomputed, which visits every engine.
 const speedsInterval = time.Second
 
+// speedsDue reports whether the speeds have to be recomputed. Machines whose engines state their slowdowns change their speed
+// about each 100 ms, and a pool that is slow as a whole must not refuse tickets for a second after its recovery.
+func (s *engineSet) speedsDue(now time.Time) bool {
+	interval := speedsInterval
+	if s.worksStated {
+		interval = workSampleInterval
+	}
+	return now.Sub(s.speeds.at) >= interval
+}
+
 // refreshSpeeds recomputes the best and mean speeds of the pool.
 func (s *engineSet) refreshSpeeds() {
 	speeds := poolSpeeds{at: s.now, meanPrefill: s.settings.DefaultPrefillPerSec,
@@ -133,10 +149,11 @@
 		if !e.usable() {
 			continue
 		}
-		speeds.bestPrefill = max(speeds.bestPrefill, e.prefillSpeed())
-		speeds.bestDecode = max(speeds.bestDecode, e.decodeSpeed())
-		prefill += e.prefillSpeed()
-		tokens += e.decodeSpeed()
+		factor := e.work.value(s.now)
+		speeds.bestPrefill = max(speeds.bestPrefill, e.prefillSpeed()/factor)
+		speeds.bestDecode = max(speeds.bestDecode, e.decodeSpeed()/factor)
+		prefill += e.prefillSpeed() / factor
+		tokens += e.decodeSpeed() / factor
 		count++
 	}
 	if count > 0 {
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -73,8 +73,10 @@
 	Prefill         float64 `json:"prefill_tokens_per_second"`
 	Decode          float64 `json:"output_tokens_per_second"`
 	Baseline        float64 `json:"baseline_output_tokens_per_second"`
-	Prefixes        int     `json:"prefixes"`
-	Leaving         bool    `json:"leaving"`
+	// WorkFactor is how long work takes on the engine's machine now, relative to the usual time. The speeds are the usual ones.
+	WorkFactor float64 `json:"work_factor"`
+	Prefixes   int     `json:"prefixes"`
+	Leaving    bool    `json:"leaving"`
 	// Pauses holds until when the engine wants no requests from a router.
 	Pauses          map[string]time.Time `json:"pauses,omitempty"`
 	LastExclusion   string               `json:"last_exclusion,omitempty"`
@@ -105,7 +107,7 @@
 		dump.Queue = append(dump.Queue, *queues[key])
 	}
 	for _, e := range s.engines.list {
-		dump.Engines = append(dump.Engines, e.dump())
+		dump.Engines = append(dump.Engines, e.dump(s.engines.now))
 	}
 	return dump
 }
@@ -148,10 +150,10 @@
 	return blockTurn
 }
 
-func (e *engine) dump() DumpEngine {
+func (e *engine) dump(now time.Time) DumpEngine {
 	return DumpEngine{Name: e.info.Name, Generation: e.info.Generation, Usable: e.usable(), Slots: e.slots,
 		Allowance: e.allowance, InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
 		Tokens: e.tokensInFlight, AheadSeconds: e.ahead,
-		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(),
+		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(), WorkFactor: e.work.value(now),
 		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining || e.asked.leaving, Pauses: maps.Clone(e.asked.pauses), LastExclusion: e.reason, LastExclusionAt: e.reasonAt}
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -42,10 +42,10 @@
 	granted        map[string]*request
 	longInFlight   int
 	tokensInFlight float64
-	// prefillUntil is when the prefills of the granted requests are expected to be finished.
+	// prefillUntil is when the prefills of the granted requests are expected to be finished at the usual speed.
 	prefillUntil time.Time
-	// decodeAhead is the expected decoding time of the granted requests in seconds, with all slots decoding in
-	// parallel.
+	// decodeAhead is the expected decoding time of the granted requests in seconds at the usual speed, with all slots
+	// decoding in parallel.
 	decodeAhead float64
 	// ahead is the work ahead of a new request in seconds, as of the last call of updateAhead.
 	ahead float64
@@ -76,10 +76,17 @@
 	instance     string
 	batchSlots   int
 	reportedRoom int
-	// foreignInFlight is the estimated number of requests of other schedulers on the engine.
+	// foreignInFlight is the estimated number of requests of other schedulers on the engine. reportedAt and statedAt are the
+	// times that the last load report and the last answer used for it are about. foreignUntil is when an estimate from an
+	// answer ends; zero if the estimate is from a load report.
 	foreignInFlight int
-	recentEnds      []time.Time
-	nextRecentEnd   int
+	reportedAt      time.Time
+	statedAt        time.Time
+	foreignUntil    time.Time
+	// work is how long work takes on the engine's machine now.
+	work          workFactor
+	recentEnds    []time.Time
+	nextRecentEnd int
 	// consecutiveLosses counts the consecutive requests whose answer was lost because the connection broke.
 	consecutiveLosses int
 	// lost holds requests whose connection broke recently, without evidence of a crash so far.
@@ -166,18 +173,20 @@
 	return e.room() - e.tokensInFlight
 }
 
-// prefillAhead returns the time in seconds until the prefills of the granted requests are expected to be finished.
+// prefillAhead returns the time in seconds until the prefills of the granted requests are expected to be finished, at the
+// usual speed of the engine.
 func (e *engine) prefillAhead(now time.Time) float64 {
-	return max(0, e.prefillUntil.Sub(now).Seconds())
+	return max(0, e.prefillUntil.Sub(now).Seconds()+e.work.lost(now))
 }
 
 // prefillTime returns the request's time to first token on an idle engine in seconds, for the uncached part of the
-// prompt.
+// prompt, at the usual speed of the engine.
 func (e *engine) prefillTime(r *request) float64 {
 	return (r.prompt - e.cached(r) + 1) / e.prefillSpeed()
 }
 
-// decodeTime returns the request's part of the engine's decoding time in seconds, with all slots decoding in parallel.
+// decodeTime returns the request's part of the engine's decoding time in seconds, with all slots decoding in parallel, at the
+// usual speed of the engine.
 // One token is added so that requests without output, such as those of plain services, count too.
 func (e *engine) decodeTime(r *request) float64 {
 	return (r.output + 1) / (e.decodeSpeed() * float64(max(1, e.slots)))
@@ -188,7 +197,9 @@
 	r.engine, r.grantedAt = e, now
 	e.granted[r.ticket.GetRequestId()] = r
 	e.tokensInFlight += r.tokens()
-	r.prefillAhead = e.prefillAhead(now)
+	e.advanceWork(now)
+	r.workSince, r.workTotal = now, e.work.total
+	r.prefillAhead = e.stretch(e.prefillAhead(now), now)
 	r.expectedRun = e.runSeconds(r, r.output, now)
 	r.alone = r.class == classAlone && e.foreignInFlight == 0
 	r.prefillWork, r.decodeWork = e.prefillTime(r), e.decodeTime(r)
@@ -228,5 +239,5 @@
 
 // updateAhead recomputes the work ahead as of now.
 func (e *engine) updateAhead(now time.Time) {
-	e.ahead = e.decodeAhead + e.prefillAhead(now)
+	e.ahead = e.stretch(e.decodeAhead+e.prefillAhead(now), now)
 }
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -39,6 +39,8 @@
 	// urgentReserveActive reports whether slots are reserved.
 	lastUrgentAt        time.Time
 	urgentReserveActive bool
+	// worksStated is set once an engine has stated how long work takes on its machine.
+	worksStated bool
 	// now is the time of the current call.
 	now time.Time
 }
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -70,24 +70,16 @@
 // observeForeign estimates the requests of other schedulers on the engine. A report may be older than this scheduler's
 // latest grants and releases, so it is compared with the grants in flight at the time that it describes.
 func (e *engine) observeForeign(now time.Time, report kernel.LoadReport, maxAge time.Duration) {
+	if e.reportSuperseded(now, report) {
+		return
+	}
 	age := time.Duration(report.AgeMS) * time.Millisecond
-	e.foreignInFlight = 0
+	e.foreignInFlight, e.foreignUntil = 0, time.Time{}
 	if age > maxAge {
 		return
 	}
 	at := now.Add(-age)
-	own := 0
-	for _, r := range e.granted {
-		if !r.grantedAt.After(at) {
-			own++
-		}
-	}
-	for _, ended := range e.recentEnds {
-		if ended.After(at) {
-			own++
-		}
-	}
-	e.foreignInFlight = max(0, report.Running+report.Waiting-own)
+	e.observeForeignAt(at, at, report.Running+report.Waiting)
 }
 
 // maxRecentEnds bounds the recorded end times of requests, which are used to interpret load reports that are a little
@@ -108,17 +100,18 @@
 	if r != nil {
 		s.lengths.Observe(r.lengthKey(), r.declaredOutput, float64(release.GetOutputTokens()))
 	}
+	factor := e.runFactor(r, release, now)
 	firstTokenSeconds := float64(release.GetFirstTokenMs()) / 1000
 	uncached := float64(release.GetPromptTokens()) - float64(release.GetCachedTokens())
 	if r != nil && uncached >= float64(s.settings.PrefillSample) && firstTokenSeconds > 0 {
 		// Subtracts the wait for earlier prefills from the time to first token, but keeps at least a quarter of that
 		// time, since the wait is only an estimate.
-		e.prefill.Observe(uncached/max(firstTokenSeconds-r.prefillAhead, firstTokenSeconds/4), s.settings.StragglerRatio)
+		e.prefill.Observe(factor*uncached/max(firstTokenSeconds-r.prefillAhead, firstTokenSeconds/4), s.settings.StragglerRatio)
 	}
 	decodeSeconds := float64(release.GetTotalMs()-release.GetFirstTokenMs()) / 1000
 	if output := float64(release.GetOutputTokens()); output >= float64(s.settings.OutputSample) && decodeSeconds > 0 {
-		e.decode.Observe(output/decodeSeconds, s.settings.StragglerRatio)
-		s.engines.evaluateRun(e, r, now, output/decodeSeconds)
+		e.decode.Observe(factor*output/decodeSeconds, s.settings.StragglerRatio)
+		s.engines.evaluateRun(e, r, now, factor*output/decodeSeconds)
 	} else {
 		s.engines.evaluateRun(e, r, now, e.decode.Baseline())
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -73,6 +73,9 @@
 	// prefills, and the run including that wait.
 	prefillAhead float64
 	expectedRun  float64
+	// workTotal is the total of the engine's workFactor at workSince, the time of the grant.
+	workTotal float64
+	workSince time.Time
 	// alone is set if the request has its engine to itself; crashed if the engine restarted during the run.
 	alone   bool
 	crashed bool
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -8,11 +8,12 @@
 // Step returns the decisions that are due at now.
 func (s *Scheduler) Step(now time.Time) []Decision {
 	s.engines.now = now
-	if now.Sub(s.engines.speeds.at) >= speedsInterval {
+	if s.engines.speedsDue(now) {
 		s.engines.refreshSpeeds()
 	}
 	s.engines.expireUrgentReserve()
 	s.engines.probeDue(now)
+	s.expireStated(now)
 	s.refuseTooLate(now)
 	s.unthrottleDue(now)
 	s.refuseWithoutUpstream(now)
@@ -121,7 +122,10 @@
 				continue
 			}
 			// Only engines without a free slot are fast enough; the ticket waits for one of them until its latest
-			// start.
+			// start, or until an engine that is slow now recovers, which no message tells.
+			if s.engines.anySlow() {
+				s.recheckBy(now, now.Add(prefillRecheckInterval))
+			}
 			if !deferred.add(r) {
 				b.flows[f.class].remove(f)
 				skipped = append(skipped, f)
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -186,6 +186,7 @@
 		return
 	}
 	s.engines.recordAsked(e, holder, release, now)
+	s.recordStated(e, release, now)
 	answered := release.GetKind() == protocol.ReleaseKind_RELEASE_KIND_ANSWERED
 	if r != nil && (answered || release.GetBegun()) {
 		s.recordBegun(now, e, r, answered)
