Bound what is sent to an engine by its memory

An engine crashes if its requests exceed its KV tokens. What was missing:

- roomLeft let an idle engine take any request, also one larger than its memory.
- room ignored the capacity share: schedulers that can't reach each other each filled 0.9 of the memory.
- room ignored requests of other schedulers, and an engine with such requests counted as idle.
- DropHolder freed the tokens of requests that may run on, since a holder may have lost only its path to the scheduler.
- reserve could keep an engine for a request that it can never take, if engines differ in memory.
- A request that fits nowhere (fitsNowhere) waited until its deadline.
- The runner grants nothing for 100 ms after a takeover, but only if it knows other routers; one that has just started may not know them yet.

tokens() and the sum over grants, also adopted ones, were as required.

A request larger than every engine's memory is refused at once with too_large (413). One larger than the scheduler's share of the memory is refused with overloaded and Retry-After. The share is strict for each engine: rounding up, as for slots, would let all routers that schedule alone fill one engine. Right after a takeover nothing larger than a slot's part of the memory is granted. Requests of lost holders keep their tokens until their deadline, 10 s at most. The state dump shows the room and the orphaned tokens. Engines without known KV tokens are unbounded, as before.

--- a/internal/runner/cell.go
+++ b/internal/runner/cell.go
@@ -74,11 +74,16 @@
 	if len(r.options.Members.View().Eligible()) > 1 {
 		adoptionDeadline = now.Add(adoptionWait)
 	}
+	scheduler := r.options.Factory(pool, now)
+	if restricted, ok := scheduler.(takeoverScheduler); ok {
+		// Also if no other router is known: one that has just started may not know the others yet.
+		restricted.SetTakeover(now.Add(adoptionWait))
+	}
 	return &cell{
 		adoptionDeadline: adoptionDeadline,
 		runner:           r, role: role, pool: pool.Name, index: index,
 		wake:               make(chan struct{}, 1),
-		scheduler:          r.options.Factory(pool, now),
+		scheduler:          scheduler,
 		holders:            make(map[string]*holder),
 		engines:            make(map[string]*engine),
 		readyAt:            now.Add(firstReportTimeout),
--- a/internal/runner/scheduler.go
+++ b/internal/runner/scheduler.go
@@ -59,6 +59,11 @@
 	Adopt(now time.Time, holder string, ticket *protocol.Ticket, engine string, running time.Duration) bool
 }
 
+// takeoverScheduler is implemented by schedulers that restrict their grants while those of other schedulers may be unknown.
+type takeoverScheduler interface {
+	SetTakeover(until time.Time)
+}
+
 // allowanceLimiter is implemented by schedulers that limit the usage of each workspace.
 type allowanceLimiter interface {
 	SetAllowances(allowances map[string]cataloguer.Allowance)
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -9,6 +9,7 @@
 	blockUrgent    blockReason = "free_slots_reserved_for_urgent_tiers"
 	blockLong      blockReason = "long_share_in_use"
 	blockRoom      blockReason = "no_token_room"
+	blockTakeover  blockReason = "grants_of_other_schedulers_unknown"
 	blockReserved  blockReason = "engine_reserved_for_another_ticket"
 	blockNoEngine  blockReason = "no_usable_engine"
 	blockIsolation blockReason = "waits_to_run_alone"
@@ -72,6 +73,8 @@
 		return blockLong
 	case r.tokens() > e.roomLeft():
 		return blockRoom
+	case e.unknownGrants(r):
+		return blockTakeover
 	case e.wouldStall(r):
 		return blockStall
 	}
@@ -126,10 +129,10 @@
 			switch found := e.admits(r); found {
 			case blockNone, blockRoom, blockIsolation:
 				return found
-			case blockReserved, blockStall:
+			case blockReserved, blockStall, blockTakeover:
 				reason = found
 			case blockPaused:
-				if reason != blockStall {
+				if reason != blockStall && reason != blockTakeover {
 					reason = found
 				}
 			}
@@ -150,7 +153,8 @@
 	}
 	var best *engine
 	for _, e := range s.list {
-		if e.usable() && !e.asked.pausedFor(r.holder, s.now) && e.runningAlone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
+		if e.usable() && !e.asked.pausedFor(r.holder, s.now) && e.runningAlone == nil && e.slots > 0 &&
+			r.tokens() <= e.capacity() && (best == nil || e.ahead < best.ahead) {
 			best = e
 		}
 	}
--- a/internal/scheduler/adopt.go
+++ b/internal/scheduler/adopt.go
@@ -17,6 +17,7 @@
 	if old := s.requests[ticket.GetRequestId()]; old != nil {
 		s.removeRequest(old)
 	}
+	s.engines.endOrphan(e, ticket.GetRequestId())
 	r := s.newRequest(now, holder, ticket)
 	r.arrivedAt = now.Add(-time.Duration(ticket.GetAgeMs()) * time.Millisecond)
 	s.addRequest(r)
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -69,10 +69,14 @@
 	InFlight        int     `json:"in_flight"`
 	ForeignInFlight int     `json:"foreign_in_flight"`
 	Tokens          float64 `json:"tokens_in_flight"`
-	AheadSeconds    float64 `json:"work_ahead_seconds"`
-	Prefill         float64 `json:"prefill_tokens_per_second"`
-	Decode          float64 `json:"output_tokens_per_second"`
-	Baseline        float64 `json:"baseline_output_tokens_per_second"`
+	// TokenRoom is the number of tokens that requests in flight may fill, OrphanedTokens those of requests whose holders are
+	// gone. TokenRoom is 0 if the engine's memory isn't known.
+	TokenRoom      float64 `json:"token_room"`
+	OrphanedTokens float64 `json:"orphaned_tokens,omitempty"`
+	AheadSeconds   float64 `json:"work_ahead_seconds"`
+	Prefill        float64 `json:"prefill_tokens_per_second"`
+	Decode         float64 `json:"output_tokens_per_second"`
+	Baseline       float64 `json:"baseline_output_tokens_per_second"`
 	// WorkFactor is how long work takes on the engine's machine now, relative to the usual time. The speeds are the usual ones.
 	WorkFactor float64 `json:"work_factor"`
 	Prefixes   int     `json:"prefixes"`
@@ -151,9 +155,16 @@
 }
 
 func (e *engine) dump(now time.Time) DumpEngine {
+	var room, orphaned float64
+	if e.memory() > 0 {
+		room = e.room()
+	}
+	for _, o := range e.orphans {
+		orphaned += o.tokens
+	}
 	return DumpEngine{Name: e.info.Name, Generation: e.info.Generation, Usable: e.usable(), Slots: e.slots,
 		Allowance: e.allowance, InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
-		Tokens: e.tokensInFlight, AheadSeconds: e.ahead,
+		Tokens: e.tokensInFlight, TokenRoom: room, OrphanedTokens: orphaned, AheadSeconds: e.ahead,
 		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(), WorkFactor: e.work.value(now),
 		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining || e.asked.leaving, Pauses: maps.Clone(e.asked.pauses), LastExclusion: e.reason, LastExclusionAt: e.reasonAt}
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -42,6 +42,11 @@
 	granted        map[string]*request
 	longInFlight   int
 	tokensInFlight float64
+	// orphans holds, by request ID, the runs of holders that are gone. share is the part of the capacity that this scheduler
+	// may use. Until adoptUntil, grants of other schedulers may not be known.
+	orphans    map[string]orphanedRun
+	share      float64
+	adoptUntil time.Time
 	// prefillUntil is when the prefills of the granted requests are expected to be finished at the usual speed.
 	prefillUntil time.Time
 	// decodeAhead is the expected decoding time of the granted requests in seconds at the usual speed, with all slots
@@ -113,7 +118,7 @@
 
 func newEngine(info EngineInfo, settings *Settings, clock *time.Time) *engine {
 	e := &engine{
-		info: info, settings: settings, clock: clock, granted: make(map[string]*request),
+		info: info, settings: settings, clock: clock, share: 1, granted: make(map[string]*request),
 		openPos: [openCount]int{-1, -1, -1, -1}, roomIndex: -1,
 	}
 	e.prefill, e.decode = estimator.NewSpeed(settings.DefaultPrefillPerSec), estimator.NewSpeed(settings.DefaultTokensPerSec)
@@ -149,30 +154,10 @@
 	return min(e.slots-1, int(math.Round(float64(e.slots)*e.urgentReserveShare)))
 }
 
-// room returns the number of KV tokens that requests in flight may fill.
-func (e *engine) room() float64 {
-	tokens := e.info.KVTokens
-	if tokens <= 0 {
-		tokens = e.reportedRoom
-	}
-	if tokens <= 0 {
-		return math.Inf(1)
-	}
-	return float64(tokens) * e.settings.TokenRoom
-}
-
 func (e *engine) prefillSpeed() float64 { return e.prefill.Value() }
 
 func (e *engine) decodeSpeed() float64 { return e.decode.Value() }
 
-// roomLeft returns the number of tokens that a new request may have; an idle engine takes any request.
-func (e *engine) roomLeft() float64 {
-	if len(e.granted) == 0 {
-		return math.Inf(1)
-	}
-	return e.room() - e.tokensInFlight
-}
-
 // prefillAhead returns the time in seconds until the prefills of the granted requests are expected to be finished, at the
 // usual speed of the engine.
 func (e *engine) prefillAhead(now time.Time) float64 {
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -19,6 +19,8 @@
 	random         *rand.Rand
 	// share is the part of each engine's capacity that this scheduler may use.
 	share float64
+	// adoptUntil is until when grants of other schedulers may not be known; zero if there was no other scheduler.
+	adoptUntil time.Time
 	// granted counts the requests in flight on all engines. slots is the sum of the slots of all usable engines.
 	granted int
 	slots   int
@@ -73,6 +75,9 @@
 			s.byName[info.Name] = e
 		}
 		s.close(e)
+		if e.info.restartedAs(info) {
+			clear(e.orphans)
+		}
 		e.info, e.removed = info, false
 		e.generation = s.generation(info.Generation)
 	}
@@ -137,6 +142,7 @@
 	}
 	for _, e := range s.list {
 		e.slots, e.urgentReserveShare = s.slotsOf(e), s.urgentReserveShare()
+		e.share, e.adoptUntil = s.share, s.adoptUntil
 		if e.countedInPool = e.usable(); e.countedInPool {
 			s.slots += max(0, e.info.Slots)
 		}
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -14,6 +14,7 @@
 	s.engines.expireUrgentReserve()
 	s.engines.probeDue(now)
 	s.expireStated(now)
+	s.expireOrphans(now)
 	s.refuseTooLate(now)
 	s.unthrottleDue(now)
 	s.refuseWithoutUpstream(now)
@@ -133,8 +134,8 @@
 			continue
 		}
 		switch s.engines.blockOf(r) {
-		case blockStall:
-			// The prefills in progress end soon, but no message tells when.
+		case blockStall, blockTakeover:
+			// The prefills in progress, or the wait for the reports of the holders, end soon, but no message tells when.
 			s.recheckBy(now, now.Add(prefillRecheckInterval))
 			if !deferred.add(r) {
 				b.flows[f.class].remove(f)
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -35,7 +35,7 @@
 			max(s.jitter(s.retries.RetryAfter(workspace)), s.retryAfter(r, now)))
 		return
 	}
-	if s.refuseIfPoison(r, now) {
+	if s.refuseIfPoison(r, now) || s.refuseIfTooLarge(r) {
 		return
 	}
 	if s.refuseIfPaused(r, now) || !s.chargeAllowance(r, now) {
@@ -187,6 +187,7 @@
 	}
 	s.engines.recordAsked(e, holder, release, now)
 	s.recordStated(e, release, now)
+	s.engines.endOrphan(e, release.GetRequestId())
 	answered := release.GetKind() == protocol.ReleaseKind_RELEASE_KIND_ANSWERED
 	if r != nil && (answered || release.GetBegun()) {
 		s.recordBegun(now, e, r, answered)
@@ -225,6 +226,9 @@
 	s.recordInput(now)
 	s.engines.connections.dropHolder(holder)
 	for _, r := range s.holders[holder] {
+		if r.engine != nil {
+			r.engine.orphan(r, now)
+		}
 		s.removeRequest(r)
 	}
 }
