--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -9,6 +9,7 @@
 	blockUrgent    blockReason = "free_slots_reserved_for_urgent_tiers"
 	blockLong      blockReason = "long_share_in_use"
 	blockRoom      blockReason = "no_token_room"
+	blockTakeover  blockReason = "grants_of_other_schedulers_unknown"
 	blockReserved  blockReason = "engine_reserved_for_another_ticket"
 	blockNoEngine  blockReason = "no_usable_engine"
 	blockIsolation blockReason = "waits_to_run_alone"
@@ -76,6 +77,8 @@
 		return blockLong
 	case r.tokens() > e.roomLeft():
 		return blockRoom
+	case e.unknownGrants(r):
+		return blockTakeover
 	case e.wouldStall(r):
 		return blockStall
 	}
@@ -99,7 +102,7 @@
 		return false
 	}
 	limit := max(r.maxStall, r.fastestPrefill*stallTolerance)
-	return e.prefillAhead(*e.clock)+e.prefillTime(r) > limit
+	return e.firstTokenSeconds(r, *e.clock) > limit
 }
 
 // fitsNowhere reports whether no engine with a free slot has room for the ticket's tokens. It doesn't look at each
@@ -130,10 +133,10 @@
 			switch found := e.admits(r); found {
 			case blockNone, blockRoom, blockIsolation:
 				return found
-			case blockReserved, blockStall:
+			case blockReserved, blockStall, blockTakeover:
 				reason = found
 			case blockPaused, blockAvoided:
-				if reason != blockStall {
+				if reason != blockStall && reason != blockTakeover {
 					reason = found
 				}
 			}
@@ -154,7 +157,8 @@
 	}
 	var best *engine
 	for _, e := range s.list {
-		if e.usable() && !e.pausedFor(r.holder, s.now) && !e.avoids(r) && e.runningAlone == nil && e.slots > 0 && (best == nil || e.ahead < best.ahead) {
+		if e.usable() && !e.pausedFor(r.holder, s.now) && !e.avoids(r) && e.runningAlone == nil && e.slots > 0 &&
+			r.tokens() <= e.capacity() && (best == nil || e.ahead < best.ahead) {
 			best = e
 		}
 	}
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -70,12 +70,18 @@
 	InFlight        int     `json:"in_flight"`
 	ForeignInFlight int     `json:"foreign_in_flight"`
 	Tokens          float64 `json:"tokens_in_flight"`
-	AheadSeconds    float64 `json:"work_ahead_seconds"`
-	Prefill         float64 `json:"prefill_tokens_per_second"`
-	Decode          float64 `json:"output_tokens_per_second"`
-	Baseline        float64 `json:"baseline_output_tokens_per_second"`
-	Prefixes        int     `json:"prefixes"`
-	Leaving         bool    `json:"leaving"`
+	// TokenRoom is the number of tokens that requests in flight may fill, OrphanedTokens those of requests whose holders are
+	// gone. TokenRoom is 0 if the engine's memory isn't known.
+	TokenRoom      float64 `json:"token_room"`
+	OrphanedTokens float64 `json:"orphaned_tokens,omitempty"`
+	AheadSeconds   float64 `json:"work_ahead_seconds"`
+	Prefill        float64 `json:"prefill_tokens_per_second"`
+	Decode         float64 `json:"output_tokens_per_second"`
+	Baseline       float64 `json:"baseline_output_tokens_per_second"`
+	// WorkFactor is how long work takes on the engine's machine now, relative to the usual time. The speeds are the usual ones.
+	WorkFactor float64 `json:"work_factor"`
+	Prefixes   int     `json:"prefixes"`
+	Leaving    bool    `json:"leaving"`
 	// Pauses holds until when the engine wants no requests from a router.
 	Pauses map[string]time.Time `json:"pauses,omitempty"`
 	// Unreachable holds until when a router that could not connect gets no grants of the engine.
@@ -108,7 +114,7 @@
 		dump.Queue = append(dump.Queue, *queues[key])
 	}
 	for _, e := range s.engines.list {
-		dump.Engines = append(dump.Engines, e.dump())
+		dump.Engines = append(dump.Engines, e.dump(s.engines.now))
 	}
 	return dump
 }
@@ -151,11 +157,18 @@
 	return blockTurn
 }
 
-func (e *engine) dump() DumpEngine {
+func (e *engine) dump(now time.Time) DumpEngine {
+	var room, orphaned float64
+	if e.memory() > 0 {
+		room = e.room()
+	}
+	for _, o := range e.orphans {
+		orphaned += o.tokens
+	}
 	return DumpEngine{Name: e.info.Name, Generation: e.info.Generation, Usable: e.usable(), Slots: e.slots,
 		Allowance: e.allowance, BeyondSlots: e.extraSlots, InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
-		Tokens: e.tokensInFlight, AheadSeconds: e.ahead,
-		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(),
+		Tokens: e.tokensInFlight, TokenRoom: room, OrphanedTokens: orphaned, AheadSeconds: e.ahead,
+		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(), WorkFactor: e.work.value(now),
 		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining || e.asked.leaving, Pauses: maps.Clone(e.asked.pauses),
 		Unreachable: e.reach.pauses(), LastExclusion: e.reason, LastExclusionAt: e.reasonAt}
 }
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -8,11 +8,13 @@
 // Step returns the decisions that are due at now.
 func (s *Scheduler) Step(now time.Time) []Decision {
 	s.engines.now = now
-	if now.Sub(s.engines.speeds.at) >= speedsInterval {
+	if s.engines.speedsDue(now) {
 		s.engines.refreshSpeeds()
 	}
 	s.engines.expireUrgentReserve()
 	s.engines.probeDue(now)
+	s.expireStated(now)
+	s.expireOrphans(now)
 	s.refuseTooLate(now)
 	s.unthrottleDue(now)
 	s.refuseWithoutUpstream(now)
@@ -125,7 +127,10 @@
 				continue
 			}
 			// Only engines without a free slot are fast enough; the ticket waits for one of them until its latest
-			// start.
+			// start, or until an engine that is slow now recovers, which no message tells.
+			if s.engines.anySlow() {
+				s.recheckBy(now, now.Add(prefillRecheckInterval))
+			}
 			if !deferred.add(r) {
 				b.flows[f.class].remove(f)
 				skipped = append(skipped, f)
@@ -133,8 +138,8 @@
 			continue
 		}
 		switch s.engines.blockOf(r) {
-		case blockStall:
-			// The prefills in progress end soon, but no message tells when.
+		case blockStall, blockTakeover:
+			// The prefills in progress, or the wait for the reports of the holders, end soon, but no message tells when.
 			s.recheckBy(now, now.Add(prefillRecheckInterval))
 			if !deferred.add(r) {
 				b.flows[f.class].remove(f)
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -35,7 +35,7 @@
 			max(s.jitter(s.retries.RetryAfter(workspace)), s.retryAfter(r, now)))
 		return
 	}
-	if s.refuseIfPoison(r, now) || s.refuseIfFailedEverywhere(r) {
+	if s.refuseIfPoison(r, now) || s.refuseIfTooLarge(r) || s.refuseIfFailedEverywhere(r) {
 		return
 	}
 	if s.refuseIfPaused(r, now) || !s.chargeAllowance(r, now) {
@@ -187,6 +187,8 @@
 		return
 	}
 	s.engines.recordAsked(e, holder, release, now)
+	s.recordStated(e, release, now)
+	s.engines.endOrphan(e, release.GetRequestId())
 	s.engines.observeReach(e, holder, release, now)
 	s.engines.observeTurnaround(e, r, release, now)
 	answered := release.GetKind() == protocol.ReleaseKind_RELEASE_KIND_ANSWERED
@@ -224,6 +226,9 @@
 	s.recordInput(now)
 	s.engines.connections.dropHolder(holder)
 	for _, r := range s.holders[holder] {
+		if r.engine != nil {
+			r.engine.orphan(r, now)
+		}
 		s.removeRequest(r)
 	}
 }
