Keep the tokens of lost runs until they must have ended

A holder that loses its connection to an engine on a cut path ends its grant while the engine runs on; the tokens of the run counted as free. They are now kept like those of lost holders, unless the release is about another process of the engine, and dropped when the engine restarts.

A test shows that the runner tells new schedulers of the takeover also when it knows no other router. TestTakeoverKnown fails with a takeover that ends at once, TestUnknownRuns (lost answer) without the kept tokens and (lost answer of another process) without the check of the process.

--- a/internal/runner/cell_test.go
+++ b/internal/runner/cell_test.go
@@ -207,3 +207,28 @@
 	_, ok := cellPool(catalogue, "chat", 3, 64)
 	assert.Assert(t, !ok)
 }
+
+// takeoverRecorder records the end of the takeover that a scheduler is told, relative to its start.
+type takeoverRecorder struct {
+	Scheduler
+	started  time.Time
+	takeover time.Duration
+}
+
+// SetTakeover implements takeoverScheduler.
+func (r *takeoverRecorder) SetTakeover(until time.Time) { r.takeover = until.Sub(r.started) }
+
+// TestTakeoverKnown guards against a new scheduler that takes engines for empty because its router, which has just started,
+// doesn't know any other router yet.
+func TestTakeoverKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var recorder *takeoverRecorder
+		newClusterOf(t, 1, newFakeCatalogue(2, "chat"), func(n *node) Factory {
+			return func(pool cataloguer.Pool, now time.Time) Scheduler {
+				recorder = &takeoverRecorder{Scheduler: n.factory(pool, now), started: now}
+				return recorder
+			}
+		})
+		assert.Equal(t, recorder.takeover, adoptionWait)
+	})
+}
--- a/internal/scheduler/asked.go
+++ b/internal/scheduler/asked.go
@@ -26,9 +26,14 @@
 	maps.DeleteFunc(a.pauses, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
+// statedByOther reports whether a release is about another process of the engine.
+func (e *engine) statedByOther(release *protocol.Release) bool {
+	return e.info.Incarnation != 0 && release.GetIncarnation() != 0 && e.info.Incarnation != release.GetIncarnation()
+}
+
 // recordAsked records what an engine asks of a holder.
 func (s *engineSet) recordAsked(e *engine, holder string, release *protocol.Release, now time.Time) {
-	if e.info.Incarnation != 0 && release.GetIncarnation() != 0 && e.info.Incarnation != release.GetIncarnation() {
+	if e.statedByOther(release) {
 		return
 	}
 	if release.GetLeaving() && !e.asked.leaving {
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -69,8 +69,8 @@
 	InFlight        int     `json:"in_flight"`
 	ForeignInFlight int     `json:"foreign_in_flight"`
 	Tokens          float64 `json:"tokens_in_flight"`
-	// TokenRoom is the number of tokens that requests in flight may fill, OrphanedTokens those of requests whose holders are
-	// gone. TokenRoom is 0 if the engine's memory isn't known.
+	// TokenRoom is the number of tokens that requests in flight may fill, OrphanedTokens those of requests that may run
+	// although their grants have ended. TokenRoom is 0 if the engine's memory isn't known.
 	TokenRoom      float64 `json:"token_room"`
 	OrphanedTokens float64 `json:"orphaned_tokens,omitempty"`
 	AheadSeconds   float64 `json:"work_ahead_seconds"`
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -42,7 +42,7 @@
 	granted        map[string]*request
 	longInFlight   int
 	tokensInFlight float64
-	// orphans holds, by request ID, the runs of holders that are gone. share is the part of the capacity that this scheduler
+	// orphans holds, by request ID, the runs that may go on although their grants have ended. share is the part of the capacity that this scheduler
 	// may use. Until adoptUntil, grants of other schedulers may not be known.
 	orphans    map[string]orphanedRun
 	share      float64
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -91,8 +91,8 @@
 	return true
 }
 
-// orphanedRun is a granted request of a holder that is gone from the scheduler. It may still run, since the holder may have
-// lost only its path to the scheduler.
+// orphanedRun is a granted request that may still run although its grant has ended: its holder is gone, but may have lost only
+// its path to the scheduler, or the holder has lost its connection to the engine, which learns of it later if the path is cut.
 type orphanedRun struct {
 	tokens float64
 	until  time.Time
--- a/internal/scheduler/memory_test.go
+++ b/internal/scheduler/memory_test.go
@@ -130,7 +130,7 @@
 }
 
 // TestUnknownRuns guards against memory that counts as free while requests fill it that this scheduler doesn't hold: those of
-// holders that it has lost, which may run on, and those of other schedulers; and against memory that stays in use after them.
+// holders that it has lost and of lost connections, which may run on, and those of other schedulers; and against memory that stays in use after them.
 func TestUnknownRuns(t *testing.T) {
 	lose := func(c *cell) *protocol.Ticket {
 		ticket := c.ticket(0, "b")
@@ -153,6 +153,15 @@
 		{"late release", func(c *cell) { lose(c) }, func(c *cell) {
 			c.Release(c.now, "lost", &protocol.Release{RequestId: "r1", Engine: "e0", Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED})
 		}},
+		{"lost answer", func(c *cell) {
+			ticket := c.submitTokens(500)
+			c.step()
+			c.Release(c.now, "h", &protocol.Release{RequestId: ticket.RequestId, Engine: "e0", Kind: protocol.ReleaseKind_RELEASE_KIND_LOST})
+		}, func(c *cell) { c.now = c.now.Add(maxOrphanedTime) }},
+		{"lost answer of another process", func(c *cell) { lose(c) }, func(c *cell) {
+			c.Adopt(c.now, "lost", &protocol.Ticket{RequestId: "r1", PromptTokens: 450, OutputTokens: 50}, "e0", 0)
+			c.Release(c.now, "lost", &protocol.Release{RequestId: "r1", Engine: "e0", Kind: protocol.ReleaseKind_RELEASE_KIND_LOST, Incarnation: 9})
+		}},
 		{"restart", func(c *cell) { lose(c) }, func(c *cell) {
 			c.SetEngines(c.now, []EngineInfo{{Name: "e0", Slots: 4, KVTokens: 1000, Incarnation: 2}})
 			c.now = c.now.Add(time.Second)
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -44,6 +44,7 @@
 	if e.instance != "" && report.Instance != e.instance {
 		s.recordCrashEvidence(e, now, evidenceRestart)
 		s.engines.prefixes.clear(e)
+		clear(e.orphans)
 		s.engines.probe(e, now)
 		e.recordReason(now, "the engine restarted")
 	}
--- a/internal/scheduler/statedload.go
+++ b/internal/scheduler/statedload.go
@@ -149,7 +149,7 @@
 // are ignored.
 func (s *Scheduler) recordStated(e *engine, release *protocol.Release, now time.Time) {
 	load := release.GetLoad()
-	if load == nil || e.info.Incarnation != 0 && release.GetIncarnation() != 0 && e.info.Incarnation != release.GetIncarnation() {
+	if load == nil || e.statedByOther(release) {
 		return
 	}
 	age := time.Duration(min(max(0, load.GetAgeMs()), time.Hour.Milliseconds())) * time.Millisecond
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -171,6 +171,9 @@
 		s.enqueue(r)
 	case kind == protocol.ReleaseKind_RELEASE_KIND_FAILED, kind == protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.retries.RecordFailure(now, r.ticket.GetFingerprint())
+		if kind == protocol.ReleaseKind_RELEASE_KIND_LOST && !r.engine.statedByOther(release) {
+			r.engine.orphan(r, now)
+		}
 		s.settle(r, release)
 		s.removeRequest(r)
 	default:
