Look for expired estimates only when one is due

Each step visited all engines twice to look for estimates from answers and for orphaned runs that are over. The engine set now keeps the time of the first, and the scheduler wakes for it.

--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -21,6 +21,8 @@
 	share float64
 	// adoptUntil is until when grants of other schedulers may not be known; zero if there was no other scheduler.
 	adoptUntil time.Time
+	// expireAt is when the first estimate from an answer or orphaned run is over; zero if there is none.
+	expireAt time.Time
 	// granted counts the requests in flight on all engines. slots is the sum of the slots of all usable engines.
 	granted int
 	slots   int
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -102,7 +102,8 @@
 const maxOrphanedTime = 10 * time.Second
 
 // orphan keeps the tokens of a granted request until its run must have ended.
-func (e *engine) orphan(r *request, now time.Time) {
+func (s *engineSet) orphan(r *request, now time.Time) {
+	e := r.engine
 	if e.memory() <= 0 {
 		return
 	}
@@ -114,18 +115,17 @@
 		e.orphans = make(map[string]orphanedRun)
 	}
 	e.orphans[r.ticket.GetRequestId()] = orphanedRun{r.tokens(), until}
+	s.expireBy(until)
 }
 
-// expireOrphans ends the orphaned runs that are over.
-func (s *Scheduler) expireOrphans(now time.Time) {
-	for _, e := range s.engines.list {
-		for id, o := range e.orphans {
-			if now.Before(o.until) {
-				s.recheckBy(now, o.until)
-				continue
-			}
-			s.engines.endOrphan(e, id)
+// expireOrphans ends the engine's orphaned runs that are over.
+func (s *engineSet) expireOrphans(e *engine, now time.Time) {
+	for id, o := range e.orphans {
+		if now.Before(o.until) {
+			s.expireBy(o.until)
+			continue
 		}
+		s.endOrphan(e, id)
 	}
 }
 
--- a/internal/scheduler/statedload.go
+++ b/internal/scheduler/statedload.go
@@ -160,7 +160,7 @@
 		s.engines.worksStated = true
 	}
 	if until := e.observeStated(now, load, age); !until.IsZero() {
-		s.recheckBy(now, until)
+		s.engines.expireBy(until)
 	}
 	s.engines.reindex(e)
 }
@@ -242,16 +242,28 @@
 	return e.statedAt.After(e.reportedAt) && now.Before(e.foreignUntil)
 }
 
-// expireStated ends the estimates from answers that no longer hold.
-func (s *Scheduler) expireStated(now time.Time) {
-	for _, e := range s.engines.list {
+// expireBy makes a step look for estimates and orphaned runs that are over by a time.
+func (s *engineSet) expireBy(at time.Time) {
+	if s.expireAt.IsZero() || at.Before(s.expireAt) {
+		s.expireAt = at
+	}
+}
+
+// expire ends the estimates from answers and the orphaned runs that are over.
+func (s *engineSet) expire(now time.Time) {
+	if s.expireAt.IsZero() || now.Before(s.expireAt) {
+		return
+	}
+	s.expireAt = time.Time{}
+	for _, e := range s.list {
+		s.expireOrphans(e, now)
 		switch {
 		case e.foreignUntil.IsZero():
 		case now.Before(e.foreignUntil):
-			s.recheckBy(now, e.foreignUntil)
+			s.expireBy(e.foreignUntil)
 		default:
 			e.foreignInFlight, e.foreignUntil = 0, time.Time{}
-			s.engines.reindex(e)
+			s.reindex(e)
 		}
 	}
 }
--- a/internal/scheduler/statedload_test.go
+++ b/internal/scheduler/statedload_test.go
@@ -272,6 +272,8 @@
 			cell.submit(20, 0, "a")
 			more, _ := cell.step()
 			assert.Equal(t, len(more), 8-1-c.want)
+			wake := cell.NextWake(cell.now)
+			assert.Equal(t, !wake.IsZero() && !wake.After(cell.now.Add(statedForeignHold)), c.want > 0, "woken at the end of the estimate")
 			cell.now = cell.now.Add(statedForeignHold)
 			more, _ = cell.step()
 			assert.Equal(t, e.foreignInFlight, c.wantLater)
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -13,8 +13,7 @@
 	}
 	s.engines.expireUrgentReserve()
 	s.engines.probeDue(now)
-	s.expireStated(now)
-	s.expireOrphans(now)
+	s.engines.expire(now)
 	s.refuseTooLate(now)
 	s.unthrottleDue(now)
 	s.refuseWithoutUpstream(now)
@@ -50,6 +49,9 @@
 	if s.recheckAt.After(now) {
 		wakeBy(s.recheckAt)
 	}
+	if at := s.engines.expireAt; !at.IsZero() {
+		wakeBy(at)
+	}
 	if at := s.engines.nextProbe(); !at.IsZero() {
 		wakeBy(at)
 	}
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -172,7 +172,7 @@
 	case kind == protocol.ReleaseKind_RELEASE_KIND_FAILED, kind == protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.retries.RecordFailure(now, r.ticket.GetFingerprint())
 		if kind == protocol.ReleaseKind_RELEASE_KIND_LOST && !r.engine.statedByOther(release) {
-			r.engine.orphan(r, now)
+			s.engines.orphan(r, now)
 		}
 		s.settle(r, release)
 		s.removeRequest(r)
@@ -230,7 +230,7 @@
 	s.engines.connections.dropHolder(holder)
 	for _, r := range s.holders[holder] {
 		if r.engine != nil {
-			r.engine.orphan(r, now)
+			s.engines.orphan(r, now)
 		}
 		s.removeRequest(r)
 	}
