--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -45,6 +45,7 @@
 		s.recordCrashEvidence(e, now, evidenceRestart)
 		e.reach = reach{}
 		s.engines.prefixes.clear(e)
+		clear(e.orphans)
 		s.engines.probe(e, now)
 		e.recordReason(now, "the engine restarted")
 	}
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -172,6 +172,9 @@
 		s.enqueue(r)
 	case kind == protocol.ReleaseKind_RELEASE_KIND_FAILED, kind == protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.retries.RecordFailure(now, r.ticket.GetFingerprint())
+		if kind == protocol.ReleaseKind_RELEASE_KIND_LOST && !r.engine.statedByOther(release) {
+			s.engines.orphan(r, now)
+		}
 		s.settle(r, release)
 		s.removeRequest(r)
 	default:
@@ -227,7 +230,7 @@
 	s.engines.connections.dropHolder(holder)
 	for _, r := range s.holders[holder] {
 		if r.engine != nil {
-			r.engine.orphan(r, now)
+			s.engines.orphan(r, now)
 		}
 		s.removeRequest(r)
 	}
