Let a scheduler with a small share fill one slot's part of an engine's memory

Cause: the bound on what is sent to an engine was the capacity share of its memory. Change: the bound is one slot's part at least, as the bound of slots is one slot at least. The tests' assertions hold unchanged; two rows are new.

--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -14,8 +14,16 @@
 	return e.reportedRoom
 }
 
-// capacity returns the tokens of the largest request that this scheduler may send to the engine. A scheduler that may use
-// only a part of the engines, because others may use them without its knowledge, never exceeds that part of the memory.
+// slotPart returns the part of an engine's memory that belongs to one of its slots.
+func (e *engine) slotPart() float64 { return 1 / float64(max(1, e.info.Slots)) }
+
+// memoryShare returns the part of the engine's memory that this scheduler may fill. A scheduler that may use only a part of
+// the engines, because others may use them without its knowledge, keeps to that part, but may fill one slot's, as it may use
+// one slot: on a hundred VMs, a VM that schedules alone could otherwise send no request of usual size. All of them together
+// use no more slots than the pool has, so that an engine would have to be chosen by many of them at once to exceed its memory.
+func (e *engine) memoryShare() float64 { return min(1, max(e.share, e.slotPart())) }
+
+// capacity returns the tokens of the largest request that this scheduler may send to the engine.
 func (e *engine) capacity() float64 {
 	switch tokens := float64(e.memory()); {
 	case tokens <= 0:
@@ -23,7 +31,7 @@
 	case e.share >= 1:
 		return tokens
 	default:
-		return tokens * e.settings.TokenRoom * e.share
+		return tokens * e.settings.TokenRoom * e.memoryShare()
 	}
 }
 
@@ -33,9 +41,9 @@
 	if e.memory() <= 0 {
 		return math.Inf(1)
 	}
-	room := float64(e.memory()) * e.settings.TokenRoom * min(1, e.share)
+	room := float64(e.memory()) * e.settings.TokenRoom * e.memoryShare()
 	if e.foreignInFlight > 0 {
-		room *= max(0, 1-float64(e.foreignInFlight)/float64(max(1, e.info.Slots)))
+		room *= max(0, 1-float64(e.foreignInFlight)*e.slotPart())
 	}
 	return room
 }
@@ -56,7 +64,7 @@
 // unknownGrants reports whether the request has to wait until the holders have reported the requests that run under grants
 // of other schedulers. More than a slot's part of the memory could exceed it together with them.
 func (e *engine) unknownGrants(r *request) bool {
-	return e.clock.Before(e.adoptUntil) && e.memory() > 0 && r.tokens() > e.room()/float64(max(1, e.info.Slots))
+	return e.clock.Before(e.adoptUntil) && e.memory() > 0 && r.tokens() > e.room()*e.slotPart()
 }
 
 // SetTakeover sets until when grants of other schedulers may not be known yet. Until then no large request is granted.
--- a/internal/scheduler/memory_test.go
+++ b/internal/scheduler/memory_test.go
@@ -52,6 +52,8 @@
 		{"memory of one engine not known", 1, []int{1000, 0}, 1e6, "e1", "", false},
 		{"within the part", 0.25, []int{1000}, 220, "e0", "", false},
 		{"larger than the part", 0.25, []int{1000}, 230, "", CodeOverloaded, true},
+		{"one slot's part", 0.01, []int{1000}, 220, "e0", "", false},
+		{"larger than one slot's part", 0.01, []int{1000}, 230, "", CodeOverloaded, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
