Tell refused callers to return when there is room

Cause: Retry-After was the time until the queue drains, with jitter. Plain services have next to no expected work, so that their callers were told to return after the shortest time, together and while the burst that had them refused lasted. Change: each tier keeps a schedule of the returns that it has promised (returning.go). A refusal gets the first time after the queue ahead at which half of the tier's grant rate leaves room, or, if there is none within a third of the time left, the time with the fewest returns. A promise with room is remembered by the fingerprint of the request, at most 4,096 and for a second after its time. A caller that returns then goes before new tickets of its tier and workspace, also in the prediction of its wait. Callers without a promise, or that return early, don't: with all of them first, an overload that lasts would serve nobody at the first attempt. TestOverload and TestRetryAfter pass unchanged.

--- a/internal/scheduler/deadlines.go
+++ b/internal/scheduler/deadlines.go
@@ -27,7 +27,11 @@
 	if a.queue.len() == 0 {
 		active += a.weight
 	}
-	ahead += math.Min(own.slotSeconds, a.slotSeconds*active/a.weight)
+	seconds := a.slotSeconds
+	if r.returning {
+		seconds = a.returningSeconds
+	}
+	ahead += math.Min(own.slotSeconds, seconds*active/a.weight)
 	return ahead / float64(max(1, s.engines.slots))
 }
 
--- a/internal/scheduler/overload.go
+++ b/internal/scheduler/overload.go
@@ -103,7 +103,11 @@
 	if stats.queuedSince.IsZero() || now.Sub(stats.queuedSince) < rateSettleTime {
 		return 0
 	}
-	ahead := math.Min(float64(b.queued), float64(a.queue.len())*b.activeWeight/a.weight)
+	queued := a.queue.len()
+	if r.returning {
+		queued = a.returning
+	}
+	ahead := math.Min(float64(b.queued), float64(queued)*b.activeWeight/a.weight)
 	return rateWaitFactor * ahead / math.Max(stats.grantRate(now), 1/rateDecay.Seconds())
 }
 
@@ -113,13 +117,3 @@
 	s.buckets[r.bucket].stats.recordRefusal(now)
 	s.refuse(r, code, message, s.retryAfter(r, now))
 }
-
-// retryAfter returns the expected time until the queues of the ticket's tier and of those above have drained, with
-// jitter so that refused callers don't all return at once.
-func (s *Scheduler) retryAfter(r *request, now time.Time) time.Duration {
-	wait := s.jitter(secondsToDuration(s.drainSeconds(r.bucket)))
-	if r.deadline.IsZero() {
-		return wait
-	}
-	return max(s.settings.RetryAfterMin, min(wait, time.Duration(float64(r.deadline.Sub(now))*retryAfterShare)))
-}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -18,6 +18,8 @@
 	slotSeconds float64
 	// stats predicts how long new tickets would wait.
 	stats grantStats
+	// returns holds when refused callers were told to return.
+	returns returnSchedule
 	// virtualTime is the highest counter that an account had when it was served. An account that becomes active while
 	// no other one is starts no lower.
 	virtualTime float64
@@ -34,11 +36,14 @@
 	weight    float64
 	// counter is the virtual token counter: tokens of work granted, divided by the weight.
 	counter float64
-	// queue holds all tickets of the account, the newest first, because shedding refuses the newest one.
+	// queue holds all tickets of the account, the one to be served last first, because shedding refuses that one.
 	queue       *indexedHeap[*request]
 	cost        float64
 	slotSeconds float64
-	flows       [classCount]*flow
+	// returning and returningSeconds count the queued tickets of callers that returned as promised, and their slot time.
+	returning        int
+	returningSeconds float64
+	flows            [classCount]*flow
 
 	shedIndex   int
 	activeIndex int
@@ -54,12 +59,12 @@
 	account    *account
 	class      lengthClass
 	workQueues map[string]*workQueue
-	// head is the oldest ticket outside throttled work queues, or nil.
+	// head is the ticket to serve first outside throttled work queues, or nil.
 	head  *request
 	index int
 }
 
-// workQueue holds the tickets of one kind of work in order of arrival. It is throttled while a limit blocks it.
+// workQueue holds the tickets of one kind of work in the order in which they are served. It is throttled while a limit blocks it.
 type workQueue struct {
 	flow    *flow
 	work    string
@@ -88,7 +93,7 @@
 	a := b.accounts[workspace]
 	if a == nil {
 		a = &account{bucket: b, workspace: workspace, weight: weight, shedIndex: -1, activeIndex: -1}
-		a.queue = newIndexedHeap(newer, func(r *request) *int { return &r.accountIndex })
+		a.queue = newIndexedHeap(servedAfter, func(r *request) *int { return &r.accountIndex })
 		for class := range a.flows {
 			a.flows[class] = &flow{account: a, class: lengthClass(class), workQueues: make(map[string]*workQueue), index: -1}
 		}
@@ -97,14 +102,14 @@
 	return a
 }
 
-// oldest returns the flow's oldest ticket outside throttled work queues, or nil.
+// oldest returns the flow's ticket to serve first outside throttled work queues, or nil.
 func (f *flow) oldest() *request {
 	var first *request
 	for _, q := range f.workQueues {
 		if q.throttledIndex >= 0 {
 			continue
 		}
-		if r, ok := q.tickets.top(); ok && (first == nil || older(r, first)) {
+		if r, ok := q.tickets.top(); ok && (first == nil || servedBefore(r, first)) {
 			first = r
 		}
 	}
@@ -117,7 +122,7 @@
 	q := f.workQueues[r.ticket.GetWork()]
 	if q == nil {
 		q = &workQueue{flow: f, work: r.ticket.GetWork(), throttledIndex: -1}
-		q.tickets = newIndexedHeap(older, func(r *request) *int { return &r.workQueueIndex })
+		q.tickets = newIndexedHeap(servedBefore, func(r *request) *int { return &r.workQueueIndex })
 		f.workQueues[q.work] = q
 	}
 	if a.queue.len() == 0 {
@@ -128,6 +133,10 @@
 	a.queue.push(r)
 	a.cost += r.cost()
 	a.slotSeconds += r.slotSeconds
+	if r.returning {
+		a.returning++
+		a.returningSeconds += r.slotSeconds
+	}
 	a.bucket.slotSeconds += r.slotSeconds
 	a.bucket.queued++
 	a.reorder()
@@ -141,6 +150,10 @@
 	a.queue.remove(r)
 	a.cost -= r.cost()
 	a.slotSeconds -= r.slotSeconds
+	if r.returning {
+		a.returning--
+		a.returningSeconds -= r.slotSeconds
+	}
 	a.bucket.slotSeconds -= r.slotSeconds
 	a.bucket.queued--
 	if q.tickets.len() == 0 {
@@ -148,7 +161,7 @@
 	}
 	if a.queue.len() == 0 {
 		// Rounding errors add up in floating-point sums; an empty queue allows them to be reset.
-		a.cost, a.slotSeconds = 0, 0
+		a.cost, a.slotSeconds, a.returningSeconds = 0, 0, 0
 		a.bucket.active.remove(a)
 		a.bucket.activeWeight -= a.weight
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -30,6 +30,8 @@
 	// arrivedAt is the time of arrival, less the age that the holder reported; sequence breaks ties.
 	arrivedAt time.Time
 	sequence  uint64
+	// returning is set if the caller was refused and returned when it was told to.
+	returning bool
 	// deadline is zero if there is none.
 	deadline time.Time
 	// startBy is the time by which the answer has to begin; zero if there is no such time.
@@ -103,3 +105,14 @@
 }
 
 func newer(a, b *request) bool { return older(b, a) }
+
+// servedBefore reports whether a is served before b, a ticket of the same workspace and tier. A caller that was refused, and
+// returned when it was told to, goes first; its request would be lost with a second refusal.
+func servedBefore(a, b *request) bool {
+	if a.returning != b.returning {
+		return a.returning
+	}
+	return older(a, b)
+}
+
+func servedAfter(a, b *request) bool { return servedBefore(b, a) }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -44,6 +44,8 @@
 	// throttled orders the work queues that are blocked by a limit by the time of their next check.
 	throttled  *indexedHeap[*workQueue]
 	limitShare float64
+	// returning remembers the refused requests whose callers were promised room.
+	returning returning
 	// floorWork is the recent work, in seconds of slot time, that was granted because of the tier floors.
 	floorWork decayingSum
 
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -28,6 +28,7 @@
 	}
 	r := s.newRequest(now, holder, ticket)
 	r.arrivedAt = arrivedAt
+	r.returning = s.returning.take(now, ticket.GetFingerprint(), r.bucket) || old != nil && old.returning
 	s.addRequest(r)
 	workspace := ticket.GetWorkspace()
 	if old == nil && ticket.GetAgeMs() == 0 && !s.retries.Admit(now, workspace, ticket.GetFingerprint()) {
