Pace engines that have started or recovered by how they answer

Cause: an engine that has just started gets as many requests as it has slots, even while it is cold or crashes at its first requests. Only excluded engines returned step by step, and their window was a counter inside the scheduler. Change: package pacer decides a window of requests and prompt tokens for one engine; internal/scheduler/pace.go calls it.

--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -165,6 +165,8 @@
 	Leaving bool
 	// Incarnation distinguishes the starts of an upstream that keeps its name; 0 if it isn't known.
 	Incarnation int64
+	// ColdRemaining is for how long the upstream stays slow, as of the record.
+	ColdRemaining time.Duration
 }
 
 // Topic is one kind of record in the directory.
--- a/internal/loader/tuning.go
+++ b/internal/loader/tuning.go
@@ -56,6 +56,8 @@
 	RetryAfterMax time.Duration `yaml:"retry_after_max" unit:"duration" min:"100ms" max:"1h" help:"longest Retry-After of a refusal; at least retry_after_min"`
 	// StragglerRatio is the share of an engine's usual speed below which it is excluded.
 	StragglerRatio float64 `yaml:"straggler_ratio" unit:"share of 1" min:"0.05" max:"0.95" help:"share of its usual speed below which an engine is excluded"`
+	// Pace bounds the requests in flight on an engine that has started or recovered by how it answers.
+	Pace bool `yaml:"pace" unit:"boolean" help:"give an engine that has started or recovered work at the pace at which it answers in time"`
 	// StragglerCap is the largest share of a pool's engines that may be excluded as slow at once.
 	StragglerCap float64 `yaml:"straggler_cap" unit:"share of 1" min:"0" max:"1" help:"largest share of a pool excluded as slow at once"`
 	// SuspectRetention is how long a request that was in flight at a crash runs alone when it is sent again.
--- a/internal/runner/scheduler.go
+++ b/internal/runner/scheduler.go
@@ -19,6 +19,8 @@
 	KVTokens      int
 	// Incarnation distinguishes the starts of an engine that keeps its name; 0 if it isn't known.
 	Incarnation int64
+	// ColdRemaining is for how long after its start the engine stays slow.
+	ColdRemaining time.Duration
 }
 
 // Decision is one grant or refusal for a holder.
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -13,6 +13,7 @@
 	blockNoEngine  blockReason = "no_usable_engine"
 	blockIsolation blockReason = "waits_to_run_alone"
 	blockTurn      blockReason = "behind_other_tickets"
+	blockPace      blockReason = "prompt_window_of_a_new_engine_in_use"
 	blockStall     blockReason = "prefill_would_hold_up_streams"
 	blockPaused    blockReason = "engines_have_turned_the_router_away"
 
@@ -72,6 +73,8 @@
 		return blockLong
 	case r.tokens() > e.roomLeft():
 		return blockRoom
+	case len(e.granted) > 0 && e.promptInFlight+r.prompt-e.cached(r) > e.promptLimit():
+		return blockPace
 	case e.wouldStall(r):
 		return blockStall
 	}
@@ -126,10 +129,10 @@
 			switch found := e.admits(r); found {
 			case blockNone, blockRoom, blockIsolation:
 				return found
-			case blockReserved, blockStall:
+			case blockReserved, blockStall, blockPace:
 				reason = found
 			case blockPaused:
-				if reason != blockStall {
+				if reason != blockStall && reason != blockPace {
 					reason = found
 				}
 			}
--- a/internal/scheduler/adopt.go
+++ b/internal/scheduler/adopt.go
@@ -31,6 +31,7 @@
 		e.prefillUntil = e.prefillUntil.Add(-running)
 	}
 	r.grantedAt = now.Add(-running)
-	s.engines.reindex(e)
+	e.pace.Adopt(len(e.granted))
+	s.engines.refreshOne(e)
 	return true
 }
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -30,24 +30,29 @@
 const maxVisitedEngines = 16
 
 // chooseExpectedFirstToken returns the engine with the smallest expected time to first token, including the cost of a
-// new connection.
+// new connection. An urgent ticket goes to an engine that hasn't been tried only if no other one admits it.
 func chooseExpectedFirstToken(engines *engineSet, r *request) *engine {
 	var best *engine
 	var bestTime float64
+	bestTried := false
 	consider := func(e *engine) {
 		if e.admits(r) != blockNone {
 			return
 		}
+		tried := !engines.avoidsUntried(r) || e.pace.Tried()
+		if bestTried && !tried {
+			return
+		}
 		t := e.expectedFirstToken(r, engines.now) + engines.connections.cost(r.holder, e, engines.now)
-		if best == nil || t < bestTime || t == bestTime && e.info.Name < best.info.Name {
-			best, bestTime = e, t
+		if best == nil || tried && !bestTried || t < bestTime || t == bestTime && e.info.Name < best.info.Name {
+			best, bestTime, bestTried = e, t, tried
 		}
 	}
 	index := engines.openIndex(r)
 	for _, generation := range engines.generationList {
 		// The items at the front of a heap's slice are those with the least work ahead.
 		for i, e := range generation.open[index].data.items {
-			if i >= maxVisitedEngines && best != nil {
+			if i >= maxVisitedEngines && bestTried {
 				break
 			}
 			consider(e)
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -65,7 +65,8 @@
 	Generation      string  `json:"generation"`
 	Usable          bool    `json:"usable"`
 	Slots           int     `json:"slots"`
-	Allowance       int     `json:"allowance,omitempty"`
+	Window          int     `json:"window,omitempty"`
+	WindowTokens    int     `json:"window_prompt_tokens,omitempty"`
 	InFlight        int     `json:"in_flight"`
 	ForeignInFlight int     `json:"foreign_in_flight"`
 	Tokens          float64 `json:"tokens_in_flight"`
@@ -150,7 +151,7 @@
 
 func (e *engine) dump() DumpEngine {
 	return DumpEngine{Name: e.info.Name, Generation: e.info.Generation, Usable: e.usable(), Slots: e.slots,
-		Allowance: e.allowance, InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
+		Window: e.pace.Requests(), WindowTokens: e.windowTokens(), InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
 		Tokens: e.tokensInFlight, AheadSeconds: e.ahead,
 		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(),
 		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining || e.asked.leaving, Pauses: maps.Clone(e.asked.pauses), LastExclusion: e.reason, LastExclusionAt: e.reasonAt}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootplank/internal/estimator"
+	"coltsfootplank/internal/pacer"
 )
 
 // shedPause is how long an engine gets no requests after it refused one because it was full. It is about the time until
@@ -23,6 +24,8 @@
 	KVTokens      int
 	// Incarnation distinguishes the starts of an engine that keeps its name; 0 if it isn't known.
 	Incarnation int64
+	// ColdRemaining is for how long after its start the engine stays slow.
+	ColdRemaining time.Duration
 }
 
 // restartedAs reports whether another registration under the same name is that of another process.
@@ -60,13 +63,16 @@
 	reasonAt time.Time
 	// asked is what the engine asks of the holders in its answers.
 	asked asked
-	// allowance bounds the requests in flight while the engine returns to use step by step; 0 means no bound.
-	allowance int
+	// pace bounds the requests in flight while the engine returns to use and, with Settings.Pace, after its start.
+	// paceLimit is what the window allows now, 0 without a limit, and promptInFlight the sum of the uncached prompt tokens.
+	pace           pacer.Window
+	poolPace       *poolPace
+	paceLimit      int
+	promptInFlight float64
 	// countedInPool reports whether the pool's slots include those of the engine.
 	countedInPool bool
 	probeBackoff  time.Duration
 	probeAt       time.Time
-	probedAt      time.Time
 
 	prefill estimator.Speed
 	decode  estimator.Speed
@@ -191,6 +197,8 @@
 	r.prefillAhead = e.prefillAhead(now)
 	r.expectedRun = e.runSeconds(r, r.output, now)
 	r.alone = r.class == classAlone && e.foreignInFlight == 0
+	r.inFlight, r.promptWork = len(e.granted), r.prompt-e.cached(r)
+	e.promptInFlight += r.promptWork
 	r.prefillWork, r.decodeWork = e.prefillTime(r), e.decodeTime(r)
 	if e.prefillUntil.Before(now) {
 		e.prefillUntil = now
@@ -211,6 +219,7 @@
 	delete(e.granted, r.ticket.GetRequestId())
 	e.recordEnd(now)
 	e.tokensInFlight -= r.tokens()
+	e.promptInFlight -= r.promptWork
 	e.decodeAhead = max(0, e.decodeAhead-r.decodeWork)
 	switch r.class {
 	case classLong:
@@ -220,7 +229,7 @@
 	}
 	if len(e.granted) == 0 {
 		// An idle engine has no work ahead, even if the estimates predicted some.
-		e.tokensInFlight, e.decodeAhead, e.prefillUntil = 0, 0, now
+		e.tokensInFlight, e.promptInFlight, e.decodeAhead, e.prefillUntil = 0, 0, 0, now
 	}
 	e.updateAhead(now)
 	r.engine = nil
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -26,6 +26,7 @@
 	reserved *engine
 	speeds   poolSpeeds
 	prefixes *prefixIndex
+	pace     poolPace
 	// connections estimates the idle connections of the holders.
 	connections *connectionIndex
 	// excludedEngines holds the excluded engines that wait for their next probe.
@@ -69,6 +70,9 @@
 		if e == nil {
 			e = newEngine(info, s.settings, &s.now)
 			s.byName[info.Name] = e
+			s.startPace(e, info)
+		} else if e.info.restartedAs(info) {
+			s.startPace(e, info)
 		}
 		s.close(e)
 		e.info, e.removed = info, false
@@ -120,6 +124,7 @@
 	}
 	s.close(e)
 	s.prefixes.clear(e)
+	s.rememberPace(e)
 	delete(s.byName, e.info.Name)
 	if i := slices.Index(s.list, e); i >= 0 {
 		s.list = slices.Delete(s.list, i, i+1)
@@ -133,6 +138,7 @@
 	if s.reserved != nil && !s.reserved.usable() {
 		s.unreserve(s.reserved.reservedFor)
 	}
+	s.refreshFloor()
 	for _, e := range s.list {
 		e.slots, e.urgentReserveShare = s.slotsOf(e), s.urgentReserveShare()
 		if e.countedInPool = e.usable(); e.countedInPool {
@@ -167,8 +173,8 @@
 		slots = min(slots, e.batchSlots)
 	}
 	slots = max(1, int(s.share*float64(slots)+0.999))
-	if e.allowance > 0 {
-		slots = min(slots, e.allowance)
+	if e.paceLimit = e.pace.Limit(e.info.Slots, s.pace.floor, s.share); e.paceLimit > 0 {
+		slots = min(slots, e.paceLimit)
 	}
 	return slots
 }
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -32,6 +32,7 @@
 		s.recordCrashEvidence(e, now, evidencePollFailed)
 		if e.failedPolls >= failedPollsUntilDown && !e.down {
 			e.down = true
+			e.pace.Fell(now)
 			e.recordReason(now, "load report failed")
 			s.engines.refresh()
 		}
@@ -42,6 +43,7 @@
 		s.recordAlive(e)
 	}
 	if e.instance != "" && report.Instance != e.instance {
+		e.pace.Fell(now)
 		s.recordCrashEvidence(e, now, evidenceRestart)
 		s.engines.prefixes.clear(e)
 		s.engines.probe(e, now)
@@ -105,6 +107,7 @@
 
 // observeRun learns lengths and speeds from a complete answer. r is nil if another scheduler made the grant.
 func (s *Scheduler) observeRun(now time.Time, e *engine, r *request, release *protocol.Release) {
+	s.engines.judgePace(e, r, now, release)
 	if r != nil {
 		s.lengths.Observe(r.lengthKey(), r.declaredOutput, float64(release.GetOutputTokens()))
 	}
--- a/internal/scheduler/observe_test.go
+++ b/internal/scheduler/observe_test.go
@@ -81,7 +81,7 @@
 	for _, want := range []int{1, 2, 4} {
 		assert.Equal(t, round(1)[excluded.info.Name], want)
 	}
-	assert.Equal(t, excluded.allowance, 0)
+	assert.Equal(t, excluded.pace.Requests(), 0)
 }
 
 // TestOverdue guards against new work for an engine that doesn't answer at all.
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -73,6 +73,9 @@
 	// prefills, and the run including that wait.
 	prefillAhead float64
 	expectedRun  float64
+	// promptWork is the uncached prompt in tokens, and inFlight the number of requests on the engine after the grant.
+	promptWork float64
+	inFlight   int
 	// alone is set if the request has its engine to itself; crashed if the engine restarted during the run.
 	alone   bool
 	crashed bool
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -67,6 +67,9 @@
 	// ProbeAfterMax.
 	ProbeAfter    time.Duration
 	ProbeAfterMax time.Duration
+	// Pace bounds the requests in flight on an engine that has started or recovered by how it answers. Without it, only
+	// excluded engines return step by step.
+	Pace bool
 	// MaxReportAge is the age above which a load report is no longer used to estimate the requests of other schedulers.
 	MaxReportAge time.Duration
 	// CacheEventLag is the longest delay between a change in an engine's cache and its event.
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -22,6 +22,7 @@
 		b.stats.recordQueue(now, b.queued > 0)
 	}
 	s.shed()
+	s.logPace(now)
 	s.dirty = false
 	decisions := s.decisions
 	s.decisions = nil
@@ -129,8 +130,8 @@
 			continue
 		}
 		switch s.engines.blockOf(r) {
-		case blockStall:
-			// The prefills in progress end soon, but no message tells when.
+		case blockStall, blockPace:
+			// The prefills in progress end soon, but no message tells when. Shorter prompts may still be granted.
 			s.recheckBy(now, now.Add(prefillRecheckInterval))
 			if !deferred.add(r) {
 				b.flows[f.class].remove(f)
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -9,27 +9,24 @@
 func (e *engine) recordReason(now time.Time, reason string) { e.reason, e.reasonAt = reason, now }
 
 // evaluateRun compares the decoding speed of a run with the engine's own baseline. It excludes a straggler, and
-// readmits an engine step by step after a probe: each run at a good speed doubles its allowance.
+// readmits an engine step by step after a probe: each run at a good speed doubles its window.
 func (s *engineSet) evaluateRun(e *engine, r *request, now time.Time, speed float64) {
 	good := speed >= s.settings.StragglerRatio*e.decode.Baseline()
 	switch {
 	case e.excluded:
-	case e.allowance == 0:
+	case !e.pace.Active():
 		ratio := e.decode.Ratio()
 		if ratio < s.settings.StragglerRatio && ratio < s.settings.StragglerRatio*s.peerRatio(e) {
 			s.excludeStraggler(e, now, "speed below its own baseline")
 		}
-	case r == nil || r.grantedAt.Before(e.probedAt):
+	case s.settings.Pace:
+		// The window closes instead.
+	case r == nil || r.grantedAt.Before(e.pace.Since()):
 		// The run began before the probe and says nothing about the engine's present speed.
 	case !good:
 		s.excludeStraggler(e, now, "speed still below its own baseline")
 	default:
-		e.allowance *= 2
-		if e.allowance >= e.info.Slots {
-			e.allowance, e.probeBackoff = 0, 0
-			e.decode.Reset()
-		}
-		s.refreshOne(e)
+		s.recordPace(e, e.pace.Answered(now, e.paceRun(r)))
 	}
 }
 
@@ -67,7 +64,7 @@
 	if e.excluded {
 		return
 	}
-	if e.allowance == 0 && s.excludedOrReturning()+1 > int(s.settings.StragglerCap*float64(len(s.list))) {
+	if !e.pace.Returning() && s.excludedOrReturning()+1 > int(s.settings.StragglerCap*float64(len(s.list))) {
 		e.recordReason(now, reason+", kept in use because of the straggler cap")
 		return
 	}
@@ -88,7 +85,7 @@
 func (s *engineSet) recordLoss(e *engine, now time.Time) {
 	e.consecutiveLosses++
 	if e.consecutiveLosses < lossesToExclude || e.excluded ||
-		e.allowance == 0 && float64(s.excludedOrReturning()+1) > lossCap*float64(len(s.list)) {
+		!e.pace.Returning() && float64(s.excludedOrReturning()+1) > lossCap*float64(len(s.list)) {
 		return
 	}
 	s.exclude(e, now, "several answers in a row were lost")
@@ -98,12 +95,14 @@
 // engine is back at full use.
 func (s *engineSet) exclude(e *engine, now time.Time, reason string) {
 	e.probeBackoff = min(max(2*e.probeBackoff, s.settings.ProbeAfter), s.settings.ProbeAfterMax)
+	e.pace.Fell(now)
 	s.excludeFor(e, now, e.probeBackoff, reason)
 }
 
 // excludeFor excludes an engine for the given time.
 func (s *engineSet) excludeFor(e *engine, now time.Time, pause time.Duration, reason string) {
-	e.excluded, e.allowance = true, 1
+	e.excluded = true
+	s.beginReturn(e, now)
 	e.probeAt = now.Add(pause)
 	e.recordReason(now, reason)
 	s.excludedEngines = append(s.excludedEngines, e)
@@ -114,7 +113,7 @@
 func (s *engineSet) excludedOrReturning() int {
 	var n int
 	for _, e := range s.list {
-		if e.excluded || e.allowance > 0 {
+		if e.excluded || e.pace.Returning() {
 			n++
 		}
 	}
@@ -123,7 +122,8 @@
 
 // probe returns an engine to use with one request at a time.
 func (s *engineSet) probe(e *engine, now time.Time) {
-	e.excluded, e.allowance, e.probedAt = false, 1, now
+	e.excluded = false
+	s.notePace(e, s.beginReturn(e, now))
 	s.refresh()
 }
 
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -193,12 +193,14 @@
 	switch release.GetKind() {
 	case protocol.ReleaseKind_RELEASE_KIND_FAILED:
 		e.consecutiveLosses = 0
+		s.engines.failPace(e, r, now)
 	case protocol.ReleaseKind_RELEASE_KIND_ANSWERED:
 		e.consecutiveLosses = 0
 		s.engines.connections.recordIdle(holder, e, now)
 		s.observeRun(now, e, r, release)
 	case protocol.ReleaseKind_RELEASE_KIND_LOST:
 		s.observeLoss(now, e, r, release)
+		s.engines.failPace(e, r, now)
 		s.engines.recordLoss(e, now)
 	case protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE:
 		s.recordUnreachable(e, now)
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -57,6 +57,10 @@
 	}
 	if !known.goneAt.IsZero() || !bytes.Equal(known.record.Value, record.Value) {
 		registration, err := decode(record)
+		if known.usable && registration.Incarnation == known.registration.Incarnation {
+			// The remaining time passes from heartbeat to heartbeat. The first record of a process states it as of its start.
+			registration.ColdRemaining = known.registration.ColdRemaining
+		}
 		changed := registration != known.registration || (err == nil) != known.usable || !known.goneAt.IsZero()
 		*known = entry{record: record, registration: registration, usable: err == nil, changed: known.changed}
 		if changed {
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -44,6 +44,7 @@
 	result.ConnectionCost, result.ConnectionIdle = settings.ConnectionCost, settings.ConnectionIdle
 	result.StragglerRatio = settings.StragglerRatio
 	result.StragglerCap = settings.StragglerCap
+	result.Pace = settings.Pace
 	result.ProbeAfter = settings.ProbeAfter
 	result.Isolation = isolator.Settings{
 		SuspectRetention: settings.SuspectRetention, PoisonRetention: settings.PoisonRetention, MaxEntries: settings.PoisonEntries,
