Test that answers, failures and heartbeats change the pace

Cause: with the closing of windows removed from the scheduler, or with each heartbeat taken for a change of a registration, no test failed. Change: TestPaceOfAnswers, TestColdRegistration, and stricter rows for adopted requests and the log.

--- a/internal/scheduler/pacedengine_test.go
+++ b/internal/scheduler/pacedengine_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/internal/pacer"
+	"coltsfootplank/internal/protocol"
 )
 
 // newPacedCell returns a cell with the pace on, three engines of 6 slots that have long been running, and one, "new", that
@@ -39,9 +40,13 @@
 	}
 	adopt := func(n int) func(*cell) {
 		return func(c *cell) {
-			for range n {
-				c.Adopt(c.now, "h", c.ticket(1, "a"), "new", time.Second)
+			var last string
+			for range n + 1 {
+				ticket := c.ticket(1, "a")
+				last = ticket.RequestId
+				c.Adopt(c.now, "h", ticket, "new", time.Second)
 			}
+			c.Cancel(c.now, "h", last)
 		}
 	}
 	cases := []struct {
@@ -56,7 +61,7 @@
 			c.setPacedEngines(0, time.Minute)
 		}, submit(99, 1)}, 1},
 		{"part of the capacity", []func(*cell){func(c *cell) { c.SetCapacityShare(0.5) }, submit(99, 1)}, 1},
-		{"requests of the predecessor", []func(*cell){adopt(3), submit(99, 1)}, 3},
+		{"requests of the predecessor", []func(*cell){adopt(3), submit(99, 1)}, 4},
 		{"urgent tickets", []func(*cell){submit(18, 0)}, 0},
 		{"urgent tickets without room elsewhere", []func(*cell){submit(19, 0)}, 1},
 		{"other tickets", []func(*cell){submit(1, 1)}, 1},
@@ -76,6 +81,57 @@
 	}
 }
 
+// TestPaceOfAnswers guards against a window that answers, failures and losses don't change, and against one that closes
+// because the whole pool is slow.
+func TestPaceOfAnswers(t *testing.T) {
+	// grant brings a request to an engine, and end ends it after a time. An engine with a request in flight has others too.
+	grant := func(c *cell, engine string) *protocol.Grant {
+		ticket := c.ticket(1, "a")
+		c.Adopt(c.now, "h", ticket, engine, 0)
+		return &protocol.Grant{RequestId: ticket.RequestId, Engine: engine}
+	}
+	end := func(kind protocol.ReleaseKind, engine string, total time.Duration, n int) func(*cell) {
+		return func(c *cell) {
+			for range n {
+				g := grant(c, engine)
+				c.now = c.now.Add(total)
+				c.Release(c.now, "h", &protocol.Release{RequestId: g.RequestId, Engine: engine, Kind: kind, TotalMs: total.Milliseconds()})
+			}
+		}
+	}
+	answered, failed := protocol.ReleaseKind_RELEASE_KIND_ANSWERED, protocol.ReleaseKind_RELEASE_KIND_FAILED
+	usual, slow := 100*time.Millisecond, 400*time.Millisecond
+	cases := []struct {
+		name   string
+		steps  []func(*cell)
+		window int
+		usable bool
+	}{
+		{"in time", []func(*cell){end(answered, "new", usual, 1)}, 4, true},
+		{"late", []func(*cell){end(answered, "new", usual, 1), end(answered, "new", slow, 1)}, 3, true},
+		{"failed", []func(*cell){end(answered, "new", usual, 1), end(failed, "new", usual, 1)}, 2, true},
+		{"lost", []func(*cell){end(answered, "new", usual, 1), end(lost, "new", usual, 1)}, 2, true},
+		{"late alone", []func(*cell){end(answered, "new", slow, 2)}, 1, false},
+		{"used again after the pause", []func(*cell){end(answered, "new", slow, 2), end(answered, "old1", usual, 2)}, 1, true},
+		{"as slow as the others", []func(*cell){end(answered, "old0", slow, 10), end(answered, "new", slow, 3)}, 6, true},
+		{"most of the pool late", []func(*cell){end(answered, "old0", slow, 7), end(answered, "new", slow, 3)}, 2, true},
+		{"another engine failed at its first request", []func(*cell){end(failed, "new", usual, 1), func(c *cell) {
+			c.setPacedEngines(1, 0)
+		}}, 1, true},
+	}
+	for _, k := range cases {
+		c := newPacedCell()
+		end(answered, "old0", usual, 20)(c)
+		for _, step := range k.steps {
+			step(c)
+			c.step()
+		}
+		e := c.engines.byName["new"]
+		assert.Equal(t, e.pace.Requests(), k.window, k.name)
+		assert.Equal(t, e.usable(), k.usable, k.name)
+	}
+}
+
 // TestPacedPrompts guards against several long prompts at once on an engine that hasn't been tried, and against one that
 // no longer takes short ones because a long one waits.
 func TestPacedPrompts(t *testing.T) {
@@ -114,11 +170,11 @@
 	settings := DefaultSettings()
 	settings.Pace = true
 	c := &cell{Scheduler: New("briefs", settings, zap.New(core), start), now: start}
-	for second := range 3 {
-		c.now = start.Add(time.Duration(second) * time.Second)
-		infos := make([]EngineInfo, 20)
+	for half := range 6 {
+		c.now = start.Add(time.Duration(half) * time.Second / 2)
+		infos := make([]EngineInfo, 10)
 		for i := range infos {
-			infos[i] = EngineInfo{Name: fmt.Sprintf("e%d-%d", second, i), Slots: 6, Incarnation: c.now.UnixMilli()}
+			infos[i] = EngineInfo{Name: fmt.Sprintf("e%d-%d", half, i), Slots: 6, Incarnation: c.now.UnixMilli()}
 		}
 		c.SetEngines(c.now, infos)
 		c.step()
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -259,6 +259,33 @@
 	})
 }
 
+// TestColdRegistration guards against a new catalogue at each heartbeat of a cold upstream, and against a cold time that ends
+// too soon because a later record states what is left of it.
+func TestColdRegistration(t *testing.T) {
+	steps := []struct {
+		name        string
+		incarnation int64
+		cold, want  time.Duration
+		changed     bool
+	}{
+		{"started", 1, 20 * time.Second, 20 * time.Second, true},
+		{"heartbeat", 1, 18 * time.Second, 20 * time.Second, false},
+		{"warm", 1, 0, 20 * time.Second, false},
+		{"next process", 2, 2 * time.Second, 2 * time.Second, true},
+	}
+	table := newTable()
+	for i, step := range steps {
+		record := kernel.DirectoryRecord{Offset: int64(i), Key: "a", Value: []byte(step.name)}
+		changed, err := table.apply(record, func(kernel.DirectoryRecord) (kernel.Registration, error) {
+			return kernel.Registration{Name: "a", Incarnation: step.incarnation, ColdRemaining: step.cold}, nil
+		}, time.Time{})
+		assert.NilError(t, err)
+		assert.Equal(t, changed, step.changed, step.name)
+		list, _ := table.upstreams(time.Now())
+		assert.Equal(t, list[0].ColdRemaining, step.want, step.name)
+	}
+}
+
 // TestLapseDuringOutage guards against pools that are emptied by an outage of the directory. All registrations lapse
 // during the outage, and running upstreams register again within about 2 s after it.
 func TestLapseDuringOutage(t *testing.T) {
