Test paced engines with tokens and under random inputs

Cause: lateness of runs with tokens and the sum of prompts in flight had no test. Change: TestPaceOfTokens; TestRandomInputs draws scheduling.pace and checks the sum of prompts and the slots of each engine.

--- a/internal/scheduler/pacedengine_test.go
+++ b/internal/scheduler/pacedengine_test.go
@@ -132,6 +132,40 @@
 	}
 }
 
+// TestPaceOfTokens guards against long answers and prompts that are taken for late ones, and against slow ones that aren't.
+func TestPaceOfTokens(t *testing.T) {
+	cases := []struct {
+		name           string
+		prompt, output uint32
+		slowness       int64
+		want           int
+	}{
+		{"usual", 100, 100, 1, 4},
+		{"long answer", 100, 1000, 1, 4},
+		{"long prompt", 8000, 10, 1, 4},
+		{"slow answer", 100, 100, 3, 1},
+		{"slow prompt", 8000, 10, 3, 1},
+	}
+	for _, k := range cases {
+		c := newPacedCell()
+		run := func(engine string, prompt, output uint32, slowness int64) {
+			ticket := c.ticket(1, "a")
+			c.Adopt(c.now, "h", ticket, engine, 0)
+			firstToken, decode := slowness*int64(prompt)/4, slowness*int64(output)*25
+			c.now = c.now.Add(time.Duration(firstToken+decode) * time.Millisecond)
+			c.Release(c.now, "h", &protocol.Release{RequestId: ticket.RequestId, Engine: engine,
+				Kind: protocol.ReleaseKind_RELEASE_KIND_ANSWERED, PromptTokens: prompt, OutputTokens: output,
+				FirstTokenMs: firstToken, TotalMs: firstToken + decode})
+			c.step()
+		}
+		for range 20 {
+			run("old0", 100, 100, 1)
+		}
+		run("new", k.prompt, k.output, k.slowness)
+		assert.Equal(t, c.engines.byName["new"].pace.Requests(), k.want, k.name)
+	}
+}
+
 // TestPacedPrompts guards against several long prompts at once on an engine that hasn't been tried, and against one that
 // no longer takes short ones because a long one waits.
 func TestPacedPrompts(t *testing.T) {
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -21,6 +21,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := newTestCell(3, 4, func(s *Settings) {
 			s.MaxQueue, s.LongShare, s.UrgentReserve = 12, 0.5, 0.25
+			s.Pace = rapid.Bool().Draw(t, "pace")
 			s.EngineChoice = rapid.SampledFrom(EngineChoices.Names()).Draw(t, "choice")
 		})
 		c.SetWorks(map[string]cataloguer.Work{"work": {Limits: cataloguer.Limits{Concurrency: 5, TokensPerMinute: 90_000}}})
@@ -103,6 +104,12 @@
 		assert.Assert(t, e.longInFlight <= e.longSlots() || e.slots < e.info.Slots)
 		assert.Assert(t, e.runningAlone == nil || len(e.granted) == 1, "a suspect shares its engine")
 		assert.Assert(t, e.usable() || e.freeSlots() == 0)
+		var prompts float64
+		for _, r := range e.granted {
+			prompts += r.promptWork
+		}
+		assert.Assert(t, prompts-e.promptInFlight < 1e-6 && e.promptInFlight-prompts < 1e-6)
+		assert.Assert(t, e.slots <= e.info.Slots && (e.info.Slots == 0 || e.slots >= 1))
 	}
 	for _, b := range c.buckets {
 		var seconds float64
