--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -14,6 +14,7 @@
 	blockNoEngine  blockReason = "no_usable_engine"
 	blockIsolation blockReason = "waits_to_run_alone"
 	blockTurn      blockReason = "behind_other_tickets"
+	blockPace      blockReason = "prompt_window_of_a_new_engine_in_use"
 	blockStall     blockReason = "prefill_would_hold_up_streams"
 	blockPaused    blockReason = "engines_have_turned_the_router_away"
 
@@ -79,6 +80,8 @@
 		return blockRoom
 	case e.unknownGrants(r):
 		return blockTakeover
+	case len(e.granted) > 0 && e.promptInFlight+r.prompt-e.cached(r) > e.promptLimit():
+		return blockPace
 	case e.wouldStall(r):
 		return blockStall
 	}
@@ -133,10 +136,10 @@
 			switch found := e.admits(r); found {
 			case blockNone, blockRoom, blockIsolation:
 				return found
-			case blockReserved, blockStall, blockTakeover:
+			case blockReserved, blockStall, blockTakeover, blockPace:
 				reason = found
 			case blockPaused, blockAvoided:
-				if reason != blockStall && reason != blockTakeover {
+				if reason != blockStall && reason != blockTakeover && reason != blockPace {
 					reason = found
 				}
 			}
--- a/internal/scheduler/adopt.go
+++ b/internal/scheduler/adopt.go
@@ -32,6 +32,7 @@
 		e.prefillUntil = e.prefillUntil.Add(-running)
 	}
 	r.grantedAt, r.adopted = now.Add(-running), true
-	s.engines.reindex(e)
+	e.pace.Adopt(len(e.granted))
+	s.engines.refreshOne(e)
 	return true
 }
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -65,7 +65,8 @@
 	Generation      string  `json:"generation"`
 	Usable          bool    `json:"usable"`
 	Slots           int     `json:"slots"`
-	Allowance       int     `json:"allowance,omitempty"`
+	Window          int     `json:"window,omitempty"`
+	WindowTokens    int     `json:"window_prompt_tokens,omitempty"`
 	BeyondSlots     int     `json:"beyond_slots,omitempty"`
 	InFlight        int     `json:"in_flight"`
 	ForeignInFlight int     `json:"foreign_in_flight"`
@@ -166,7 +167,8 @@
 		orphaned += o.tokens
 	}
 	return DumpEngine{Name: e.info.Name, Generation: e.info.Generation, Usable: e.usable(), Slots: e.slots,
-		Allowance: e.allowance, BeyondSlots: e.extraSlots, InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
+		Window: e.pace.Requests(), WindowTokens: e.windowTokens(), BeyondSlots: e.extraSlots,
+		InFlight: len(e.granted), ForeignInFlight: e.foreignInFlight,
 		Tokens: e.tokensInFlight, TokenRoom: room, OrphanedTokens: orphaned, AheadSeconds: e.ahead,
 		Prefill: e.prefill.Value(), Decode: e.decode.Value(), Baseline: e.decode.Baseline(), WorkFactor: e.work.value(now),
 		Prefixes: len(e.cache.lastSeen), Leaving: e.leaving || e.draining || e.asked.leaving, Pauses: maps.Clone(e.asked.pauses),
--- a/internal/scheduler/reach.go
+++ b/internal/scheduler/reach.go
@@ -125,7 +125,7 @@
 		if !e.reach.recordFailure(holder, now, s.settings.ProbeAfter, s.settings.ProbeAfterMax) || e.excluded {
 			return
 		}
-		if e.allowance == 0 && float64(s.excludedOrReturning()+1) > unreachableCap*float64(len(s.list)) {
+		if !e.pace.Active() && float64(s.excludedOrReturning()+1) > unreachableCap*float64(len(s.list)) {
 			e.recordReason(now, reason+", kept in use because half of the pool is out of use")
 			return
 		}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -81,6 +81,9 @@
 	// workTotal is the total of the engine's workFactor at workSince, the time of the grant.
 	workTotal float64
 	workSince time.Time
+	// promptWork is the uncached prompt in tokens, and inFlight the number of requests on the engine after the grant.
+	promptWork float64
+	inFlight   int
 	// alone is set if the request has its engine to itself; crashed if the engine restarted during the run.
 	alone   bool
 	crashed bool
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -23,6 +23,7 @@
 		b.stats.recordQueue(now, b.queued > 0)
 	}
 	s.shed()
+	s.logPace(now)
 	s.dirty = false
 	decisions := s.decisions
 	s.decisions = nil
@@ -140,8 +141,9 @@
 			continue
 		}
 		switch s.engines.blockOf(r) {
-		case blockStall, blockTakeover:
+		case blockStall, blockTakeover, blockPace:
 			// The prefills in progress, or the wait for the reports of the holders, end soon, but no message tells when.
+			// Shorter prompts may still be granted.
 			s.recheckBy(now, now.Add(prefillRecheckInterval))
 			if !deferred.add(r) {
 				b.flows[f.class].remove(f)
--- a/internal/scheduler/turnaround_test.go
+++ b/internal/scheduler/turnaround_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/pacer"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -178,7 +179,7 @@
 			c.Release(c.now, "h", shed)
 			c.now = c.now.Add(2 * turnaroundRecovery)
 			c.Step(c.now)
-			e.allowance = 0
+			e.pace = pacer.Window{}
 			c.engines.refreshOne(e)
 		}, 2},
 	}
