Bound the connections and heads of untrusted clients

Cause: net/http bounds the size and the time of one head, but neither its fields nor the sum over all connections. 400 connections with 8,500 short fields took a router with memory_mb: 48 to 385 MB, and 650 silent connections took 667 of 700 descriptors.

Change: internal/admitter puts a thin reader below net/http on all listeners. It counts bytes, lines and the longest line of a head while net/http reads one, and bounds connections by listener, address, descriptors and memory. Unfinished heads are closed first, then idle connections that their callers may not reuse any more. Published limits for heads and idle connections apply where they are lower. Lines that net/http wrote to stderr for each failed handshake become one line per second.

--- /dev/null
+++ b/internal/admitter/table.go
@@ -0,0 +1,221 @@
+package admitter
+
+import (
+	"container/list"
+	"net/netip"
+	"time"
+)
+
+// Cause is why a connection or a head was refused.
+type Cause string
+
+// Causes of refusals. They are the names of metrics.
+const (
+	CauseConnections Cause = "connections"
+	CauseAddress     Cause = "address"
+	CauseHeadMemory  Cause = "head_memory"
+	CauseHeadBytes   Cause = "head_bytes"
+	CauseLineBytes   Cause = "line_bytes"
+	CauseFields      Cause = "fields"
+	CauseHeadTimeout Cause = "head_timeout"
+	// CauseServer stands for what net/http itself refuses, such as a failed handshake.
+	CauseServer Cause = "server"
+)
+
+// phase is what a connection is doing.
+type phase int
+
+const (
+	// unfinished connections haven't sent a whole head yet.
+	unfinished phase = iota
+	// active connections carry a request, or a protocol that has bounds of its own.
+	active
+	// idle connections wait for their next request.
+	idle
+)
+
+// entry is a connection in a table.
+type entry struct {
+	address netip.Addr
+	phase   phase
+	// since is when the phase began.
+	since time.Time
+	// charge is the memory of the head that the connection has sent, until its request has ended.
+	charge int64
+	// owner is the connection itself.
+	owner   *conn
+	element *list.Element
+	// removed is set when the connection doesn't count any more. It may still be open for a moment, until it is gone.
+	removed, gone bool
+}
+
+// table decides which connections of a listener are admitted and which are closed for others. It does no I/O, reads no clock
+// and isn't safe for concurrent use.
+//
+// Many clients that send no whole head would otherwise use up the descriptors and the memory. When a bound is reached, an
+// unfinished head is closed first, since it has cost its client nothing yet: the oldest, or, for memory, the largest. An idle
+// connection comes next, unless its caller may still reuse it. Connections with requests are never closed for others.
+type table struct {
+	bounds     Bounds
+	unfinished list.List
+	idle       list.List
+	active     int
+	// closing is the number of connections that were removed and aren't gone yet.
+	closing   int
+	addresses map[netip.Addr]int
+	// headMemory is the sum of all charges.
+	headMemory int64
+}
+
+// closingParts bounds the connections that are being closed, whose descriptors aren't free yet: one part of the connections.
+const closingParts = 4
+
+func newTable(bounds Bounds) *table {
+	return &table{bounds: bounds, addresses: make(map[netip.Addr]int)}
+}
+
+// open returns the number of connections.
+func (t *table) open() int { return t.unfinished.Len() + t.idle.Len() + t.active }
+
+// admit adds a connection. If there is no room, it removes another one, which must be closed, or returns ok == false.
+// Connections that have been idle for less than keepIdle stay open.
+func (t *table) admit(e *entry, now time.Time, keepIdle time.Duration) (closed *entry, cause Cause, ok bool) {
+	switch {
+	case t.open()+t.closing >= t.bounds.Connections+t.bounds.Connections/closingParts+1:
+		return nil, CauseConnections, false
+	case t.addresses[e.address] >= t.bounds.PerAddress:
+		closed, cause = t.oldestOf(e.address), CauseAddress
+	case t.open() >= t.bounds.Connections:
+		cause = CauseConnections
+		closed = t.oldestFor(now, keepIdle)
+		if closed == nil {
+			return nil, cause, false
+		}
+	}
+	if closed != nil {
+		t.remove(closed)
+	}
+	e.phase, e.since = unfinished, now
+	t.insert(e)
+	return closed, cause, true
+}
+
+// oldestOf returns the oldest unfinished connection of an address.
+func (t *table) oldestOf(address netip.Addr) *entry {
+	for element := t.unfinished.Front(); element != nil; element = element.Next() {
+		if e := element.Value.(*entry); e.address == address {
+			return e
+		}
+	}
+	return nil
+}
+
+// oldestFor returns the connection that is closed for a new one, or nil.
+func (t *table) oldestFor(now time.Time, keepIdle time.Duration) *entry {
+	if front := t.unfinished.Front(); front != nil {
+		return front.Value.(*entry)
+	}
+	if front := t.idle.Front(); front != nil {
+		if e := front.Value.(*entry); now.Sub(e.since) >= keepIdle {
+			return e
+		}
+	}
+	return nil
+}
+
+// grow sets the memory of a connection's unfinished head. If all heads take too much, it removes the largest unfinished one,
+// which may be e itself and must be closed.
+func (t *table) grow(e *entry, charge int64) (closed *entry) {
+	if e.removed {
+		return nil
+	}
+	t.headMemory += charge - e.charge
+	e.charge = charge
+	if t.bounds.HeadMemory <= 0 || t.headMemory <= t.bounds.HeadMemory {
+		return nil
+	}
+	for element := t.unfinished.Front(); element != nil; element = element.Next() {
+		if other := element.Value.(*entry); closed == nil || other.charge > closed.charge {
+			closed = other
+		}
+	}
+	if closed != nil {
+		t.remove(closed)
+	}
+	return closed
+}
+
+// begin moves a connection to another phase. An idle one keeps no memory of a head.
+func (t *table) begin(e *entry, p phase, now time.Time) {
+	if e.removed || e.phase == p {
+		return
+	}
+	t.take(e)
+	e.phase, e.since = p, now
+	if p == idle {
+		t.headMemory -= e.charge
+		e.charge = 0
+	}
+	t.insert(e)
+}
+
+// remove forgets a connection. It has no effect on one that is removed already.
+func (t *table) remove(e *entry) {
+	if e.removed {
+		return
+	}
+	t.take(e)
+	e.removed = true
+	t.closing++
+	t.headMemory -= e.charge
+	e.charge = 0
+}
+
+// readmit counts a removed connection again whose head was finished before it could be closed.
+func (t *table) readmit(e *entry, p phase, now time.Time) {
+	if !e.removed || e.gone {
+		return
+	}
+	e.removed, e.phase, e.since = false, p, now
+	t.closing--
+	t.insert(e)
+}
+
+// end removes a connection that has been closed.
+func (t *table) end(e *entry) {
+	if e.gone {
+		return
+	}
+	t.remove(e)
+	e.gone = true
+	t.closing--
+}
+
+// insert counts a connection by its phase.
+func (t *table) insert(e *entry) {
+	switch e.phase {
+	case unfinished:
+		e.element = t.unfinished.PushBack(e)
+		t.addresses[e.address]++
+	case idle:
+		e.element = t.idle.PushBack(e)
+	case active:
+		t.active++
+	}
+}
+
+// take undoes insert.
+func (t *table) take(e *entry) {
+	switch e.phase {
+	case unfinished:
+		t.unfinished.Remove(e.element)
+		if t.addresses[e.address]--; t.addresses[e.address] == 0 {
+			delete(t.addresses, e.address)
+		}
+	case idle:
+		t.idle.Remove(e.element)
+	case active:
+		t.active--
+	}
+	e.element = nil
+}
--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -119,7 +119,7 @@
 	if secure, ok := conn.(*tls.Conn); ok {
 		conn = secure.NetConn()
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		// An error means that the connection is closed already.
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -150,8 +150,13 @@
 	Routes     []Route
 	Services   []PublishedService
 	Workspaces []PublishedWorkspace
-	// MaxBodyBytes is the maximum size of a request's body.
+	// MaxBodyBytes is the maximum size of a request's body, MaxHeadBytes that of its request line and header; 0 if not stated.
 	MaxBodyBytes int64
+	MaxHeadBytes int
+	// HeadTimeout is how long a head may take to arrive, IdleTimeout how long a connection stays open between two requests; 0
+	// if not stated.
+	HeadTimeout time.Duration
+	IdleTimeout time.Duration
 }
 
 // Registration is one upstream as it registered itself in the directory.
--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -59,8 +59,10 @@
 		Catalogue: Catalogue{
 			Retention: 24 * time.Hour,
 		},
-		Drain:  Drain{Delay: 3 * time.Second, Timeout: 15 * time.Minute},
-		Limits: Limits{MaxWaiting: 20_000, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10},
-		Log:    Log{Level: "info", Format: "json"},
+		Drain: Drain{Delay: 3 * time.Second, Timeout: 15 * time.Minute},
+		Limits: Limits{
+			MaxWaiting: 20_000, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, MaxHeaderLineBytes: 32 << 10, MaxHeaderFields: 4096,
+		},
+		Log: Log{Level: "info", Format: "json"},
 	}
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -127,9 +127,19 @@
 	// VMs with the largest shares.
 	ProcessorShare float64 `yaml:"processor_share" unit:"cores" min:"0" max:"1024" help:"share of a core that the VM gives this router; schedulers run on the strongest VMs; 0 means that it isn't known"`
 	// MemoryMB is the soft memory limit of the Go runtime; 0 means no limit.
-	MemoryMB int `yaml:"memory_mb" unit:"MB" min:"0" max:"1048576" help:"memory that garbage collection keeps to; half of it bounds the bodies of all published requests together; 0 means no bound"`
+	MemoryMB int `yaml:"memory_mb" unit:"MB" min:"0" max:"1048576" help:"memory that garbage collection keeps to; half of it bounds the long bodies of all published requests together, an eighth unfinished heads, and a quarter connections; 0 means no bound"`
 	// MaxHeaderBytes is the maximum size of a request's headers.
 	MaxHeaderBytes int `yaml:"max_header_bytes" unit:"bytes" min:"1024" max:"1048576" help:"longest request headers"`
+	// MaxHeaderLineBytes is the maximum size of a request line or of one header field.
+	MaxHeaderLineBytes int `yaml:"max_header_line_bytes" unit:"bytes" min:"1024" max:"1048576" help:"longest request line or header field; longer ones are refused with 431"`
+	// MaxHeaderFields is the maximum number of a request's header fields.
+	MaxHeaderFields int `yaml:"max_header_fields" unit:"fields" min:"16" max:"65536" help:"most header fields of a request; more are refused with 431"`
+	// MaxConnections bounds the connections of all clients; 0 derives it from Descriptors and MemoryMB.
+	MaxConnections int `yaml:"max_connections" unit:"connections" min:"0" max:"1000000" help:"open connections of all clients; then unfinished and idle ones are closed for new ones; 0 derives it from descriptors and memory_mb"`
+	// MaxUnfinishedPerAddress bounds the connections of one address that haven't sent a whole head; 0 derives it.
+	MaxUnfinishedPerAddress int `yaml:"max_unfinished_per_address" unit:"connections" min:"0" max:"1000000" help:"connections of one IP address that haven't sent a whole head; then the oldest is closed; 0 means half of the listener's connections"`
+	// Descriptors is the limit of open descriptors; 0 means that of the process.
+	Descriptors int `yaml:"descriptors" unit:"descriptors" min:"0" max:"10000000" help:"descriptors of this VM; a quarter is kept for engines, peers and the directory; 0 means the limit of the process"`
 }
 
 // Log configures the log on stdout.
--- a/internal/messenger/idle_test.go
+++ b/internal/messenger/idle_test.go
@@ -58,7 +58,7 @@
 	}})
 	ctx, cancel := context.WithCancel(b.Context())
 	var group errgroup.Group
-	group.Go(func() error { return Serve(ctx, countingListener{listener, &bytes}, handler, nil) })
+	group.Go(func() error { return Serve(ctx, countingListener{listener, &bytes}, handler, nil, nil) })
 	pool, closePool := NewPool(nil)
 	outbox := NewHolderOutbox()
 	assert.NilError(b, outbox.Put(&protocol.HolderMessage{Hello: &protocol.Hello{Router: "h"}}))
--- a/internal/messenger/large_test.go
+++ b/internal/messenger/large_test.go
@@ -36,7 +36,7 @@
 		},
 	})
 	var group errgroup.Group
-	group.Go(func() error { return Serve(ctx, listener, handler, nil) })
+	group.Go(func() error { return Serve(ctx, listener, handler, nil, nil) })
 	defer func() {
 		cancel()
 		assert.NilError(t, group.Wait())
--- a/internal/messenger/loopback_test.go
+++ b/internal/messenger/loopback_test.go
@@ -69,7 +69,7 @@
 		},
 	})
 	var group errgroup.Group
-	group.Go(func() error { return Serve(ctx, listener, handler, serverTLS) })
+	group.Go(func() error { return Serve(ctx, listener, handler, serverTLS, nil) })
 	pool, closePool := NewPool(clientTLS)
 	defer closePool()
 
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
+	"coltsfootplank/internal/admitter"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/protocol/protocolconnect"
 )
@@ -45,8 +46,8 @@
 }
 
 // Serve answers the calls of other routers on the listener until ctx ends. Without TLS, tlsConfig is nil. It returns
-// the error of the server, or nil if ctx has ended.
-func Serve(ctx context.Context, listener net.Listener, handler http.Handler, tlsConfig *tls.Config) error {
+// the error of the server, or nil if ctx has ended. The admission bounds the connections; nil means no bound.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler, tlsConfig *tls.Config, admission *admitter.Admitter) error {
 	group, groupCtx := errgroup.WithContext(ctx)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
@@ -60,6 +61,10 @@
 		MaxHeaderBytes:    maxHeadBytes,
 		BaseContext:       func(net.Listener) context.Context { return groupCtx },
 	}
+	if admission != nil {
+		admission.Server(server)
+		listener = admission.Listen(listener)
+	}
 	group.Go(func() error {
 		serve := server.Serve
 		if tlsConfig != nil {
--- a/internal/messenger/silent_test.go
+++ b/internal/messenger/silent_test.go
@@ -37,7 +37,7 @@
 	peer := &silentPeer{end: make(chan struct{})}
 	_, handler := protocolconnect.NewRouterServiceHandler(peer)
 	var group errgroup.Group
-	group.Go(func() error { return Serve(ctx, listener, handler, nil) })
+	group.Go(func() error { return Serve(ctx, listener, handler, nil, nil) })
 	pool, closePool := NewPool(nil)
 	defer closePool()
 	outbox := NewHolderOutbox()
--- a/internal/runner/loopback_test.go
+++ b/internal/runner/loopback_test.go
@@ -36,7 +36,7 @@
 	})
 	path, handler := messenger.NewHandler(messenger.Handlers{Accept: n.runner.Accept, Gossip: n.detector.Handle})
 	assert.Equal(t, path, "/coltsfootplank.v1.RouterService/")
-	group.Go(func() error { return messenger.Serve(n.ctx, listener, handler, nil) })
+	group.Go(func() error { return messenger.Serve(n.ctx, listener, handler, nil, nil) })
 	for _, run := range []func(context.Context) error{n.detector.Run, n.runner.Run, n.ticketer.Run} {
 		group.Go(func() error { _ = run(n.ctx); return nil })
 	}
--- a/loadgen/internal/extrapolator/cellhost.go
+++ b/loadgen/internal/extrapolator/cellhost.go
@@ -112,7 +112,7 @@
 		Gossip: members.Handle,
 	})
 	h.group.Go(func() error { return host.Run(ctx) })
-	h.group.Go(func() error { return messenger.Serve(ctx, net.Listener(listener), handler, nil) })
+	h.group.Go(func() error { return messenger.Serve(ctx, net.Listener(listener), handler, nil, nil) })
 	return h, nil
 }
 
--- a/loadgen/internal/extrapolator/gossip.go
+++ b/loadgen/internal/extrapolator/gossip.go
@@ -41,7 +41,7 @@
 			return &protocol.GossipResponse{From: &protocol.Member{Name: "callee"}}, nil
 		},
 	})
-	group.Go(func() error { return messenger.Serve(serveCtx, listener, handler, nil) })
+	group.Go(func() error { return messenger.Serve(serveCtx, listener, handler, nil, nil) })
 	defer func() {
 		cancel()
 		_ = group.Wait() // Serve ends because its context was cancelled, which is no failure.
--- /dev/null
+++ b/router/internal/assembler/admission.go
@@ -0,0 +1,47 @@
+package assembler
+
+import (
+	"math"
+	"syscall"
+
+	"coltsfootplank/internal/admitter"
+	"coltsfootplank/internal/loader"
+)
+
+// admitters bound the connections of the listeners.
+type admitters struct {
+	callers, peers, operators, readiness *admitter.Admitter
+}
+
+// newAdmitters creates the admitters of all listeners. The published limits apply to callers only.
+func (r *Router) newAdmitters(published func() admitter.Published) admitters {
+	bounds := admitter.Derive(resources(r.settings.Limits))
+	create := func(name string, bounds admitter.Bounds, options admitter.Options) *admitter.Admitter {
+		options.Name, options.Bounds, options.Metrics, options.Logger = name, bounds, r.metrics, r.logger.Logger
+		return admitter.New(options)
+	}
+	tls := r.settings.TLS
+	return admitters{
+		callers:   create("callers", bounds.Callers, admitter.Options{Published: published, Encrypted: tls.Callers.CertFile != ""}),
+		peers:     create("peers", bounds.Peers, admitter.Options{Encrypted: tls.Peers.CertFile != "", HTTP2: true}),
+		operators: create("operators", bounds.Operators, admitter.Options{Encrypted: tls.Admin.CertFile != ""}),
+		readiness: create("readiness", bounds.Readiness, admitter.Options{}),
+	}
+}
+
+// resources returns what the settings allow for clients. Descriptors that the settings don't state are those of the process.
+func resources(limits loader.Limits) admitter.Resources {
+	descriptors := limits.Descriptors
+	if descriptors == 0 {
+		var limit syscall.Rlimit
+		descriptors = math.MaxInt32
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < math.MaxInt32 {
+			descriptors = int(limit.Cur)
+		}
+	}
+	return admitter.Resources{
+		Memory: int64(limits.MemoryMB) << 20, Descriptors: descriptors, HeadBytes: limits.MaxHeaderBytes,
+		LineBytes: limits.MaxHeaderLineBytes, Fields: limits.MaxHeaderFields, Connections: limits.MaxConnections,
+		PerAddress: limits.MaxUnfinishedPerAddress,
+	}
+}
--- a/router/internal/assembler/catalogue.go
+++ b/router/internal/assembler/catalogue.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"coltsfootplank/internal/administrator"
+	"coltsfootplank/internal/admitter"
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/claimer"
 	"coltsfootplank/internal/dispatcher"
@@ -63,6 +64,9 @@
 
 func (c *catalogueMode) AdminCatalogue() administrator.Catalogue { return c.cataloguer }
 
+// Published returns no limits, because the catalogue states none.
+func (c *catalogueMode) Published() admitter.Published { return admitter.Published{} }
+
 func (c *catalogueMode) Ready() bool { return c.cataloguer.Current().Revision > 0 }
 
 func (c *catalogueMode) Deregister(context.Context) {}
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -10,6 +10,7 @@
 
 	"coltsfootplank/internal/abstainer"
 	"coltsfootplank/internal/administrator"
+	"coltsfootplank/internal/admitter"
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/detector"
@@ -107,6 +108,15 @@
 	return readOnlyCatalogue{g.subscriber}
 }
 
+// Published returns the limits of the newest configuration. Until there is one, the router's own limits apply alone.
+func (g *gatewayMode) Published() admitter.Published {
+	config := g.subscriber.RoutingConfig()
+	if config == nil {
+		return admitter.Published{}
+	}
+	return admitter.Published{HeadBytes: config.MaxHeadBytes, HeadTimeout: config.HeadTimeout, IdleTimeout: config.IdleTimeout}
+}
+
 func (g *gatewayMode) Ready() bool { return g.subscriber.RoutingConfig() != nil }
 
 // Deregister deletes this router's record, so that new routers don't try to reach it.
--- a/router/internal/assembler/listeners.go
+++ b/router/internal/assembler/listeners.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"coltsfootplank/internal/admitter"
 	"coltsfootplank/internal/loader"
 )
 
@@ -59,11 +60,13 @@
 }
 
 // serveHTTP serves until ctx ends and then waits up to shutdownTimeout for open connections to finish.
-func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, config *tls.Config, maxHeaderBytes int) error {
+func serveHTTP(ctx context.Context, listener net.Listener, admitter *admitter.Admitter, handler http.Handler, config *tls.Config, maxHeaderBytes int) error {
 	server := &http.Server{
 		Handler: handler, TLSConfig: config, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		IdleTimeout: idleTimeout,
 	}
+	admitter.Server(server)
+	listener = admitter.Listen(listener)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		serve := server.Serve
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"coltsfootplank/internal/administrator"
+	"coltsfootplank/internal/admitter"
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/detector"
 	"coltsfootplank/internal/dispatcher"
@@ -132,6 +133,8 @@
 	Sections() []section
 	// Ready reports whether the router has a configuration to serve.
 	Ready() bool
+	// Published returns the limits that operators have published for callers.
+	Published() admitter.Published
 	// Deregister deletes the router's registration at the end of a planned stop.
 	Deregister(ctx context.Context)
 }
@@ -254,22 +257,23 @@
 	if err != nil {
 		return err
 	}
+	admitters := r.newAdmitters(r.mode.Published)
 	admin := administrator.Routes(
 		administrator.New(r.mode.AdminCatalogue(), r.dumper, r), r.dumper, r.metrics)
 	_, peerHandler := messenger.NewHandler(r.mode.PeerHandlers())
 	tasks := append(r.mode.Tasks(), r.detector.Run, r.runner.Run, r.ticketer.Run,
 		func(ctx context.Context) error {
-			return messenger.Serve(ctx, r.listeners.Peers, peerHandler, peerTLS)
+			return messenger.Serve(ctx, r.listeners.Peers, peerHandler, peerTLS, admitters.peers)
 		},
 		func(ctx context.Context) error {
-			return serveHTTP(ctx, r.listeners.Callers, r.mode.Handler(), callerTLS, r.settings.Limits.MaxHeaderBytes)
+			return serveHTTP(ctx, r.listeners.Callers, admitters.callers, r.mode.Handler(), callerTLS, r.settings.Limits.MaxHeaderBytes)
 		},
 		func(ctx context.Context) error {
-			return serveHTTP(ctx, r.listeners.Admin, admin, adminTLS, r.settings.Limits.MaxHeaderBytes)
+			return serveHTTP(ctx, r.listeners.Admin, admitters.operators, admin, adminTLS, r.settings.Limits.MaxHeaderBytes)
 		})
 	if r.listeners.Readiness != nil {
 		tasks = append(tasks, func(ctx context.Context) error {
-			return serveHTTP(ctx, r.listeners.Readiness, r.readinessHandler(), nil, r.settings.Limits.MaxHeaderBytes)
+			return serveHTTP(ctx, r.listeners.Readiness, admitters.readiness, r.readinessHandler(), nil, r.settings.Limits.MaxHeaderBytes)
 		})
 	}
 	for _, run := range tasks {
