Account for short bodies, heads, connections and answers together

Cause: bodies up to 64 KB took no memory from any bound, so that 1,500 callers that stopped within a body of 60,000 bytes took a router with memory_mb: 48 to 109 MB and 42 MB in its sockets. Nothing added up the parts.

Change: internal/accountant keeps one account of connections, heads, bodies and long answers with a limit of seven eighths of memory_mb. Short bodies have a quarter of memory_mb; the largest and oldest that still arrive give way to new ones with 503. Answers are delivered even if the account is full.

With the race detector forwarder, connector, admitter and accountant pass.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -13,6 +13,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+
+	"coltsfootplank/internal/accountant"
 )
 
 // defaultKeepIdle is how long an idle connection is kept for its caller while no idle timeout is published: four fifths of
@@ -29,7 +31,9 @@
 	// Encrypted states that the connections carry TLS, so that their heads can't be seen.
 	Encrypted bool
 	// HTTP2 states that connections may begin with the preface of HTTP/2, which has bounds of its own.
-	HTTP2   bool
+	HTTP2 bool
+	// Account counts the connections and heads; it may be nil.
+	Account *accountant.Accountant
 	Metrics metrics.Registry
 	Logger  *zap.Logger
 }
@@ -55,7 +59,7 @@
 	if options.Published == nil {
 		options.Published = func() Published { return Published{} }
 	}
-	a := &Admitter{options: options, table: newTable(options.Bounds)}
+	a := &Admitter{options: options, table: newTable(options.Bounds, options.Account)}
 	for name, value := range map[string]func() int64{
 		"connections": func() int64 { return int64(a.table.open()) },
 		"unfinished":  func() int64 { return int64(a.table.unfinished.Len()) },
--- a/internal/admitter/table.go
+++ b/internal/admitter/table.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"net/netip"
 	"time"
+
+	"coltsfootplank/internal/accountant"
 )
 
 // Cause is why a connection or a head was refused.
@@ -57,6 +59,7 @@
 // connection comes next, unless its caller may still reuse it. Connections with requests are never closed for others.
 type table struct {
 	bounds     Bounds
+	account    *accountant.Accountant
 	unfinished list.List
 	idle       list.List
 	active     int
@@ -70,8 +73,8 @@
 // closingParts bounds the connections that are being closed, whose descriptors aren't free yet: one part of the connections.
 const closingParts = 4
 
-func newTable(bounds Bounds) *table {
-	return &table{bounds: bounds, addresses: make(map[netip.Addr]int)}
+func newTable(bounds Bounds, account *accountant.Accountant) *table {
+	return &table{bounds: bounds, account: account, addresses: make(map[netip.Addr]int)}
 }
 
 // open returns the number of connections.
@@ -96,6 +99,7 @@
 		t.remove(closed)
 	}
 	e.phase, e.since = unfinished, now
+	t.account.Add(accountant.Connections, connectionBytes)
 	t.insert(e)
 	return closed, cause, true
 }
@@ -123,15 +127,14 @@
 	return nil
 }
 
-// grow sets the memory of a connection's unfinished head. If all heads take too much, it removes the largest unfinished one,
+// grow sets the memory of a connection's unfinished head. If all heads take too much, or the account is full, it removes the largest unfinished one,
 // which may be e itself and must be closed.
 func (t *table) grow(e *entry, charge int64) (closed *entry) {
 	if e.removed {
 		return nil
 	}
-	t.headMemory += charge - e.charge
-	e.charge = charge
-	if t.bounds.HeadMemory <= 0 || t.headMemory <= t.bounds.HeadMemory {
+	t.charge(e, charge)
+	if (t.bounds.HeadMemory <= 0 || t.headMemory <= t.bounds.HeadMemory) && !t.account.Full() {
 		return nil
 	}
 	for element := t.unfinished.Front(); element != nil; element = element.Next() {
@@ -145,6 +148,13 @@
 	return closed
 }
 
+// charge sets the memory of a connection's head.
+func (t *table) charge(e *entry, bytes int64) {
+	t.headMemory += bytes - e.charge
+	t.account.Add(accountant.Heads, bytes-e.charge)
+	e.charge = bytes
+}
+
 // begin moves a connection to another phase. An idle one keeps no memory of a head.
 func (t *table) begin(e *entry, p phase, now time.Time) {
 	if e.removed || e.phase == p {
@@ -153,8 +163,7 @@
 	t.take(e)
 	e.phase, e.since = p, now
 	if p == idle {
-		t.headMemory -= e.charge
-		e.charge = 0
+		t.charge(e, 0)
 	}
 	t.insert(e)
 }
@@ -167,8 +176,7 @@
 	t.take(e)
 	e.removed = true
 	t.closing++
-	t.headMemory -= e.charge
-	e.charge = 0
+	t.charge(e, 0)
 }
 
 // readmit counts a removed connection again whose head was finished before it could be closed.
@@ -189,6 +197,7 @@
 	t.remove(e)
 	e.gone = true
 	t.closing--
+	t.account.Add(accountant.Connections, -connectionBytes)
 }
 
 // insert counts a connection by its phase.
--- a/internal/admitter/table_test.go
+++ b/internal/admitter/table_test.go
@@ -35,7 +35,7 @@
 		{"closing ones count for a while", "+a +b +c +d +e", "- - - 1 refused"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			table := newTable(Bounds{Connections: 3, PerAddress: 2, HeadMemory: 100})
+			table := newTable(Bounds{Connections: 3, PerAddress: 2, HeadMemory: 100}, nil)
 			var entries []*entry
 			now := start
 			var got []string
@@ -85,7 +85,7 @@
 // refuses all clients or bounds none.
 func TestTableCounts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table := newTable(Bounds{Connections: 5, PerAddress: 3, HeadMemory: 100})
+		table := newTable(Bounds{Connections: 5, PerAddress: 3, HeadMemory: 100}, nil)
 		var entries []*entry
 		now := time.Unix(1000, 0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
--- a/internal/connector/body.go
+++ b/internal/connector/body.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"coltsfootplank/internal/accountant"
 )
 
 const (
@@ -25,11 +27,15 @@
 // bodyBudget limits the memory of the buffers of all answers that are read at the same time.
 type bodyBudget struct {
 	used atomic.Int64
+	// account counts the buffers, too; it may be nil.
+	account *accountant.Accountant
 }
 
 // reserve adds a number of bytes, or returns false if too few are left.
 func (b *bodyBudget) reserve(size int64) bool {
 	if b.used.Add(size) <= maxBufferedBytes {
+		// An answer is delivered even if the account is full; then clients' heads and bodies are refused.
+		b.account.Add(accountant.Answers, size)
 		return true
 	}
 	b.used.Add(-size)
@@ -59,6 +65,7 @@
 // Release returns the memory to the budget.
 func (m *Memory) Release() {
 	m.budget.used.Add(-m.reserved)
+	m.budget.account.Add(accountant.Answers, -m.reserved)
 	m.reserved = 0
 }
 
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"coltsfootplank/internal/accountant"
 	"coltsfootplank/internal/kernel"
 )
 
@@ -36,6 +37,8 @@
 	MaxIdle int
 	// EchoedRequestID returns the request ID in the head of an answer, or "" if there is none.
 	EchoedRequestID func(head *Head) string
+	// Account counts the buffers of long answers; it may be nil.
+	Account *accountant.Accountant
 }
 
 // Connector sends requests to upstreams and keeps idle connections for reuse, by the address of the upstream. It is safe
@@ -52,7 +55,7 @@
 // New returns a connector without connections and a function that closes its idle connections. opened is called for
 // each connection that is opened.
 func New(settings Settings, opened func()) (*Connector, func()) {
-	c := &Connector{settings: settings, opened: opened, idle: make(map[string][]*connection)}
+	c := &Connector{settings: settings, opened: opened, idle: make(map[string][]*connection), budget: bodyBudget{account: settings.Account}}
 	return c, func() { c.sweep(time.Time{}) }
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"coltsfootplank/internal/abstainer"
+	"coltsfootplank/internal/accountant"
 	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/holder"
 	"coltsfootplank/internal/kernel"
@@ -50,10 +51,13 @@
 	Draining func() bool
 	// MaxBodyBytes limits the body of a request if the routing configuration states no limit.
 	MaxBodyBytes int64
-	// MaxBodyMemory limits the memory of the bodies of all requests together, in bytes; 0 means no limit.
+	// MaxBodyMemory limits the memory of the long bodies of all requests together, in bytes; 0 means no limit, also of the
+	// short ones.
 	MaxBodyMemory int64
-	Metrics       metrics.Registry
-	Logger        *zap.Logger
+	// Account counts the bodies; it may be nil.
+	Account *accountant.Accountant
+	Metrics metrics.Registry
+	Logger  *zap.Logger
 }
 
 // Forwarder is the HTTP handler for requests to published routes.
@@ -64,7 +68,7 @@
 
 // New returns a forwarder.
 func New(options Options) *Forwarder {
-	return &Forwarder{options: options, bodies: newBodyMemory(options.MaxBodyMemory)}
+	return &Forwarder{options: options, bodies: newBodyMemory(options.MaxBodyMemory, options.Account, options.Metrics)}
 }
 
 // ServeHTTP serves one request. If an answer that has begun can't be completed, ServeHTTP aborts the connection, so
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -130,12 +130,15 @@
 	if r.ContentLength >= 0 {
 		size = min(r.ContentLength, limit)
 	}
-	release, refusal := x.forwarder.bodies.acquire(r.Context(), size)
+	controller := http.NewResponseController(x.w)
+	reservation, refusal := x.forwarder.bodies.acquire(r.Context(), size, func() {
+		// An error means that the connection has ended.
+		_ = controller.SetReadDeadline(time.Unix(1, 0))
+	})
 	if refusal != nil {
 		return refusal
 	}
-	x.releaseBody = release
-	controller := http.NewResponseController(x.w)
+	x.releaseBody = reservation.free
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeCallerGone, Message: err.Error()}
 	}
@@ -147,6 +150,9 @@
 	} else {
 		x.body, err = io.ReadAll(body)
 	}
+	if !reservation.whole() {
+		return x.forwarder.bodies.refusal("the body arrived too slowly and its memory was needed")
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &holder.Refusal{
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -127,7 +127,7 @@
 	// VMs with the largest shares.
 	ProcessorShare float64 `yaml:"processor_share" unit:"cores" min:"0" max:"1024" help:"share of a core that the VM gives this router; schedulers run on the strongest VMs; 0 means that it isn't known"`
 	// MemoryMB is the soft memory limit of the Go runtime; 0 means no limit.
-	MemoryMB int `yaml:"memory_mb" unit:"MB" min:"0" max:"1048576" help:"memory that garbage collection keeps to; half of it bounds the long bodies of all published requests together, an eighth unfinished heads, and a quarter connections; 0 means no bound"`
+	MemoryMB int `yaml:"memory_mb" unit:"MB" min:"0" max:"1048576" help:"memory that garbage collection keeps to; half of it bounds the long bodies of all published requests together, a quarter the short ones, an eighth unfinished heads, a quarter connections, and seven eighths all of these; 0 means no bound"`
 	// MaxHeaderBytes is the maximum size of a request's headers.
 	MaxHeaderBytes int `yaml:"max_header_bytes" unit:"bytes" min:"1024" max:"1048576" help:"longest request headers"`
 	// MaxHeaderLineBytes is the maximum size of a request line or of one header field.
--- a/router/internal/assembler/admission.go
+++ b/router/internal/assembler/admission.go
@@ -4,20 +4,33 @@
 	"math"
 	"syscall"
 
+	"github.com/rcrowley/go-metrics"
+
+	"coltsfootplank/internal/accountant"
 	"coltsfootplank/internal/admitter"
 	"coltsfootplank/internal/loader"
 )
 
+// ownMemoryParts divides limits.memory_mb: one part is for what doesn't depend on clients.
+const ownMemoryParts = 8
+
 // admitters bound the connections of the listeners.
 type admitters struct {
 	callers, peers, operators, readiness *admitter.Admitter
 }
 
+// newAccount returns the account of what clients and engines make the router keep, of which one part is left for the rest.
+func newAccount(limits loader.Limits, registry metrics.Registry) *accountant.Accountant {
+	limit := int64(limits.MemoryMB) << 20
+	return accountant.New(limit-limit/ownMemoryParts, registry)
+}
+
 // newAdmitters creates the admitters of all listeners. The published limits apply to callers only.
 func (r *Router) newAdmitters(published func() admitter.Published) admitters {
 	bounds := admitter.Derive(resources(r.settings.Limits))
 	create := func(name string, bounds admitter.Bounds, options admitter.Options) *admitter.Admitter {
-		options.Name, options.Bounds, options.Metrics, options.Logger = name, bounds, r.metrics, r.logger.Logger
+		options.Name, options.Bounds, options.Account = name, bounds, r.account
+		options.Metrics, options.Logger = r.metrics, r.logger.Logger
 		return admitter.New(options)
 	}
 	tls := r.settings.TLS
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -23,7 +23,7 @@
 	"coltsfootplank/internal/subscriber"
 )
 
-// bodyMemoryParts divides limits.memory_mb: one part is for the bodies of requests. The rest is for answers and connections.
+// bodyMemoryParts divides limits.memory_mb: one part is for the long bodies of requests.
 const bodyMemoryParts = 2
 
 // gatewayMode is the mode in which a router serves the routes published in the platform's directory.
@@ -63,6 +63,7 @@
 	upstreams, closeConnector := connector.New(connector.Settings{
 		MaxIdle:         settings.IdlePerUpstream,
 		EchoedRequestID: func(head *connector.Head) string { return dialect.ParseAnswer(head.Status, head.Header).RequestID },
+		Account:         r.account,
 	}, func() { connectionsOpened.Inc(1) })
 	closers.add(closeConnector)
 	g.connector = upstreams
@@ -74,7 +75,7 @@
 			Routers: func() int { return len(r.detector.View().Eligible()) },
 		}),
 		Draining: r.leaving.Load, MaxBodyBytes: r.settings.Limits.MaxBodyBytes,
-		MaxBodyMemory: int64(r.settings.Limits.MemoryMB) << 20 / bodyMemoryParts, Metrics: r.metrics, Logger: log,
+		MaxBodyMemory: int64(r.settings.Limits.MemoryMB) << 20 / bodyMemoryParts, Account: r.account, Metrics: r.metrics, Logger: log,
 	})
 	return g, nil
 }
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"coltsfootplank/internal/accountant"
 	"coltsfootplank/internal/administrator"
 	"coltsfootplank/internal/admitter"
 	"coltsfootplank/internal/cataloguer"
@@ -49,6 +50,7 @@
 	recorder *recorder.Recorder
 	dumper   *dumper.Dumper
 	metrics  metrics.Registry
+	account  *accountant.Accountant
 
 	leaving   atomic.Bool
 	drainOnce sync.Once
@@ -75,6 +77,7 @@
 	}
 	closers.add(closeLog)
 	r := &Router{settings: settings, logger: log, metrics: metrics.NewRegistry(), drain: make(chan struct{})}
+	r.account = newAccount(settings.Limits, r.metrics)
 	r.registerLogMetrics()
 	setMemoryLimit(settings.Limits)
 	if r.listeners, err = listen(settings, closers); err != nil {
