--- a/internal/admitter/conn.go
+++ b/internal/admitter/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,9 +35,10 @@
 	phase phase
 	// tunnel is set once the connection carries a protocol with bounds of its own.
 	tunnel bool
-	// evicted is the cause for which the connection is being closed, and refused is set once its client was told.
+	// evicted is the cause for which the connection is being closed.
 	evicted Cause
-	refused bool
+	// refused is set once the client was told.
+	refused atomic.Bool
 }
 
 func newConn(a *Admitter, accepted net.Conn) *conn {
@@ -166,7 +168,7 @@
 // one is served, unless its client was told otherwise.
 func (c *conn) begin(p phase) {
 	c.mu.Lock()
-	if c.tunnel || c.phase == p || c.refused {
+	if c.tunnel || c.phase == p || c.refused.Load() {
 		c.mu.Unlock()
 		return
 	}
@@ -206,8 +208,9 @@
 // end refuses the head and returns the error of the read.
 func (c *conn) end(cause Cause) error {
 	c.mu.Lock()
-	told, started := c.refused, c.phase == unfinished || c.head.bytes > 0
-	c.evicted, c.refused = cause, true
+	started := c.phase == unfinished || c.head.bytes > 0
+	c.evicted = cause
+	told := c.refused.Swap(true)
 	c.mu.Unlock()
 	if !told && started {
 		c.refuse(cause)
@@ -221,8 +224,16 @@
 		return
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	// The connection is closed in any case.
-	_, _ = c.Write(refusalText(cause))
+	// The connection is closed in any case. Write itself drops what follows a refusal.
+	_, _ = c.Conn.Write(refusalText(cause))
+}
+
+// Write implements net.Conn. It drops what net/http writes after a refusal, such as 400 for a line that the refusal cut off.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.refused.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
 }
 
 // SetReadDeadline implements net.Conn. While no request is active, the deadlines of net/http are shortened to the published
--- a/internal/admitter/conn_test.go
+++ b/internal/admitter/conn_test.go
@@ -124,6 +124,7 @@
 		cause                Cause
 	}{
 		{"fields", start + strings.Repeat("a:\r\n", 1500), "", 431, CauseFields},
+		{"a field cut off by the refusal", start + strings.Repeat("a:\r\n", 700) + "\r", "", 431, CauseFields},
 		{"field", start + "a: " + strings.Repeat("x", 5500), "", 431, CauseLineBytes},
 		{"request line", "GET /" + strings.Repeat("x", 5500), "", 431, CauseLineBytes},
 		{"published size", start + strings.Repeat("a: "+strings.Repeat("x", 900)+"\r\n", 7), "", 431, CauseHeadBytes},
@@ -157,6 +158,8 @@
 			status, body := readAnswer(t, reader)
 			assert.Equal(t, fmt.Sprint(status, " ", body), fmt.Sprint(c.status, " ", c.cause, "\n"))
 			assert.Equal(t, runs.Load(), whole)
+			rest, _ := io.ReadAll(reader)
+			assert.Equal(t, string(rest), "", "a second answer")
 		})
 	}
 }
