Add routerctl check for configurations and settings

Cause: mistakes in an operators' configuration, such as a key held twice or a route that another one hides, showed only as refused requests, and limits that contradict each other not at all. Measured: nothing but the tests.

--- a/routerctl/internal/commander/commander.go
+++ b/routerctl/internal/commander/commander.go
@@ -31,6 +31,7 @@
 
 	Catalogue catalogueCommands `cmd:"" help:"Read and edit the catalogue."`
 	Settings  settingsCommands  `cmd:"" help:"Check a settings file of the router, or describe all settings."`
+	Check     checkCommand      `cmd:"" help:"Check an operators' configuration and a router's settings; sends nothing."`
 	State     stateCommand      `cmd:"" help:"Print the state of one router."`
 	Drain     drainCommand      `cmd:"" help:"Start the planned stop of one router."`
 }
@@ -62,7 +63,9 @@
 3 conflict: the catalogue has moved on from the base revision, nothing was changed;
 4 validation: the catalogue or the settings are invalid, nothing was changed;
 5 unavailable: the router or the log could not be used, nothing was changed;
-6 outcome unknown: the change may or may not have taken effect; read before a repeat.`
+6 outcome unknown: the change may or may not have taken effect; read before a repeat.
+
+The codes of check are 0 nothing found (or only differences), 1 findings, 2 a file can't be read or decoded.`
 
 // Run runs one command line and returns the exit code.
 func Run(ctx context.Context, arguments []string, streams Streams) int {
--- a/routerctl/internal/commander/errors.go
+++ b/routerctl/internal/commander/errors.go
@@ -52,6 +52,23 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Cause }
 
+// UnreadableError reports a file that check can't decode.
+type UnreadableError struct {
+	Cause error
+}
+
+func (e *UnreadableError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Cause }
+
+// FindingsError reports that check has found something.
+type FindingsError struct {
+	Count int
+}
+
+func (e *FindingsError) Error() string { return fmt.Sprintf("findings: %d", e.Count) }
+
 // CatalogueError reports a catalogue text that can't be decoded.
 type CatalogueError struct {
 	Source string
--- a/routerctl/internal/commander/exitcodes.go
+++ b/routerctl/internal/commander/exitcodes.go
@@ -14,6 +14,8 @@
 	exitSuccess     = 0
 	exitFailure     = 1
 	exitUsage       = 2
+	exitFindings    = 1
+	exitUnreadable  = 2
 	exitConflict    = 3
 	exitValidation  = 4
 	exitUnavailable = 5
@@ -28,8 +30,14 @@
 		settings loader.SettingsErrors
 		read     *loader.ReadError
 		invalid  *CatalogueError
+		findings *FindingsError
+		unread   *UnreadableError
 	)
 	switch {
+	case errors.As(err, &findings):
+		return exitFindings
+	case errors.As(err, &unread):
+		return exitUnreadable
 	case errors.As(err, &usage):
 		return exitUsage
 	case errors.As(err, &read):
--- a/routerctl/main.go
+++ b/routerctl/main.go
@@ -7,6 +7,8 @@
 	"os/signal"
 	"syscall"
 
+	// The plug-in that reads operators' configurations.
+	_ "coltsfootplank/platform"
 	"coltsfootplank/routerctl/internal/commander"
 )
 
