Don't take the requests that answers count for those of other schedulers

Cause: what an engine counts as running includes health checks, report polls and new connections. The scheduler took them for requests of others and left slots empty for 0.5 s. Load reports are used as before.

--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -92,13 +92,8 @@
 	instance     string
 	batchSlots   int
 	reportedRoom int
-	// foreignInFlight is the estimated number of requests of other schedulers on the engine. reportedAt and statedAt are the
-	// times that the last load report and the last answer used for it are about. foreignUntil is when an estimate from an
-	// answer ends; zero if the estimate is from a load report.
+	// foreignInFlight is the estimated number of requests of other schedulers on the engine.
 	foreignInFlight int
-	reportedAt      time.Time
-	statedAt        time.Time
-	foreignUntil    time.Time
 	// work is how long work takes on the engine's machine now.
 	work          workFactor
 	recentEnds    []time.Time
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -144,3 +144,21 @@
 		s.reindex(e)
 	}
 }
+
+// expireBy makes a step look for orphaned runs that are over by a time.
+func (s *engineSet) expireBy(at time.Time) {
+	if s.expireAt.IsZero() || at.Before(s.expireAt) {
+		s.expireAt = at
+	}
+}
+
+// expire ends the orphaned runs that are over.
+func (s *engineSet) expire(now time.Time) {
+	if s.expireAt.IsZero() || now.Before(s.expireAt) {
+		return
+	}
+	s.expireAt = time.Time{}
+	for _, e := range s.list {
+		s.expireOrphans(e, now)
+	}
+}
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -74,16 +74,24 @@
 // observeForeign estimates the requests of other schedulers on the engine. A report may be older than this scheduler's
 // latest grants and releases, so it is compared with the grants in flight at the time that it describes.
 func (e *engine) observeForeign(now time.Time, report kernel.LoadReport, maxAge time.Duration) {
-	if e.reportSuperseded(now, report) {
-		return
-	}
 	age := time.Duration(report.AgeMS) * time.Millisecond
-	e.foreignInFlight, e.foreignUntil = 0, time.Time{}
+	e.foreignInFlight = 0
 	if age > maxAge {
 		return
 	}
 	at := now.Add(-age)
-	e.observeForeignAt(at, at, report.Running+report.Waiting)
+	own := 0
+	for _, r := range e.granted {
+		if !r.grantedAt.After(at) {
+			own++
+		}
+	}
+	for _, ended := range e.recentEnds {
+		if ended.After(at) {
+			own++
+		}
+	}
+	e.foreignInFlight = max(0, report.Running+report.Waiting-own)
 }
 
 // maxRecentEnds bounds the recorded end times of requests, which are used to interpret load reports that are a little
--- a/internal/scheduler/statedload.go
+++ b/internal/scheduler/statedload.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -159,9 +158,6 @@
 		e.updateAhead(now)
 		s.engines.worksStated = true
 	}
-	if until := e.observeStated(now, load, age); !until.IsZero() {
-		s.engines.expireBy(until)
-	}
 	s.engines.reindex(e)
 }
 
@@ -190,84 +186,6 @@
 	return statedFactor(load)*ownWeight + mean*(1-ownWeight)
 }
 
-const (
-	// statedForeignHold is how long requests of other schedulers that an answer shows keep slots from own requests. An
-	// engine that is full of them gets no own request, and so no answer that shows their end.
-	statedForeignHold = 500 * time.Millisecond
-	// statedForeignShare is the share of the slots that they take at most. A wrong figure would otherwise stop the engine.
-	statedForeignShare = 0.5
-	// statedLag is the longest time between the statement of an engine and the arrival of its answer at the holder. Runs
-	// that ended within it may still be counted by the engine.
-	statedLag = 20 * time.Millisecond
-)
-
-// observeStated estimates the requests of other schedulers on the engine from a load that is newer than the last load
-// report, and returns until when the estimate holds; zero if there is none. Grants of this scheduler that the engine may not
-// have counted yet are subtracted, so that a figure can only be too low because of them and never overrules own grants.
-func (e *engine) observeStated(now time.Time, load *protocol.EngineLoad, age time.Duration) time.Time {
-	at := now.Add(-age)
-	if age > statedForeignHold || !at.After(e.reportedAt) || at.Before(e.statedAt) {
-		return time.Time{}
-	}
-	e.statedAt = at
-	e.observeForeignAt(at, at.Add(-statedLag), int(load.GetRunning())+int(load.GetWaiting()))
-	e.foreignInFlight = min(e.foreignInFlight, int(float64(e.info.Slots)*statedForeignShare))
-	e.foreignUntil = time.Time{}
-	if e.foreignInFlight > 0 {
-		e.foreignUntil = at.Add(statedForeignHold)
-	}
-	return e.foreignUntil
-}
-
-// observeForeignAt sets the number of requests of other schedulers from the number that the engine had at a time. Own
-// requests that ended after endedAfter count as included.
-func (e *engine) observeForeignAt(at, endedAfter time.Time, inFlight int) {
-	own := 0
-	for _, r := range e.granted {
-		if !r.grantedAt.After(at) {
-			own++
-		}
-	}
-	for _, ended := range e.recentEnds {
-		if ended.After(endedAfter) {
-			own++
-		}
-	}
-	e.foreignInFlight = max(0, inFlight-own)
-}
-
-// reportSuperseded reports whether an answer was newer than a load report and its estimate still holds.
-func (e *engine) reportSuperseded(now time.Time, report kernel.LoadReport) bool {
-	e.reportedAt = now.Add(-time.Duration(report.AgeMS) * time.Millisecond)
-	return e.statedAt.After(e.reportedAt) && now.Before(e.foreignUntil)
-}
-
-// expireBy makes a step look for estimates and orphaned runs that are over by a time.
-func (s *engineSet) expireBy(at time.Time) {
-	if s.expireAt.IsZero() || at.Before(s.expireAt) {
-		s.expireAt = at
-	}
-}
-
-// expire ends the estimates from answers and the orphaned runs that are over.
-func (s *engineSet) expire(now time.Time) {
-	if s.expireAt.IsZero() || now.Before(s.expireAt) {
-		return
-	}
-	s.expireAt = time.Time{}
-	for _, e := range s.list {
-		s.expireOrphans(e, now)
-		switch {
-		case e.foreignUntil.IsZero():
-		case now.Before(e.foreignUntil):
-			s.expireBy(e.foreignUntil)
-		default:
-			e.foreignInFlight, e.foreignUntil = 0, time.Time{}
-			s.reindex(e)
-		}
-	}
-}
-
 // anySlow reports whether an engine is slow according to its answers.
 func (s *engineSet) anySlow() bool {
 	if s.worksStated {
