--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -17,6 +17,10 @@
 	paceWeight = 0.1
 	// paceSamples is the number of runs of tried engines from which a kind of work has an expected time.
 	paceSamples = 5
+	// paceSlowShare is the share of the runs on tried engines that are slower than the slow ones, and paceSlowTolerance the
+	// part of the time of a run that those may take.
+	paceSlowShare     = 0.05
+	paceSlowTolerance = 0.8
 	// poolLateShare is the share of late runs on tried engines from which lateness says nothing about a single engine.
 	poolLateShare = 0.5
 	// maxPaceWorks and maxPaceHistories bound what is remembered of kinds of work and of engines that have left.
@@ -46,16 +50,31 @@
 	omitted      int
 }
 
-// typicalRun is the mean ratio of the time of a run to what its lengths and the speeds of the pool predict. It covers what
-// the prediction leaves out, and all of the time of runs without tokens.
+// typicalRun is the ratio of the time of a run to what its lengths and the speeds of the pool predict. It covers what the
+// prediction leaves out, and all of the time of runs without tokens.
 type typicalRun struct {
+	// ratio is the mean, and slow the value that paceSlowShare of the runs exceed.
 	ratio   float64
+	slow    float64
 	samples int
 }
 
 func (t *typicalRun) observe(ratio float64) {
 	t.samples++
 	t.ratio += max(paceWeight, 1/float64(t.samples)) * (ratio - t.ratio)
+	step := paceWeight * t.ratio
+	if ratio > t.slow {
+		t.slow += step * (1 - paceSlowShare)
+		return
+	}
+	t.slow -= step * paceSlowShare
+}
+
+// lateRatio returns the ratio from which a run counts as late: stragglerRatio times slower than the mean, and slower than on the
+// slow ones of the tried engines too. Engines of a pool differ in speed by up to five times, and one that is as fast as others
+// in use isn't starting any more.
+func (t *typicalRun) lateRatio(stragglerRatio float64) float64 {
+	return max(t.ratio/stragglerRatio, t.slow/paceSlowTolerance)
 }
 
 type paceChange struct {
@@ -172,7 +191,7 @@
 	work := s.typicalRun(r.ticket.GetWork())
 	// Whether the caller got the answer in time says nothing about the engine: the request may have waited in the queue.
 	late := work.samples >= paceSamples &&
-		total > work.ratio*predicted/s.settings.StragglerRatio+paceSlack.Seconds()
+		total > work.lateRatio(s.settings.StragglerRatio)*predicted+paceSlack.Seconds()
 	switch {
 	case !e.pace.Active():
 		s.pace.lateShare += paceWeight * (boolToShare(late) - s.pace.lateShare)
