--- a/internal/kernel/errors.go
+++ b/internal/kernel/errors.go
@@ -171,6 +171,17 @@
 	return e.Operation + ": rate limit exceeded"
 }
 
+// ConflictError reports a conditional append to a topic that no longer ends where its writer expected.
+type ConflictError struct {
+	Operation string
+	// Expected is the offset at which the writer expected the topic to end.
+	Expected int64
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s: the topic doesn't end at offset %d any more", e.Operation, e.Expected)
+}
+
 // MalformedHeaderError reports a caller's header that can't be parsed.
 type MalformedHeaderError struct {
 	Header string
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -165,6 +165,8 @@
 	Leaving bool
 	// Incarnation distinguishes the starts of an upstream that keeps its name; 0 if it isn't known.
 	Incarnation int64
+	// Version is the version of the upstream's software; empty if the registration doesn't state it.
+	Version string
 }
 
 // Topic is one kind of record in the directory.
@@ -197,6 +199,7 @@
 // DirectoryProtocol is a client of the directory, in which operators publish the configuration and upstreams register.
 // Errors of its calls: *TrimmedError, *LogUnavailableError, *RateLimitedError.
 type DirectoryProtocol interface {
+	RolloutProtocol
 	// Changes returns the records at or after offset from. If there are none yet, it waits up to wait for the first.
 	Changes(ctx context.Context, topic Topic, from int64, wait time.Duration) (DirectoryPage, error)
 	// Newest returns the newest record of each key.
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -20,6 +20,7 @@
 
 // fakeDirectory is an in-memory directory. Its records are JSON of the kernel's types.
 type fakeDirectory struct {
+	kernel.RolloutProtocol
 	mu   sync.Mutex
 	down bool
 	// noWakeups makes a waiting read return only at the end of its wait, even if there are new records.
--- a/router/internal/assembler/records.go
+++ b/router/internal/assembler/records.go
@@ -80,7 +80,7 @@
 	var records []routerRecord
 	var newest int64
 	for _, stored := range page.Records {
-		if len(stored.Value) == 0 {
+		if rollout, err := l.directory.RolloutRecord(stored); len(stored.Value) == 0 || rollout != nil || err != nil {
 			continue
 		}
 		r, err := decodeRecord(stored.Value, time.Now())
--- a/router/internal/assembler/records_test.go
+++ b/router/internal/assembler/records_test.go
@@ -31,6 +31,10 @@
 	return nil
 }
 
+func (s *recordStore) RolloutRecord(kernel.DirectoryRecord) (*kernel.RolloutRecord, error) {
+	return nil, nil
+}
+
 func (s *recordStore) Newest(context.Context, kernel.Topic) (kernel.DirectoryPage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
