Carry out rollouts: orders, leases and the decider

Orders of rollouts are decoded by platform/, passed on by the subscriber with the registrations, and applied by a gate in each router, at its schedulers (versions without a permit get no grants) and before each request is sent.

--- a/internal/cataloguer/entries.go
+++ b/internal/cataloguer/entries.go
@@ -63,6 +63,8 @@
 	// Incarnation distinguishes the starts of an upstream that keeps its name; 0 if it isn't known. Catalogues that
 	// operators edit don't have it.
 	Incarnation int64 `yaml:"-"`
+	// Version is the version of the upstream's software, empty if it isn't known.
+	Version string `yaml:"-"`
 }
 
 // Pool is a set of upstreams that serve the same work. Protocol is the name of the adapter plug-in.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -70,12 +70,36 @@
 	if asked != (kernel.Notice{}) {
 		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_UNUSED, Asked: asked, Incarnation: process.Incarnation}
 	}
-	result := x.send(ctx, upstream)
+	result := x.sendVersion(ctx, upstream)
 	result.Asked, result.Incarnation = x.forwarder.options.Abstainer.Asked(process), process.Incarnation
 	x.logAttempt(upstream.Name, result)
 	return result
 }
 
+// sendVersion sends the request unless a rollout forbids the upstream's version. The scheduler that granted the upstream may
+// not know the phase of the rollout yet, and makes no grants for it for a moment.
+func (x *exchange) sendVersion(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
+	rollouts := x.forwarder.options.Rollouts
+	if rollouts == nil {
+		return x.send(ctx, upstream)
+	}
+	end, ok := rollouts.Begin(x.service, x.route.Name, upstream)
+	if !ok {
+		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_SHED}
+	}
+	start := time.Now()
+	result := holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_LOST}
+	defer func() {
+		latency := result.Observation.FirstToken
+		if latency <= 0 {
+			latency = time.Since(start)
+		}
+		end(result.Kind, latency)
+	}()
+	result = x.send(ctx, upstream)
+	return result
+}
+
 // send sends the request to one upstream and relays its answer.
 func (x *exchange) send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
 	options := &x.forwarder.options
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,10 +9,12 @@
 	"go.uber.org/zap"
 
 	"coltsfootplank/internal/abstainer"
+	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/holder"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/limiter"
+	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/subscriber"
 )
 
@@ -38,6 +40,14 @@
 	Asked(upstream abstainer.Upstream) kernel.Notice
 }
 
+// Rollouts decides which versions of a service may get requests.
+type Rollouts interface {
+	// Arrived counts a request for a service.
+	Arrived(service string)
+	// Begin returns false if an upstream may not get a request. Otherwise end must be called when the attempt has ended.
+	Begin(service, route string, upstream *cataloguer.Upstream) (end func(kind protocol.ReleaseKind, latency time.Duration), ok bool)
+}
+
 // Options are the dependencies of a forwarder.
 type Options struct {
 	RoutingConfigSource RoutingConfigSource
@@ -46,6 +56,8 @@
 	Connector           *connector.Connector
 	RepeatBudget        *limiter.RepeatBudget
 	Abstainer           Abstainer
+	// Rollouts is nil if versions don't matter.
+	Rollouts Rollouts
 	// Draining reports whether this router is stopping; callers are then told not to reuse their connections.
 	Draining func() bool
 	// MaxBodyBytes limits the body of a request if the routing configuration states no limit.
@@ -80,6 +92,9 @@
 		f.refuseRequest(w, r, x, refusal)
 		return
 	}
+	if f.options.Rollouts != nil {
+		f.options.Rollouts.Arrived(x.service)
+	}
 	refusal = f.options.Holder.Serve(r.Context(), x.holderRequest)
 	f.recordOutcome(x, refusal, time.Since(arrived))
 	switch {
--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -52,6 +52,7 @@
 		Gateway: Gateway{
 			WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond, LapseGrace: 2200 * time.Millisecond,
 			MemberInterval: 5 * time.Minute, RepeatRatio: 0.1, RepeatSlack: 20, IdlePerUpstream: 16,
+			Rollouts: Rollouts{ExposureShare: 0.1, ExposureSlack: 50},
 		},
 		Claims: Claims{
 			Retention: 24 * time.Hour,
--- a/internal/loader/gateway.go
+++ b/internal/loader/gateway.go
@@ -1,6 +1,9 @@
 package loader
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Gateway configures the router to serve the routes that operators publish in the platform's directory, in place of the
 // catalogue's entries. Bodies are forwarded to upstreams and relayed to callers unchanged.
@@ -29,8 +32,26 @@
 	RepeatSlack float64 `yaml:"repeat_slack" unit:"requests" min:"0" max:"1000000" help:"repeats of a service allowed besides, in each budget window"`
 	// IdlePerUpstream is the maximum number of idle connections kept to each upstream.
 	IdlePerUpstream int `yaml:"idle_per_upstream" unit:"connections" min:"0" max:"10000" help:"idle connections kept to each upstream"`
+	// Rollouts configures rollouts of a new version of a service.
+	Rollouts Rollouts `yaml:"rollouts" help:"rollouts of a new version of a service, ordered in the directory"`
 }
 
+// Rollouts configures rollouts of a new version of a service.
+type Rollouts struct {
+	// Features are the names of the features that the deployment asks for, of any part of the router. FeatureRollout among
+	// them turns rollouts on. Without it, orders are ignored and engines of every version are used.
+	Features []string `yaml:"features" unit:"names" help:"features that the deployment asks for; rollout among them carries out orders of rollouts, otherwise engines of every version are used"`
+	// ExposureShare and ExposureSlack bound the requests to a version that may be bad.
+	ExposureShare float64 `yaml:"exposure_share" unit:"share of 1" min:"0" max:"1" help:"share of a service's requests since the order that a bad version may get"`
+	ExposureSlack float64 `yaml:"exposure_slack" unit:"requests" min:"0" max:"1000000" help:"requests that a bad version may get besides"`
+}
+
+// FeatureRollout is the name of the feature that turns rollouts on.
+const FeatureRollout = "rollout"
+
+// Enabled reports whether rollouts are carried out.
+func (r Rollouts) Enabled() bool { return slices.Contains(r.Features, FeatureRollout) }
+
 // Enabled reports whether the router serves published routes.
 func (g Gateway) Enabled() bool { return g.Directory.Address != "" }
 
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -111,6 +111,23 @@
 	return response, nil
 }
 
+// rolloutTimeout bounds a report to the decider of a rollout. It is well below the time after which a router that reaches no
+// decider stops using the service's engines.
+const rolloutTimeout = 400 * time.Millisecond
+
+// Rollout reports to the decider of a rollout. Errors: *CallError.
+func (p *Pool) Rollout(ctx context.Context, address string,
+	request *protocol.RolloutRequest,
+) (*protocol.RolloutResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
+	defer cancel()
+	response, err := p.client(address).Rollout(ctx, request)
+	if err != nil {
+		return nil, &CallError{Operation: "report to decider", Address: address, Cause: err}
+	}
+	return response, nil
+}
+
 // WatchIdleTimeout is how long a Watch stream may go without an update before it is treated as broken.
 const WatchIdleTimeout = 900 * time.Millisecond
 
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -24,13 +24,14 @@
 	Disconnected(err error)
 }
 
-// Handlers answer the calls of other routers. Gossip, Snapshot, Claim and Watch answer "unimplemented" if they are nil.
+// Handlers answer the calls of other routers. Gossip, Snapshot, Claim, Rollout and Watch answer "unimplemented" if they are nil.
 type Handlers struct {
 	// Accept opens a session for a holder, which puts its messages into outbox. Closing the outbox ends the stream.
 	Accept   func(hello *protocol.Hello, outbox *Outbox[protocol.SchedulerMessage]) Session
 	Gossip   func(ctx context.Context, request *protocol.GossipRequest) (*protocol.GossipResponse, error)
 	Snapshot func(ctx context.Context, request *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error)
 	Claim    func(ctx context.Context, request *protocol.ClaimRequest) (*protocol.ClaimResponse, error)
+	Rollout  func(ctx context.Context, request *protocol.RolloutRequest) (*protocol.RolloutResponse, error)
 	// Watch sends updates until ctx ends or send fails.
 	Watch func(ctx context.Context, request *protocol.WatchRequest, send func(*protocol.WatchUpdate) error) error
 }
@@ -151,6 +152,13 @@
 	return s.handlers.Claim(ctx, request)
 }
 
+func (s *service) Rollout(ctx context.Context, request *protocol.RolloutRequest) (*protocol.RolloutResponse, error) {
+	if s.handlers.Rollout == nil {
+		return s.UnimplementedRouterServiceHandler.Rollout(ctx, request)
+	}
+	return s.handlers.Rollout(ctx, request)
+}
+
 type serverStream struct {
 	*connect.BidiStream[protocol.HolderMessage, protocol.SchedulerMessage]
 	controller *http.ResponseController
--- a/internal/promoter/decider.go
+++ b/internal/promoter/decider.go
@@ -9,8 +9,7 @@
 
 // Member is a router that may use engines of the service.
 type Member struct {
-	Name        string
-	Incarnation uint64
+	Name string
 	// DeadSince is when the router was declared dead; zero while it isn't.
 	DeadSince time.Time
 }
@@ -87,7 +86,8 @@
 // verified reports whether no other decider can have moved the traffic: this one read the directory a moment ago, or most
 // routers report to it, so that another one couldn't complete the rollout.
 func (d *Decider) verified(now time.Time) bool {
-	return d.recordFresh(now) || len(d.around.Members) > 0 && 2*d.ledger.inTouch(now) > len(d.around.Members)
+	majority := len(d.around.Members) > 0 && 2*d.ledger.inTouch(now) > len(d.around.Members)
+	return d.recorded && (majority || d.recordFresh(now))
 }
 
 func (d *Decider) recordFresh(now time.Time) bool {
@@ -227,7 +227,7 @@
 // confirmed reports whether a router has confirmed the phase and has no request at an engine that it forbids.
 func (d *Decider) confirmed(member Member) bool {
 	a := d.ledger.gates[member.Name]
-	return a != nil && a.report.Incarnation == member.Incarnation && a.report.Phase == d.record.Phase && a.report.Forbidden == 0
+	return a != nil && a.report.Phase == d.record.Phase && a.report.Forbidden == 0
 }
 
 // stopped reports whether a router that hasn't confirmed the phase is dead and has stopped granting by itself. No source can
--- a/internal/promoter/gate.go
+++ b/internal/promoter/gate.go
@@ -81,7 +81,7 @@
 		return
 	}
 	deleted := *g.order
-	deleted.Offset, deleted.Deleted = order.Offset, true
+	deleted.Deleted = true
 	g.order, g.lease, g.leaseUntil = &deleted, Lease{}, time.Time{}
 }
 
@@ -98,7 +98,20 @@
 }
 
 // Verify states that the directory was read and that the gate knows its newest record.
-func (g *Gate) Verify(now time.Time) { g.verifiedAt = now }
+func (g *Gate) Verify(now time.Time) {
+	g.verifiedAt = now
+	if g.order != nil && g.order.Deleted && g.phase == kernel.RolloutTrial && (g.record == nil || g.record.Order != g.order.Offset) {
+		// The rollout never began.
+		g.order = nil
+	}
+	if g.order != nil && len(g.from) == 0 && g.phase == kernel.RolloutTrial {
+		// After a start, the order is known before the registrations.
+		g.from = oldVersions(g.order.To, g.record, g.versions)
+	}
+}
+
+// Record returns the newest record that the gate knows, or nil.
+func (g *Gate) Record() *kernel.RolloutRecord { return g.record }
 
 // SetLease applies the decider's answer to a call that was sent at sent.
 func (g *Gate) SetLease(sent time.Time, lease Lease) {
@@ -188,6 +201,12 @@
 	return g.lease.Total - g.used, g.leaseUntil
 }
 
+// Old returns the versions that were in use before the order.
+func (g *Gate) Old() []string { return g.from }
+
+// Stopped returns why the gate doesn't use the new version on its own evidence; empty if it does.
+func (g *Gate) Stopped() string { return g.stopped }
+
 // Rotation selects the engines of the new version that get requests under the lease.
 func (g *Gate) Rotation() int { return g.lease.Rotation }
 
--- a/internal/promoter/ledger.go
+++ b/internal/promoter/ledger.go
@@ -8,7 +8,8 @@
 
 // Report is what a gate tells the decider. Numbers are sums since the gate saw the order.
 type Report struct {
-	Gate        string
+	Gate string
+	// Incarnation grows with each start of the gate's router.
 	Incarnation uint64
 	// Sequence orders the reports of one process.
 	Sequence uint64
--- a/internal/promoter/rollout.go
+++ b/internal/promoter/rollout.go
@@ -14,13 +14,11 @@
 	// the order, plus a number.
 	ExposureShare float64
 	ExposureSlack float64
-	// RollbackWithin is the time after the 50th bad answer in which the new version must have got its last request.
-	RollbackWithin time.Duration
 }
 
 // DefaultSettings returns the bounds of the contract.
 func DefaultSettings() Settings {
-	return Settings{ExposureShare: 0.1, ExposureSlack: 50, RollbackWithin: 5 * time.Second}
+	return Settings{ExposureShare: 0.1, ExposureSlack: 50}
 }
 
 const (
@@ -76,13 +74,13 @@
 	}
 	open := previous != nil && !previous.Phase.Final()
 	switch {
-	case order.Deleted && !open:
+	case order.Deleted && (!open || previous.Order != order.Offset):
 		return kernel.RolloutRecord{}, false
 	case order.Deleted:
 		next = *previous
 		next.Generation, next.Decider = previous.Generation+1, self
-		if previous.Order < order.Offset {
-			next.Order, next.Phase, next.Reason = order.Offset, kernel.RolloutReturning, "the order was deleted"
+		if previous.Phase != kernel.RolloutReturning {
+			next.Phase, next.Reason = kernel.RolloutReturning, "the order was deleted"
 		}
 	case previous != nil && previous.Order > order.Offset, previous != nil && previous.Order == order.Offset && !open:
 		return kernel.RolloutRecord{}, false
--- a/internal/protocol/protocolconnect/router.connect.go
+++ b/internal/protocol/protocolconnect/router.connect.go
@@ -45,6 +45,8 @@
 	RouterServiceWatchProcedure = "/coltsfootplank.v1.RouterService/Watch"
 	// RouterServiceClaimProcedure is the fully-qualified name of the RouterService's Claim RPC.
 	RouterServiceClaimProcedure = "/coltsfootplank.v1.RouterService/Claim"
+	// RouterServiceRolloutProcedure is the fully-qualified name of the RouterService's Rollout RPC.
+	RouterServiceRolloutProcedure = "/coltsfootplank.v1.RouterService/Rollout"
 	// AdminServiceGetCatalogueProcedure is the fully-qualified name of the AdminService's GetCatalogue
 	// RPC.
 	AdminServiceGetCatalogueProcedure = "/coltsfootplank.v1.AdminService/GetCatalogue"
@@ -71,6 +73,8 @@
 	Watch(context.Context, *protocol.WatchRequest) (*connect.ServerStreamForClient[protocol.WatchUpdate], error)
 	// Claim asks the callee to register in-memory claims while the log is down.
 	Claim(context.Context, *protocol.ClaimRequest) (*protocol.ClaimResponse, error)
+	// Rollout reports evidence to the decider of a rollout and returns the phase and a lease.
+	Rollout(context.Context, *protocol.RolloutRequest) (*protocol.RolloutResponse, error)
 }
 
 // NewRouterServiceClient constructs a client for the coltsfootplank.v1.RouterService service. By
@@ -114,6 +118,12 @@
 			connect.WithSchema(routerServiceMethods.ByName("Claim")),
 			connect.WithClientOptions(opts...),
 		),
+		rollout: connect.NewClient[protocol.RolloutRequest, protocol.RolloutResponse](
+			httpClient,
+			baseURL+RouterServiceRolloutProcedure,
+			connect.WithSchema(routerServiceMethods.ByName("Rollout")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -124,6 +134,7 @@
 	snapshot *connect.Client[protocol.SnapshotRequest, protocol.SnapshotResponse]
 	watch    *connect.Client[protocol.WatchRequest, protocol.WatchUpdate]
 	claim    *connect.Client[protocol.ClaimRequest, protocol.ClaimResponse]
+	rollout  *connect.Client[protocol.RolloutRequest, protocol.RolloutResponse]
 }
 
 // Schedule calls coltsfootplank.v1.RouterService.Schedule.
@@ -163,6 +174,15 @@
 	return nil, err
 }
 
+// Rollout calls coltsfootplank.v1.RouterService.Rollout.
+func (c *routerServiceClient) Rollout(ctx context.Context, req *protocol.RolloutRequest) (*protocol.RolloutResponse, error) {
+	response, err := c.rollout.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // RouterServiceHandler is an implementation of the coltsfootplank.v1.RouterService service.
 type RouterServiceHandler interface {
 	// Schedule connects one request holder to one scheduler for the tickets of all pools that it schedules.
@@ -175,6 +195,8 @@
 	Watch(context.Context, *protocol.WatchRequest, *connect.ServerStream[protocol.WatchUpdate]) error
 	// Claim asks the callee to register in-memory claims while the log is down.
 	Claim(context.Context, *protocol.ClaimRequest) (*protocol.ClaimResponse, error)
+	// Rollout reports evidence to the decider of a rollout and returns the phase and a lease.
+	Rollout(context.Context, *protocol.RolloutRequest) (*protocol.RolloutResponse, error)
 }
 
 // NewRouterServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -214,6 +236,12 @@
 		connect.WithSchema(routerServiceMethods.ByName("Claim")),
 		connect.WithHandlerOptions(opts...),
 	)
+	routerServiceRolloutHandler := connect.NewUnaryHandlerSimple(
+		RouterServiceRolloutProcedure,
+		svc.Rollout,
+		connect.WithSchema(routerServiceMethods.ByName("Rollout")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/coltsfootplank.v1.RouterService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RouterServiceScheduleProcedure:
@@ -226,6 +254,8 @@
 			routerServiceWatchHandler.ServeHTTP(w, r)
 		case RouterServiceClaimProcedure:
 			routerServiceClaimHandler.ServeHTTP(w, r)
+		case RouterServiceRolloutProcedure:
+			routerServiceRolloutHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -255,6 +285,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootplank.v1.RouterService.Claim is not implemented"))
 }
 
+func (UnimplementedRouterServiceHandler) Rollout(context.Context, *protocol.RolloutRequest) (*protocol.RolloutResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootplank.v1.RouterService.Rollout is not implemented"))
+}
+
 // AdminServiceClient is a client for the coltsfootplank.v1.AdminService service.
 type AdminServiceClient interface {
 	GetCatalogue(context.Context, *protocol.GetCatalogueRequest) (*protocol.GetCatalogueResponse, error)
--- a/internal/runner/catalogue.go
+++ b/internal/runner/catalogue.go
@@ -60,7 +60,7 @@
 		infos[i] = EngineInfo{
 			Name: u.Name, DataCentre: u.DataCentre, Generation: u.Generation, Slots: u.Slots,
 			PrefillPerSec: float64(u.PrefillPerSec), TokensPerSec: float64(u.TokensPerSec), KVTokens: u.KVTokens,
-			Incarnation: u.Incarnation,
+			Incarnation: u.Incarnation, Version: u.Version,
 		}
 	}
 	weights := make(map[string]float64, len(catalogue.Workspaces))
--- a/internal/runner/cell.go
+++ b/internal/runner/cell.go
@@ -32,7 +32,9 @@
 	role   string
 	pool   string
 	index  int
-	wake   chan struct{}
+	// identity is only used by its address.
+	identity Cell
+	wake     chan struct{}
 
 	mu      sync.Mutex
 	inbox   []func(now time.Time)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -36,7 +36,9 @@
 	mu      sync.Mutex
 	stopped bool
 	cells   map[string]*cell
-	started time.Time
+	// versionLimits holds the limits by pool and version.
+	versionLimits map[string]map[string]VersionLimit
+	started       time.Time
 }
 
 // New returns a runner. Its schedulers end when Run does.
@@ -47,9 +49,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Runner{
 		options: options, ctx: ctx, cancel: cancel,
-		wake:    make(chan struct{}, 1),
-		cells:   make(map[string]*cell),
-		started: time.Now(),
+		wake:          make(chan struct{}, 1),
+		cells:         make(map[string]*cell),
+		versionLimits: make(map[string]map[string]VersionLimit),
+		started:       time.Now(),
 	}
 }
 
@@ -142,6 +145,7 @@
 		return nil
 	}
 	c := newCell(r, role, part, index)
+	c.limitVersions(time.Now(), r.initialVersionLimits(pool))
 	r.cells[role] = c
 	r.group.Go(func() error { c.run(r.ctx); return nil })
 	return c
--- a/internal/runner/scheduler.go
+++ b/internal/runner/scheduler.go
@@ -19,6 +19,7 @@
 	KVTokens      int
 	// Incarnation distinguishes the starts of an engine that keeps its name; 0 if it isn't known.
 	Incarnation int64
+	Version     string
 }
 
 // Decision is one grant or refusal for a holder.
@@ -65,6 +66,26 @@
 	SetAllowanceShare(share float64)
 }
 
+// VersionLimit bounds the grants to the engines of one version.
+type VersionLimit struct {
+	// Unlimited allows all grants; the other fields are then ignored.
+	Unlimited bool
+	// Total is the number of grants that may have been made to the version since the scheduler started. It is valid until
+	// Until.
+	Total uint64
+	Until time.Time
+	// Part and Parts select the engines that get these grants: one part of them, counted in the order of their names.
+	Part, Parts int
+}
+
+// versionLimiter is implemented by schedulers that limit the grants by version.
+type versionLimiter interface {
+	// SetVersionLimits sets the limits by version. Versions without a limit get no grants, unless limits is nil.
+	SetVersionLimits(now time.Time, limits map[string]VersionLimit)
+	// VersionGrants returns the number of grants to a version since the scheduler started.
+	VersionGrants(version string) uint64
+}
+
 // queueLimiter is implemented by schedulers whose queue limit can change while they run.
 type queueLimiter interface {
 	SetMaxQueue(limit int)
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -23,6 +23,7 @@
 	KVTokens      int
 	// Incarnation distinguishes the starts of an engine that keeps its name; 0 if it isn't known.
 	Incarnation int64
+	Version     string
 }
 
 // restartedAs reports whether another registration under the same name is that of another process.
@@ -86,6 +87,8 @@
 	lost            []lostRun
 	crashEvidenceAt time.Time
 	crash           engineCrash
+	// versions limits the grants by version.
+	versions *versionLimits
 	// removed is set when the engine has left the cell; the engine is kept until its requests have ended.
 	removed bool
 
@@ -129,7 +132,7 @@
 
 // usable reports whether the engine may receive new work.
 func (e *engine) usable() bool {
-	return !e.gone() && !e.excluded
+	return !e.gone() && !e.excluded && e.versions.open(e)
 }
 
 // gone reports whether the engine is leaving, down or not in the cell any more.
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -10,6 +10,7 @@
 // engineSet holds the engines of the cell and indexes those with free slots.
 type engineSet struct {
 	settings *Settings
+	versions versionLimits
 	byName   map[string]*engine
 	// list is sorted by engine name, so that decisions are reproducible.
 	list        []*engine
@@ -68,6 +69,7 @@
 		e := s.byName[info.Name]
 		if e == nil {
 			e = newEngine(info, s.settings, &s.now)
+			e.versions = &s.versions
 			s.byName[info.Name] = e
 		}
 		s.close(e)
@@ -90,6 +92,7 @@
 		}
 		return 1
 	})
+	s.versions.rank(s.list)
 	s.refresh()
 }
 
@@ -234,6 +237,9 @@
 	s.connections.recordUse(r.holder, e, now)
 	s.granted++
 	s.reindex(e)
+	if s.versions.grant(e) {
+		s.refresh()
+	}
 }
 
 func (s *engineSet) end(r *request, now time.Time) {
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -8,6 +8,7 @@
 // Step returns the decisions that are due at now.
 func (s *Scheduler) Step(now time.Time) []Decision {
 	s.engines.now = now
+	s.engines.expireVersions()
 	if now.Sub(s.engines.speeds.at) >= speedsInterval {
 		s.engines.refreshSpeeds()
 	}
--- /dev/null
+++ b/internal/subscriber/orders.go
@@ -0,0 +1,64 @@
+package subscriber
+
+import (
+	"go.uber.org/zap"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// applyOrders applies the newer orders of rollouts among records. Orders take effect before the publication that comes with
+// them, so that a router that has just started sends no request without knowing them.
+func (s *Subscriber) applyOrders(records []kernel.DirectoryRecord) {
+	if s.options.Rollouts == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, record := range records {
+		known, ok := s.orders[record.Key]
+		if ok && known.Offset >= record.Offset {
+			continue
+		}
+		order, err := s.options.Rollouts.RolloutOrder(record)
+		if err != nil {
+			s.logger.Warn("ignoring a malformed order of a rollout", zap.Int64("offset", record.Offset), zap.Error(err))
+			continue
+		}
+		if order == nil {
+			continue
+		}
+		s.orders[record.Key] = record
+		s.options.ApplyOrder(*order, s.isReady)
+		s.notifyFollowers()
+	}
+}
+
+// missingOrders returns records that delete the known orders that are missing in page, which holds the newest record of each
+// key.
+func (s *Subscriber) missingOrders(page kernel.DirectoryPage) (deleted []kernel.DirectoryRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := make(map[string]bool, len(page.Records))
+	for _, record := range page.Records {
+		present[record.Key] = true
+	}
+	for key, known := range s.orders {
+		if !present[key] && known.Value != nil && known.Offset < page.Next-1 {
+			deleted = append(deleted, kernel.DirectoryRecord{Key: key, Offset: page.Next - 1})
+		}
+	}
+	return deleted
+}
+
+// unsentOrders returns the orders that a follower doesn't have yet and marks them as sent.
+func (s *Subscriber) unsentOrders(sent map[string]int64) (orders []kernel.DirectoryRecord) {
+	for key, record := range s.orders {
+		// The keys of orders and upstreams may be equal; no upstream's name has a space.
+		name := "order " + key
+		if last, ok := sent[name]; !ok || last < record.Offset {
+			sent[name] = record.Offset
+			orders = append(orders, record)
+		}
+	}
+	return orders
+}
--- a/internal/subscriber/routingconfig.go
+++ b/internal/subscriber/routingconfig.go
@@ -151,7 +151,7 @@
 		pool := &catalogue.Pools[index]
 		pool.Upstreams = append(pool.Upstreams, cataloguer.Upstream{
 			Name: upstream.Name, Address: upstream.Address, DataCentre: upstream.DataCentre, Slots: upstream.Slots,
-			KVTokens: c.services[upstream.Service].KVTokens, Incarnation: upstream.Incarnation,
+			KVTokens: c.services[upstream.Service].KVTokens, Incarnation: upstream.Incarnation, Version: upstream.Version,
 		})
 	}
 	for _, workspace := range c.Workspaces {
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -13,6 +13,8 @@
 type snapshot struct {
 	Publication kernel.DirectoryRecord   `json:"publication"`
 	Upstreams   []kernel.DirectoryRecord `json:"upstreams"`
+	// Orders are the orders of rollouts.
+	Orders []kernel.DirectoryRecord `json:"orders,omitempty"`
 }
 
 // Snapshot returns the encoded newest records for a peer, the version of the publication and the offset of the last
@@ -24,6 +26,9 @@
 	for _, known := range s.table.entries {
 		state.Upstreams = append(state.Upstreams, known.record)
 	}
+	for _, record := range s.orders {
+		state.Orders = append(state.Orders, record)
+	}
 	data, err := json.Marshal(state)
 	if err != nil {
 		s.logger.Error("encoding the snapshot failed", zap.Error(err))
@@ -39,6 +44,7 @@
 	if err := json.Unmarshal(data, &state); err != nil {
 		return &kernel.MalformedRecordError{Key: "snapshot", Cause: err}
 	}
+	s.applyOrders(state.Orders)
 	if state.Publication.Value != nil {
 		s.publish(state.Publication, sourcePeer)
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -44,6 +44,11 @@
 	// LapseGrace is how long after an outage of the directory a registration that lapsed during the outage stays in use,
 	// so that its upstream can register again.
 	LapseGrace time.Duration
+	// Rollouts decodes orders of rollouts; nil if they are ignored.
+	Rollouts kernel.RolloutProtocol
+	// ApplyOrder is called with each newer order. seen reports whether the configuration was known before, so that the order
+	// is new. It must not block or call the subscriber.
+	ApplyOrder func(order kernel.RolloutOrder, seen bool)
 	Logger     *zap.Logger
 }
 
@@ -76,8 +81,10 @@
 	// isReady reports whether ready is closed.
 	isReady bool
 	// compressed is the compressed publication for followers, nil until one needs it.
-	compressed  []byte
-	table       *table
+	compressed []byte
+	table      *table
+	// orders holds the newest record of each order's key.
+	orders      map[string]kernel.DirectoryRecord
 	revision    uint64
 	lapseTimer  *time.Timer
 	health      [2]health
@@ -94,7 +101,7 @@
 // New returns a subscriber without a configuration. Run reads it.
 func New(options Options) *Subscriber {
 	s := &Subscriber{
-		options: options, logger: options.Logger, table: newTable(), subscribers: make(map[int]func(*cataloguer.Catalogue)),
+		options: options, logger: options.Logger, table: newTable(), orders: make(map[string]kernel.DirectoryRecord), subscribers: make(map[int]func(*cataloguer.Catalogue)),
 		changed: make(chan struct{}), followingChanged: make(chan struct{}),
 		ready: make(chan struct{}), awaited: make(chan struct{}), started: time.Now(),
 	}
@@ -184,7 +191,11 @@
 	return s.following != "" || s.ownReadsHealthy()
 }
 
-func (s *Subscriber) applyPublications(page kernel.DirectoryPage, _ bool) {
+func (s *Subscriber) applyPublications(page kernel.DirectoryPage, whole bool) {
+	s.applyOrders(page.Records)
+	if whole {
+		s.applyOrders(s.missingOrders(page))
+	}
 	for _, record := range page.Records {
 		s.publish(record, sourceDirectory)
 	}
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -41,7 +41,7 @@
 	for {
 		state, publication, changed, reading := s.pendingUpdate(&version, request.GetOffset(), sent)
 		update := &protocol.WatchUpdate{Reading: reading, Publication: publication}
-		if len(state.Upstreams) > 0 {
+		if len(state.Upstreams) > 0 || len(state.Orders) > 0 {
 			data, err := json.Marshal(state)
 			if err != nil {
 				return err
@@ -73,6 +73,7 @@
 		}
 		*version, publication = current, s.compressed
 	}
+	state.Orders = s.unsentOrders(sent)
 	now := time.Now()
 	for key, known := range s.table.entries {
 		last, alreadySent := sent[key]
@@ -121,6 +122,13 @@
 
 // applyUpdate applies an update from the reader.
 func (s *Subscriber) applyUpdate(update *protocol.WatchUpdate) error {
+	if len(update.GetState()) > 0 && s.options.Rollouts != nil {
+		var state snapshot
+		if err := json.Unmarshal(update.GetState(), &state); err != nil {
+			return &kernel.MalformedRecordError{Key: "update", Cause: err}
+		}
+		s.applyOrders(state.Orders)
+	}
 	if len(update.GetPublication()) > 0 {
 		record, err := decompressRecord(update.GetPublication())
 		if err != nil {
--- /dev/null
+++ b/router/internal/assembler/decider.go
@@ -0,0 +1,180 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"coltsfootplank/internal/detector"
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/promoter"
+	"coltsfootplank/internal/protocol"
+)
+
+// decide lets the decider of a service take a step. It reads the directory only if the decider wants to write its record, or
+// if the last read is too old to prove that it still has the role.
+func (r *rollouts) decide(ctx context.Context, service string, view *detector.View) {
+	r.mu.Lock()
+	s, now := r.service(service), time.Now()
+	d, around := s.deciding, r.surroundings(service, view, now)
+	if s.gate.Order() == nil {
+		r.mu.Unlock()
+		return
+	}
+	if order := s.gate.Order(); d != nil && (d.order != order.Offset || d.deleted != order.Deleted) {
+		s.deciding, d = nil, nil
+	}
+	due := d == nil || now.Sub(d.readAt) >= recordInterval
+	if d != nil && !due {
+		around.RecordReadAt = d.readAt
+		_, due = d.decider.Step(now, around)
+	}
+	r.mu.Unlock()
+	if !due || !around.MembersKnown {
+		return
+	}
+	found, end, err := r.readNewest(ctx, service)
+	if err != nil {
+		r.options.logger.Debug("record of a rollout not read", zap.String("service", service), zap.Error(err))
+		return
+	}
+	if next, ok := r.nextRecord(service, found, around, now); ok {
+		r.write(ctx, service, next, end)
+	}
+}
+
+// nextRecord returns the record that a service's decider wants to write after a read of the directory that started at readAt.
+func (r *rollouts) nextRecord(service string, found *kernel.RolloutRecord, around promoter.Surroundings, readAt time.Time) (kernel.RolloutRecord, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, now := r.service(service), time.Now()
+	if !s.gate.Open() {
+		s.deciding = nil
+		return kernel.RolloutRecord{}, false
+	}
+	if s.deciding == nil {
+		order, previous := *s.gate.Order(), found
+		if known := s.gate.Record(); previous == nil || known != nil && known.Generation > previous.Generation {
+			// The directory has forgotten the record.
+			previous = known
+		}
+		record, ok := promoter.Start(r.options.self, order, previous, around.Versions, now)
+		if !ok || len(around.Versions) == 0 {
+			return kernel.RolloutRecord{}, false
+		}
+		s.deciding = &deciding{
+			decider: promoter.NewDecider(now, now, order, record, previous, r.options.settings),
+			keeper:  promoter.NewKeeper(record, found), order: order.Offset, deleted: order.Deleted,
+		}
+	}
+	d := s.deciding
+	switch d.keeper.Observe(found) {
+	case promoter.StandingLost:
+		r.options.logger.Info("rollout is decided elsewhere", zap.String("service", service), zap.Any("record", found))
+		s.deciding = nil
+		return kernel.RolloutRecord{}, false
+	case promoter.StandingOwn:
+		if !d.decider.Claimed() || d.decider.Record().Phase != found.Phase {
+			d.decider.Recorded(now, *found)
+		}
+		d.readAt = readAt
+	}
+	around.RecordReadAt = d.readAt
+	return d.decider.Step(now, around)
+}
+
+// write writes the record of a service's decider on the condition that its topic still ends at end.
+func (r *rollouts) write(ctx context.Context, service string, record kernel.RolloutRecord, end int64) {
+	started := time.Now()
+	err := r.options.directory.WriteRollout(ctx, record, end)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, now := r.service(service), time.Now()
+	if s.deciding == nil {
+		return
+	}
+	var conflict *kernel.ConflictError
+	switch {
+	case err == nil:
+		s.deciding.keeper.Written()
+		s.deciding.decider.Recorded(now, record)
+		s.deciding.readAt = started
+		s.gate.SetRecord(started, record)
+		r.options.logger.Info("rollout recorded", zap.String("service", service), zap.String("to", record.To),
+			zap.Stringer("phase", record.Phase), zap.Int64("order", record.Order), zap.Int64("generation", record.Generation),
+			zap.Strings("old_versions", record.From), zap.String("reason", record.Reason))
+	case errors.As(err, &conflict):
+		r.options.logger.Debug("record of a rollout not written", zap.String("service", service), zap.Error(err))
+	default:
+		s.deciding.keeper.Doubt()
+		r.options.logger.Warn("record of a rollout may not be written", zap.String("service", service), zap.Error(err))
+	}
+}
+
+// surroundings returns what a decider has to know of the other routers. The caller holds r.mu.
+func (r *rollouts) surroundings(service string, view *detector.View, now time.Time) promoter.Surroundings {
+	around := promoter.Surroundings{MembersKnown: view.KnowsMostRouters(), Versions: r.versions(service)}
+	for _, member := range view.Members {
+		dead := member.State == protocol.MemberState_MEMBER_STATE_DEAD
+		if !dead {
+			delete(r.deadSince, member.Name)
+		} else if r.deadSince[member.Name].IsZero() {
+			r.deadSince[member.Name] = now
+		}
+		if !dead || !member.Left {
+			around.Members = append(around.Members, promoter.Member{Name: member.Name, DeadSince: r.deadSince[member.Name]})
+		}
+	}
+	return around
+}
+
+func encodeReport(service string, report promoter.Report) *protocol.RolloutRequest {
+	request := &protocol.RolloutRequest{
+		Service: service, Router: report.Gate, Process: report.Incarnation, Sequence: report.Sequence, Order: report.Order,
+		Phase: int32(report.Phase), Generation: report.Generation, Requests: report.Requests, Used: report.Used, Held: report.Held,
+		WantsLease: report.WantsLease, Forbidden: report.Forbidden, Stopped: report.Stopped,
+	}
+	for series, tally := range report.Evidence {
+		used := len(tally.Latency)
+		for used > 0 && tally.Latency[used-1] == 0 {
+			used--
+		}
+		request.Tallies = append(request.Tallies, &protocol.RolloutTally{
+			Version: series.Version, Route: series.Route, Outcomes: tally.Outcomes[:], Latency: tally.Latency[:used],
+		})
+	}
+	return request
+}
+
+func decodeReport(request *protocol.RolloutRequest) promoter.Report {
+	report := promoter.Report{
+		Gate: request.GetRouter(), Incarnation: request.GetProcess(), Sequence: request.GetSequence(), Order: request.GetOrder(),
+		Phase: kernel.RolloutPhase(request.GetPhase()), Generation: request.GetGeneration(), Requests: request.GetRequests(),
+		Used: request.GetUsed(), Held: request.GetHeld(), WantsLease: request.GetWantsLease(), Forbidden: request.GetForbidden(),
+		Stopped: request.GetStopped(), Evidence: make(promoter.Evidence),
+	}
+	for _, sent := range request.GetTallies()[:min(len(request.GetTallies()), promoter.MaxSeries+1)] {
+		var tally promoter.Tally
+		copy(tally.Outcomes[:], sent.GetOutcomes())
+		copy(tally.Latency[:], sent.GetLatency())
+		report.Evidence[promoter.Series{Version: sent.GetVersion(), Route: sent.GetRoute()}] = tally
+	}
+	return report
+}
+
+func encodeLease(lease promoter.Lease) *protocol.RolloutResponse {
+	return &protocol.RolloutResponse{
+		Generation: lease.Generation, Order: lease.Order, Phase: int32(lease.Phase), From: lease.From, Total: lease.Total,
+		Rotation: uint32(lease.Rotation), Verified: lease.Verified,
+	}
+}
+
+func decodeLease(response *protocol.RolloutResponse) promoter.Lease {
+	phase := kernel.RolloutPhase(min(max(0, response.GetPhase()), int32(kernel.RolloutRolledBack)))
+	return promoter.Lease{
+		Generation: response.GetGeneration(), Order: response.GetOrder(), Phase: phase, From: response.GetFrom(), Total: response.GetTotal(),
+		Rotation: int(response.GetRotation()), Verified: response.GetVerified(),
+	}
+}
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -33,6 +33,8 @@
 	connector  *connector.Connector
 	abstainer  *abstainer.Abstainer
 	forwarder  *forwarder.Forwarder
+	// rollouts is nil if the settings don't turn rollouts on.
+	rollouts *rollouts
 }
 
 func newGatewayMode(r *Router, closers *cleanups) (*gatewayMode, error) {
@@ -52,12 +54,22 @@
 	}
 	closers.add(closeDirectory)
 	g.directory = directory
-	g.subscriber = subscriber.New(subscriber.Options{
+	subscriberOptions := subscriber.Options{
 		Directory: directory, FetchSnapshot: g.fetchState, Readers: g.readers, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
 		LapseGrace: settings.LapseGrace, Logger: log,
-	})
+	}
+	if settings.Rollouts.Enabled() {
+		g.rollouts = g.newRollouts()
+		subscriberOptions.Rollouts, subscriberOptions.ApplyOrder = directory, g.rollouts.ApplyOrder
+	}
+	g.subscriber = subscriber.New(subscriberOptions)
 	r.createComponents(componentOptions{catalogue: g.subscriber, vmList: routerList{directory, log}, vmListInterval: settings.MemberInterval})
 	r.holder = r.newHolder(g.subscriber, nil, nil)
+	var versions forwarder.Rollouts
+	if g.rollouts != nil {
+		g.rollouts.options.runner = r.runner
+		versions = g.rollouts
+	}
 	connectionsOpened := metrics.GetOrRegisterCounter("upstream.connections_opened", r.metrics)
 	upstreams, closeConnector := connector.New(connector.Settings{
 		MaxIdle:         settings.IdlePerUpstream,
@@ -68,6 +80,7 @@
 	g.abstainer = abstainer.New(abstainer.Options{Registered: g.registered, Metrics: r.metrics, Logger: log})
 	g.forwarder = forwarder.New(forwarder.Options{
 		RoutingConfigSource: g.subscriber, Holder: r.holder, Dialect: dialect, Connector: upstreams, Abstainer: g.abstainer,
+		Rollouts: versions,
 		RepeatBudget: limiter.NewRepeatBudget(limiter.RepeatBudgetSettings{
 			Ratio: settings.RepeatRatio, Slack: settings.RepeatSlack,
 			Routers: func() int { return len(r.detector.View().Eligible()) },
@@ -87,11 +100,15 @@
 func (g *gatewayMode) Handler() http.Handler { return g.forwarder }
 
 func (g *gatewayMode) Tasks() []func(ctx context.Context) error {
-	return []func(ctx context.Context) error{g.subscriber.Run, g.connector.Run, g.announce, g.announceVersion}
+	tasks := []func(ctx context.Context) error{g.subscriber.Run, g.connector.Run, g.announce, g.announceVersion}
+	if g.rollouts != nil {
+		tasks = append(tasks, g.rollouts.Run)
+	}
+	return tasks
 }
 
 func (g *gatewayMode) PeerHandlers() messenger.Handlers {
-	return messenger.Handlers{
+	handlers := messenger.Handlers{
 		Accept: g.runner.Accept,
 		Gossip: g.detector.Handle,
 		Snapshot: func(context.Context, *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
@@ -100,6 +117,10 @@
 		},
 		Watch: g.subscriber.Serve,
 	}
+	if g.rollouts != nil {
+		handlers.Rollout = g.rollouts.Receive
+	}
+	return handlers
 }
 
 // AdminCatalogue returns a catalogue that can't be edited, because operators publish in the directory.
@@ -201,12 +222,16 @@
 }
 
 func (g *gatewayMode) Sections() []section {
-	return []section{{"directory", func() any {
+	sections := []section{{"directory", func() any {
 		version, offset := g.subscriber.Version()
 		return directoryState{
 			Version: int64(version), Offset: offset, Healthy: g.subscriber.Healthy(), Pools: g.subscriber.Current().Pools,
 		}
 	}}, {"abstentions", func() any { return g.abstainer.Dump() }}}
+	if g.rollouts != nil {
+		sections = append(sections, section{"rollouts", g.rollouts.Dump})
+	}
+	return sections
 }
 
 // readOnlyCatalogue is the catalogue of the administration API in gateway mode, where operators publish in the directory.
--- a/router/internal/assembler/schedulers.go
+++ b/router/internal/assembler/schedulers.go
@@ -73,6 +73,19 @@
 	h.Scheduler.SetEngines(now, infos)
 }
 
+// SetVersionLimits converts the limits and sets them.
+func (h *schedulerAdapter) SetVersionLimits(now time.Time, limits map[string]runner.VersionLimit) {
+	if limits == nil {
+		h.Scheduler.SetVersionLimits(now, nil)
+		return
+	}
+	converted := make(map[string]scheduler.VersionLimit, len(limits))
+	for version, limit := range limits {
+		converted[version] = scheduler.VersionLimit(limit)
+	}
+	h.Scheduler.SetVersionLimits(now, converted)
+}
+
 // Step returns the converted decisions of the scheduler.
 func (h *schedulerAdapter) Step(now time.Time) []runner.Decision {
 	decisions := h.Scheduler.Step(now)
