Offer some tickets to engines under a lease first

The schedulers' policy seldom chose an engine of a new version, because its speed wasn't known and no holder had a connection to it, so a failing version was rolled back for lack of evidence only.

A part of 0.3 of the tickets is now offered to the leased engines first.

--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -115,7 +115,7 @@
 			}
 			continue
 		}
-		if e := s.choose(s.engines, r); e != nil {
+		if e := s.chooseVersion(r); e != nil {
 			if e = s.engineInTime(r, e, now); e != nil {
 				s.grant(r, e, now)
 				limit--
--- a/internal/scheduler/versions.go
+++ b/internal/scheduler/versions.go
@@ -91,3 +91,27 @@
 
 // VersionGrants returns the number of grants to a version since the scheduler started.
 func (s *Scheduler) VersionGrants(version string) uint64 { return s.engines.versions.grants[version] }
+
+// trialShare is the part of the tickets that are offered to engines under a counted limit first. Below 1 it spreads these
+// grants over routes and tiers; three times the largest share of the requests that they may be suffices to use the limit.
+const trialShare = 0.3
+
+// chooseVersion returns an engine under a counted limit for some of the tickets, otherwise the choice of the policy. The policy
+// alone would seldom choose such an engine, whose speed isn't known and to which no holder has connections, and the rollout
+// would lack evidence.
+func (s *Scheduler) chooseVersion(r *request) *engine {
+	if s.engines.versions.next.IsZero() || s.engines.random.Float64() >= trialShare {
+		return s.choose(s.engines, r)
+	}
+	var best *engine
+	for _, e := range s.engines.list {
+		limit, ok := s.engines.versions.limits[e.info.Version]
+		if ok && !limit.Unlimited && e.admits(r) == blockNone && (best == nil || len(e.granted) < len(best.granted)) {
+			best = e
+		}
+	}
+	if best == nil {
+		return s.choose(s.engines, r)
+	}
+	return best
+}
