Define the outcome of unusual orders, and explain roll-backs to operators

A table test runs orders without engines, of the only version, read twice, changed, taken back and deleted. It found that a service that was moved back to its old version kept using the engines of the other one after completed, when these are stopped. A gate now bars all versions but the kept ones that it knows at the end of a rollout.

--- a/internal/promoter/gate.go
+++ b/internal/promoter/gate.go
@@ -17,8 +17,10 @@
 	offset   int64
 	sequence uint64
 	// versions are the registered versions.
-	versions   []string
-	from       []string
+	versions []string
+	from     []string
+	// barred are the versions that a final phase takes out of use.
+	barred     []string
 	phase      kernel.RolloutPhase
 	generation int64
 	// verifiedAt is when it was last certain that the traffic hasn't moved.
@@ -49,7 +51,7 @@
 	}
 	g.offset = order.Offset
 	if order.Deleted {
-		g.delete(order)
+		g.delete()
 		return
 	}
 	from := g.openVersions(order.To)
@@ -75,7 +77,7 @@
 
 // delete applies the deletion of an order. The decider of an open rollout takes it back; an order that has ended, or was
 // never known, leaves nothing behind.
-func (g *Gate) delete(order kernel.RolloutOrder) {
+func (g *Gate) delete() {
 	if g.order == nil || g.phase.Final() {
 		g.order = nil
 		return
@@ -132,8 +134,24 @@
 		g.generation = generation
 		g.lease, g.leaseUntil = Lease{}, time.Time{}
 	}
+	ended := !g.phase.Final() && phase.Final()
 	g.phase = max(g.phase, phase)
 	g.from = from
+	if ended {
+		g.bar()
+	}
+}
+
+// bar keeps the versions that the outcome takes out of use: all that are known but the new version, or the old ones. A version
+// that registers later is used as without an order.
+func (g *Gate) bar() {
+	g.barred = []string{}
+	for _, version := range append(slices.Concat(g.versions, g.from), g.order.To) {
+		if kept := g.phase == kernel.RolloutCompleted && version == g.order.To ||
+			g.phase == kernel.RolloutRolledBack && slices.Contains(g.from, version); !kept {
+			g.barred = append(g.barred, version)
+		}
+	}
 }
 
 // Open reports whether a rollout is in progress, so that the decider has to be called.
@@ -178,10 +196,10 @@
 		allowed = to && g.verified(now)
 	case kernel.RolloutReturning:
 		allowed = old
-	case kernel.RolloutCompleted:
-		allowed = to || !old || !slices.Contains(g.versions, g.order.To)
-	case kernel.RolloutRolledBack:
-		allowed = !to || old || len(g.versions) == 1
+	case kernel.RolloutCompleted, kernel.RolloutRolledBack:
+		// Barred versions are better than none.
+		allowed = !slices.Contains(g.barred, version) ||
+			!slices.ContainsFunc(g.versions, func(other string) bool { return !slices.Contains(g.barred, other) })
 	}
 	if allowed {
 		return Allowed
--- /dev/null
+++ b/internal/promoter/orders_test.go
@@ -0,0 +1,146 @@
+package promoter
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// orderFixture is one router that decides and uses a service, in virtual time.
+type orderFixture struct {
+	now     time.Time
+	gate    *Gate
+	record  *kernel.RolloutRecord
+	decider *Decider
+	offset  int64
+}
+
+func (f *orderFixture) order(to string) {
+	f.offset++
+	f.gate.SetOrder(f.now, kernel.RolloutOrder{Service: "s", To: to, Duration: 10 * time.Second, Offset: f.offset, Deleted: to == ""}, true)
+	f.decider = nil
+}
+
+// run passes time. The order's answers are good, as far as there are any.
+func (f *orderFixture) run(span time.Duration, versions ...string) {
+	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+		f.gate.SetVersions(versions)
+		f.gate.Arrived()
+		if !f.gate.Open() {
+			continue
+		}
+		if f.decider == nil {
+			record, ok := Start("r", *f.gate.Order(), f.record, versions, f.now)
+			if !ok {
+				f.gate.Verify(f.now)
+				continue
+			}
+			f.decider = NewDecider(f.now, f.now, *f.gate.Order(), record, f.record, DefaultSettings())
+		}
+		around := Surroundings{Members: []Member{{Name: "r"}}, MembersKnown: true, Versions: versions, RecordReadAt: f.now}
+		if record, ok := f.decider.Step(f.now, around); ok {
+			f.decider.Recorded(f.now, record)
+			f.record = &record
+			f.gate.SetRecord(f.now, record)
+		}
+		if !f.gate.Open() {
+			continue
+		}
+		f.gate.SetLease(f.now, f.decider.Report(f.now, f.gate.Report(f.now, "r", 1, true)))
+		if left, _ := f.gate.LeaseLeft(f.now); left > 0 {
+			f.gate.Use(1)
+			f.gate.Observe(f.gate.Order().To, "/", OutcomeAnswered, 30*time.Millisecond)
+		}
+	}
+}
+
+// TestUnusualOrders guards against an order that can't be carried out as it stands and disrupts the service or has no defined
+// outcome.
+func TestUnusualOrders(t *testing.T) {
+	both := []string{"v1", "v2"}
+	for _, c := range []struct {
+		name string
+		run  func(f *orderFixture)
+		// phase is that of the record at the end, to its version; usable are the versions that are then in use.
+		recorded bool
+		phase    kernel.RolloutPhase
+		to       string
+		usable   []string
+	}{
+		{"good version", func(f *orderFixture) { f.order("v2"); f.run(9*time.Second, both...) }, true, kernel.RolloutCompleted, "v2", []string{"v2", "v3"}},
+		{"version without engines", func(f *orderFixture) { f.order("v2"); f.run(9*time.Second, "v1") }, true, kernel.RolloutRolledBack, "v2", []string{"v1", "v3"}},
+		{"engines that come later", func(f *orderFixture) { f.order("v2"); f.run(time.Second, "v1"); f.run(8*time.Second, both...) },
+			true, kernel.RolloutCompleted, "v2", []string{"v2", "v3"}},
+		{"unknown service", func(f *orderFixture) { f.order("v2"); f.run(9 * time.Second) }, true, kernel.RolloutRolledBack, "v2", []string{"v1", "v3"}},
+		{"the only version", func(f *orderFixture) { f.run(time.Second, "v2"); f.order("v2"); f.run(time.Second, "v2") },
+			true, kernel.RolloutCompleted, "v2", []string{"v1", "v2", "v3"}},
+		{"read twice", func(f *orderFixture) {
+			f.order("v2")
+			f.run(9*time.Second, both...)
+			f.offset--
+			f.order("v2")
+			f.run(time.Second, both...)
+		},
+			true, kernel.RolloutCompleted, "v2", []string{"v2", "v3"}},
+		{"second order in the trial", func(f *orderFixture) {
+			f.order("v2")
+			f.run(3*time.Second, both...)
+			f.order("v3")
+			f.run(time.Second, "v1", "v2", "v3")
+		},
+			true, kernel.RolloutTrial, "v3", []string{"v1"}},
+		{"order back after the move", func(f *orderFixture) {
+			f.order("v2")
+			f.run(6*time.Second, both...)
+			f.order("v1")
+			f.run(time.Second, both...)
+		},
+			true, kernel.RolloutCompleted, "v1", []string{"v1", "v3"}},
+		{"deleted in the trial", func(f *orderFixture) {
+			f.order("v2")
+			f.run(3*time.Second, both...)
+			f.order("")
+			f.run(time.Second, both...)
+		},
+			true, kernel.RolloutRolledBack, "v2", []string{"v1", "v3"}},
+		{"deleted after the move", func(f *orderFixture) {
+			f.order("v2")
+			f.run(6*time.Second, both...)
+			f.order("")
+			f.run(time.Second, both...)
+		},
+			true, kernel.RolloutRolledBack, "v2", []string{"v1", "v3"}},
+		{"deleted before it was recorded", func(f *orderFixture) { f.order("v2"); f.order(""); f.run(time.Second, both...) },
+			false, 0, "", []string{"v1", "v2", "v3"}},
+		{"deleted at the end", func(f *orderFixture) {
+			f.order("v2")
+			f.run(9*time.Second, both...)
+			f.order("")
+			f.run(time.Second, both...)
+		},
+			true, kernel.RolloutCompleted, "v2", []string{"v1", "v2", "v3"}},
+		{"no order", func(f *orderFixture) { f.run(time.Second, both...) }, false, 0, "", []string{"v1", "v2", "v3"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &orderFixture{now: time.Unix(1000, 0), gate: NewGate()}
+			f.gate.SetVersions([]string{"v1", "v2"})
+			c.run(f)
+			assert.Equal(t, f.record != nil, c.recorded)
+			if f.record != nil {
+				assert.Equal(t, f.record.Phase, c.phase, f.record.Reason)
+				assert.Equal(t, f.record.To, c.to)
+			}
+			f.gate.SetVersions([]string{"v1", "v2", "v3"})
+			var usable []string
+			for _, version := range []string{"v1", "v2", "v3"} {
+				if f.gate.Permit(f.now, version) == Allowed {
+					usable = append(usable, version)
+				}
+			}
+			assert.DeepEqual(t, usable, c.usable)
+		})
+	}
+}
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -104,6 +104,46 @@
 	})
 }
 
+// orderDecoder decodes every record under the key "rollout/s" as an order.
+type orderDecoder struct{ kernel.RolloutProtocol }
+
+func (orderDecoder) RolloutOrder(record kernel.DirectoryRecord) (*kernel.RolloutOrder, error) {
+	if record.Key != "rollout/s" {
+		return nil, nil
+	}
+	return &kernel.RolloutOrder{Service: "s", Offset: record.Offset, Deleted: record.Value == nil}, nil
+}
+
+// TestOrders guards against a follower, or a router with a peer's snapshot, that doesn't get the orders of rollouts, gets one
+// twice, or takes one that it finds at its start for a new one.
+func TestOrders(t *testing.T) {
+	runWithPair(t, func(t *testing.T, p *pair) {
+		type applied struct {
+			Order kernel.RolloutOrder
+			Seen  bool
+		}
+		listen := func(s *Subscriber) *[]applied {
+			orders := new([]applied)
+			s.options.Rollouts = orderDecoder{}
+			s.options.ApplyOrder = func(order kernel.RolloutOrder, seen bool) { *orders = append(*orders, applied{order, seen}) }
+			return orders
+		}
+		first, second := listen(p.reader), listen(p.follower)
+		p.shared.put(kernel.TopicPublication, "rollout/s", 1)
+		time.Sleep(800 * time.Millisecond)
+		p.shared.put(kernel.TopicPublication, "rollout/s", nil)
+		time.Sleep(800 * time.Millisecond)
+		want := []applied{{kernel.RolloutOrder{Service: "s", Offset: 1}, true}, {kernel.RolloutOrder{Service: "s", Offset: 2, Deleted: true}, true}}
+		assert.DeepEqual(t, *first, want)
+		assert.DeepEqual(t, *second, want)
+		joining := New(p.follower.options)
+		third := listen(joining)
+		data, _, _ := p.reader.Snapshot()
+		assert.NilError(t, joining.ApplySnapshot(data))
+		assert.DeepEqual(t, *third, []applied{{want[1].Order, false}})
+	})
+}
+
 // TestAwaitRoutingConfig guards against a router that accepts requests while it knows the configuration but no
 // upstreams, and against one that delays them although it knows both.
 func TestAwaitRoutingConfig(t *testing.T) {
--- a/router/internal/assembler/decider.go
+++ b/router/internal/assembler/decider.go
@@ -30,6 +30,7 @@
 	if d != nil && !due {
 		around.RecordReadAt = d.readAt
 		_, due = d.decider.Step(now, around)
+		r.logFinding(service, d, now)
 	}
 	r.mu.Unlock()
 	if !due || !around.MembersKnown {
@@ -45,6 +46,20 @@
 	}
 }
 
+// findingInterval is the shortest time between two lines on findings of a rollout, whose numbers change with each step.
+const findingInterval = time.Second
+
+// logFinding logs what the last judgement of a decider found.
+func (r *rollouts) logFinding(service string, d *deciding, now time.Time) {
+	finding := d.decider.Finding()
+	if finding.Reason == "" || now.Sub(d.loggedAt) < findingInterval {
+		return
+	}
+	d.loggedAt = now
+	r.options.logger.Info("rollout finding", zap.String("service", service), zap.String("to", d.decider.Record().To),
+		zap.String("reason", finding.Reason), zap.Float64("answers", finding.Answers), zap.Float64("bad", finding.Bad))
+}
+
 // nextRecord returns the record that a service's decider wants to write after a read of the directory that started at readAt.
 func (r *rollouts) nextRecord(service string, found *kernel.RolloutRecord, around promoter.Surroundings, readAt time.Time) (kernel.RolloutRecord, bool) {
 	r.mu.Lock()
--- a/router/internal/assembler/rolloutcalls.go
+++ b/router/internal/assembler/rolloutcalls.go
@@ -105,7 +105,9 @@
 	due := now.Sub(s.answeredAt) >= recordInterval && now.Sub(s.readAt) >= recordInterval
 	r.mu.Unlock()
 	if due {
-		r.readNewest(ctx, service)
+		if _, _, err := r.readNewest(ctx, service); err != nil {
+			r.options.logger.Debug("record of a rollout not read", zap.String("service", service), zap.Error(err))
+		}
 	}
 }
 
--- a/router/internal/assembler/rollouts.go
+++ b/router/internal/assembler/rollouts.go
@@ -86,8 +86,8 @@
 	// order and deleted are the state of the order that the decider knows.
 	order   int64
 	deleted bool
-	// readAt is when the record was last read and was the decider's own.
-	readAt time.Time
+	// readAt is when the record was last read and was the decider's own, loggedAt when a finding was last logged.
+	readAt, loggedAt time.Time
 }
 
 // newRollouts returns the rollouts of this router. The runner is set once it exists.
--- a/router/internal/assembler/template_test.go
+++ b/router/internal/assembler/template_test.go
@@ -64,6 +64,7 @@
 		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 129, "bounds.quota_window_s": 8,
 		"bounds.grace_period_s": 8,
 		"limits.cpu_share":      0.272,
+		"contracts":             []string{"retries", "rollout"}, "bounds.exposure_share": 0.05, "bounds.exposure_slack": 20,
 	}
 }
 
@@ -78,6 +79,21 @@
 	assert.Equal(t, settings.Scheduling.AllowanceWindow, time.Duration(0))
 }
 
+// TestTemplateWithoutRollouts guards against rollouts where the platform doesn't ask for them, and against settings that the
+// router refuses there.
+func TestTemplateWithoutRollouts(t *testing.T) {
+	template, err := os.ReadFile(templatePath)
+	assert.NilError(t, err)
+	fields := platformFields()
+	for _, name := range []string{"contracts", "bounds.exposure_share", "bounds.exposure_slack"} {
+		delete(fields, name)
+	}
+	settings, err := loader.Parse("router.yaml", []byte(render(t, string(template), fields)))
+	assert.NilError(t, err)
+	assert.Assert(t, !settings.Gateway.Rollouts.Enabled())
+	assert.Equal(t, settings.Gateway.Rollouts.ExposureSlack, 50.0)
+}
+
 // TestPlannedStopWithinGracePeriod guards against a planned stop that takes longer than the grace period of a deployment,
 // which cuts requests off, and against one that ends long before and cuts off requests that could have finished.
 func TestPlannedStopWithinGracePeriod(t *testing.T) {
@@ -116,6 +132,9 @@
 	assert.Assert(t, settings.Gateway.Enabled())
 	assert.DeepEqual(t, settings.Peers.Seeds, []string{"10.0.0.1:8229", "10.0.0.2:8229"})
 	assert.Equal(t, settings.Scheduling.AllowanceWindow, 8*time.Second)
+	assert.Assert(t, settings.Gateway.Rollouts.Enabled())
+	assert.Equal(t, settings.Gateway.Rollouts.ExposureShare, 0.05)
+	assert.Equal(t, settings.Gateway.Rollouts.ExposureSlack, 20.0)
 	delay, timeout := settings.Drain.WithinGracePeriod()
 	assert.Assert(t, delay > balancerDelay && delay < refuseAfter)
 	assert.Assert(t, delay+timeout < gracePeriod)
