--- a/internal/cataloguer/entries.go
+++ b/internal/cataloguer/entries.go
@@ -65,6 +65,8 @@
 	Incarnation int64 `yaml:"-"`
 	// ColdRemaining is for how long after its start the upstream stays slow. Catalogues that operators edit don't have it.
 	ColdRemaining time.Duration `yaml:"-"`
+	// Version is the version of the upstream's software, empty if it isn't known.
+	Version string `yaml:"-"`
 }
 
 // Pool is a set of upstreams that serve the same work. Protocol is the name of the adapter plug-in.
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -186,6 +186,8 @@
 	Incarnation int64
 	// ColdRemaining is for how long the upstream stays slow, as of the record.
 	ColdRemaining time.Duration
+	// Version is the version of the upstream's software; empty if the registration doesn't state it.
+	Version string
 }
 
 // Topic is one kind of record in the directory.
@@ -218,6 +220,7 @@
 // DirectoryProtocol is a client of the directory, in which operators publish the configuration and upstreams register.
 // Errors of its calls: *TrimmedError, *LogUnavailableError, *RateLimitedError.
 type DirectoryProtocol interface {
+	RolloutProtocol
 	// Changes returns the records at or after offset from. If there are none yet, it waits up to wait for the first.
 	Changes(ctx context.Context, topic Topic, from int64, wait time.Duration) (DirectoryPage, error)
 	// Newest returns the newest record of each key.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -26,6 +26,7 @@
 	Incarnation int64
 	// ColdRemaining is for how long after its start the engine stays slow.
 	ColdRemaining time.Duration
+	Version       string
 }
 
 // restartedAs reports whether another registration under the same name is that of another process.
@@ -104,6 +105,8 @@
 	lost            []lostRun
 	crashEvidenceAt time.Time
 	crash           engineCrash
+	// versions limits the grants by version.
+	versions *versionLimits
 	// removed is set when the engine has left the cell; the engine is kept until its requests have ended.
 	removed bool
 
@@ -147,7 +150,7 @@
 
 // usable reports whether the engine may receive new work.
 func (e *engine) usable() bool {
-	return !e.gone() && !e.excluded
+	return !e.gone() && !e.excluded && e.versions.open(e)
 }
 
 // gone reports whether the engine is leaving, down or not in the cell any more.
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -8,6 +8,7 @@
 // Step returns the decisions that are due at now.
 func (s *Scheduler) Step(now time.Time) []Decision {
 	s.engines.now = now
+	s.engines.expireVersions()
 	if s.engines.speedsDue(now) {
 		s.engines.refreshSpeeds()
 	}
@@ -123,7 +124,7 @@
 			}
 			continue
 		}
-		if e := s.choose(s.engines, r); e != nil {
+		if e := s.chooseVersion(r); e != nil {
 			if e = s.engineInTime(r, e, now); e != nil {
 				s.grant(r, e, now)
 				limit--
