--- a/internal/admitter/conn_test.go
+++ b/internal/admitter/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,12 +12,15 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/connector"
 )
 
 var testBounds = Bounds{Connections: 4, PerAddress: 4, HeadBytes: 8000, LineBytes: 3000, Fields: 100, HeadMemory: 1 << 20}
@@ -219,3 +223,54 @@
 		})
 	}
 }
+
+// TestHeadFinishedWhileClosed guards against a request that is cut off, or a connection that isn't counted any more, because its
+// head was finished just when it was chosen to be closed.
+func TestHeadFinishedWhileClosed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// finish ends the head before or after the connection is told to close.
+		finishFirst bool
+	}{{"before", true}, {"after", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			a := New(Options{Name: "test", Bounds: testBounds, Metrics: metrics.NewRegistry(), Logger: zap.NewNop()})
+			near, far := net.Pipe()
+			defer func() { _ = far.Close() }()
+			chosen := newConn(a, near)
+			assert.Assert(t, a.admit(chosen))
+			a.table.remove(&chosen.entry)
+			if c.finishFirst {
+				chosen.begin(active)
+			}
+			a.close(&chosen.entry, CauseConnections)
+			chosen.begin(active)
+			assert.Equal(t, a.table.open(), 1)
+			assert.Equal(t, a.table.closing, 0)
+			var group sync.WaitGroup
+			group.Go(func() { _, _ = far.Write([]byte("x")) })
+			_, err := chosen.Read(make([]byte, 1))
+			assert.NilError(t, err)
+			group.Wait()
+			assert.NilError(t, chosen.Close())
+			assert.Equal(t, a.table.open(), 0)
+		})
+	}
+}
+
+// TestReset guards against a connection that can't be reset through the listener, whose caller would take a broken answer of
+// HTTP/1.0 for a whole one.
+func TestReset(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a := New(Options{Name: "test", Bounds: testBounds, Metrics: metrics.NewRegistry(), Logger: zap.NewNop()})
+	listener := a.Listen(inner)
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = client.Close() }()
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	connector.Reset(accepted)
+	_, err = client.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
