Keep HTTP/2 over TLS behind the admitter and test it with peers

Cause: the configuration that the admitter returns for each handshake named the protocols only because net/http changes the server's configuration in place, and the listener with TLS was tested through httptest, which bypasses the hook.

Change: the protocols are set explicitly. The tests serve with ServeTLS, HTTP/1.1 and HTTP/2, and peers' streams run through an admitter.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,6 +89,7 @@
 		return
 	}
 	config := server.TLSConfig.Clone()
+	config.NextProtos = nextProtocols(server.Protocols, config.NextProtos)
 	// The callback is called once per handshake. Session tickets keep using the keys of the original configuration.
 	config.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
 		c, ok := hello.Conn.(*conn)
@@ -105,6 +107,21 @@
 	server.TLSConfig = config
 }
 
+// nextProtocols returns the protocols that net/http would add to those of a TLS configuration. It adds them to a copy, which
+// the configuration of one client doesn't share.
+func nextProtocols(enabled *http.Protocols, names []string) []string {
+	names = slices.Clone(names)
+	for _, p := range []struct {
+		name string
+		use  bool
+	}{{"h2", enabled == nil || enabled.HTTP2()}, {"http/1.1", enabled == nil || enabled.HTTP1()}} {
+		if p.use && !slices.Contains(names, p.name) {
+			names = append(names, p.name)
+		}
+	}
+	return names
+}
+
 // connState follows a connection from one request to the next.
 func (a *Admitter) connState(netConn net.Conn, state http.ConnState) {
 	if secure, ok := netConn.(*tls.Conn); ok {
--- a/internal/admitter/conn_test.go
+++ b/internal/admitter/conn_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/internal/connector"
@@ -26,7 +27,7 @@
 var testBounds = Bounds{Connections: 4, PerAddress: 4, HeadBytes: 8000, LineBytes: 3000, Fields: 100, HeadMemory: 1 << 20}
 
 // startServer starts a server that answers with the length of the body and counts the requests that it runs.
-func startServer(t *testing.T, bounds Bounds, published func() Published, encrypted bool) (*httptest.Server, *atomic.Int64) {
+func startServer(t *testing.T, published func() Published) (*httptest.Server, *atomic.Int64) {
 	t.Helper()
 	var runs atomic.Int64
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -35,22 +36,13 @@
 		_, _ = fmt.Fprintf(w, "%s %d", r.Proto, len(body))
 	}))
 	a := New(Options{
-		Name: "test", Bounds: bounds, Published: published, Encrypted: encrypted, Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
+		Name: "test", Bounds: testBounds, Published: published, Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
 	})
 	server.Listener = a.Listen(server.Listener)
 	server.Config.ReadHeaderTimeout, server.Config.IdleTimeout = 10*time.Second, time.Minute
-	if encrypted {
-		server.EnableHTTP2 = true
-		server.TLS = &tls.Config{}
-	}
 	// httptest follows the connections, too, and calls the function that it finds.
 	a.Server(server.Config)
-	if encrypted {
-		server.StartTLS()
-		server.Client()
-	} else {
-		server.Start()
-	}
+	server.Start()
 	t.Cleanup(server.Close)
 	return server, &runs
 }
@@ -98,7 +90,7 @@
 		{"many small requests", []string{strings.Repeat(stated(""), 500)}, strings.Fields(strings.Repeat("0 ", 500))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			server, _ := startServer(t, testBounds, nil, false)
+			server, _ := startServer(t, nil)
 			connection, reader := dial(t, server)
 			var group sync.WaitGroup
 			group.Go(func() {
@@ -137,7 +129,7 @@
 		{"trickle after a request", start + "Content-Length: 0\r\n\r\n" + start, "x", 408, CauseHeadTimeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			server, runs := startServer(t, testBounds, published, false)
+			server, runs := startServer(t, published)
 			connection, reader := dial(t, server)
 			_, err := io.WriteString(connection, c.sent)
 			assert.NilError(t, err)
@@ -170,7 +162,7 @@
 
 // TestEmptyLines guards against lines before a request that net/http reads without end.
 func TestEmptyLines(t *testing.T) {
-	server, runs := startServer(t, testBounds, nil, false)
+	server, runs := startServer(t, nil)
 	connection, reader := dial(t, server)
 	_, err := io.WriteString(connection, strings.Repeat("\r\n", 1500))
 	assert.NilError(t, err)
@@ -183,7 +175,7 @@
 // published limits that closes a connection early.
 func TestIdleConnections(t *testing.T) {
 	var timeout atomic.Int64
-	server, _ := startServer(t, testBounds, func() Published { return Published{IdleTimeout: time.Duration(timeout.Load())} }, false)
+	server, _ := startServer(t, func() Published { return Published{IdleTimeout: time.Duration(timeout.Load())} })
 	connection, reader := dial(t, server)
 	for _, published := range []time.Duration{time.Second, 100 * time.Millisecond} {
 		timeout.Store(int64(published))
@@ -200,26 +192,55 @@
 	assert.Assert(t, time.Since(begin) < time.Second)
 }
 
-// TestCrowdedListener guards against unfinished heads that keep a new connection out, and against a closed connection that
-// counts on.
+// TestCrowdedListener guards against unfinished heads that keep a new connection out, against a closed connection that counts
+// on, and against TLS that loses HTTP/2 or whose connections are closed as idle heads.
 func TestCrowdedListener(t *testing.T) {
-	for _, encrypted := range []bool{false, true} {
-		t.Run(fmt.Sprint("encrypted ", encrypted), func(t *testing.T) {
-			server, _ := startServer(t, testBounds, nil, encrypted)
-			client := server.Client()
+	for _, c := range []struct {
+		name      string
+		encrypted bool
+		http1     bool
+		major     int
+	}{{"plain", false, true, 1}, {"TLS with HTTP/1.1", true, true, 1}, {"TLS with HTTP/2", true, false, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			certificates := httptest.NewTLSServer(nil)
+			defer certificates.Close()
+			a := New(Options{Name: "test", Bounds: testBounds, Encrypted: c.encrypted, Metrics: metrics.NewRegistry(), Logger: zap.NewNop()})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: 10 * time.Second}
+			transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, ForceAttemptHTTP2: !c.http1}
+			client, scheme := &http.Client{Transport: transport}, "http://"
+			if c.encrypted {
+				server.TLSConfig, scheme = &tls.Config{Certificates: certificates.TLS.Certificates}, "https://"
+			}
+			a.Server(server)
+			var group errgroup.Group
+			group.Go(func() error {
+				if c.encrypted {
+					return server.ServeTLS(a.Listen(listener), "", "")
+				}
+				return server.Serve(a.Listen(listener))
+			})
 			for range 3 {
 				for range 6 {
-					connection, _ := dial(t, server)
+					connection, err := net.Dial("tcp", listener.Addr().String())
+					assert.NilError(t, err)
+					defer func() { _ = connection.Close() }()
 					_, _ = io.WriteString(connection, "\x16\x03\x01\x40\x00\x01\x00\x3f\xfc\x03\x03")
 				}
 				time.Sleep(50 * time.Millisecond)
-				response, err := client.Get(server.URL)
-				assert.NilError(t, err)
-				assert.Equal(t, response.StatusCode, http.StatusOK)
-				assert.Equal(t, response.ProtoMajor, map[bool]int{false: 1, true: 2}[encrypted])
-				assert.NilError(t, response.Body.Close())
+				for range 2 {
+					response, err := client.Get(scheme + listener.Addr().String())
+					assert.NilError(t, err)
+					assert.Equal(t, response.StatusCode, http.StatusOK)
+					assert.Equal(t, response.ProtoMajor, c.major)
+					assert.Equal(t, response.TLS != nil, c.encrypted)
+					assert.NilError(t, response.Body.Close())
+				}
 				client.CloseIdleConnections()
 			}
+			assert.NilError(t, server.Close())
+			assert.Equal(t, group.Wait(), http.ErrServerClosed)
 		})
 	}
 }
--- a/internal/messenger/loopback_test.go
+++ b/internal/messenger/loopback_test.go
@@ -10,10 +10,13 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/admitter"
 	"coltsfootplank/internal/protocol"
 )
 
@@ -68,8 +71,12 @@
 			return &protocol.SnapshotResponse{Revision: 9}, nil
 		},
 	})
+	admission := admitter.New(admitter.Options{
+		Name: "peers", Bounds: admitter.Derive(admitter.Resources{HeadBytes: 64 << 10, LineBytes: 32 << 10, Fields: 4096}).Peers,
+		Encrypted: serverTLS != nil, HTTP2: true, Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
+	})
 	var group errgroup.Group
-	group.Go(func() error { return Serve(ctx, listener, handler, serverTLS, nil) })
+	group.Go(func() error { return Serve(ctx, listener, handler, serverTLS, admission) })
 	pool, closePool := NewPool(clientTLS)
 	defer closePool()
 
