--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,31 @@
 	shared *fakeDirectory
 	// cut breaks the stream between them when it is closed.
 	cut chan struct{}
+	// readerOrders and followerOrders are the orders that they applied.
+	readerOrders, followerOrders orderLog
+}
+
+// orderLog records orders. It may be used concurrently.
+type orderLog struct {
+	mu      sync.Mutex
+	applied []appliedOrder
+}
+
+type appliedOrder struct {
+	Order kernel.RolloutOrder
+	Seen  bool
+}
+
+func (l *orderLog) apply(order kernel.RolloutOrder, seen bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.applied = append(l.applied, appliedOrder{order, seen})
+}
+
+func (l *orderLog) all() []appliedOrder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]appliedOrder(nil), l.applied...)
 }
 
 // runWithPair runs a test with a started pair on virtual time.
@@ -37,15 +63,16 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		p := &pair{shared: newFakeDirectory(), cut: make(chan struct{})}
-		options := func(readers ...string) Options {
+		options := func(orders *orderLog, readers ...string) Options {
 			return Options{
 				Directory: p.shared, FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
 				Readers: func() Readers { return Readers{Addresses: readers} }, WatchWait: 700 * time.Millisecond,
 				PollInterval: 700 * time.Millisecond, LapseGrace: 2200 * time.Millisecond, Logger: zap.NewNop(),
+				Rollouts: orderDecoder{}, ApplyOrder: orders.apply,
 			}
 		}
-		p.reader = New(options())
-		following := options("reader")
+		p.reader = New(options(&p.readerOrders))
+		following := options(&p.followerOrders, "reader")
 		following.Watch = func(ctx context.Context, _ string, request *protocol.WatchRequest,
 			receive func(*protocol.WatchUpdate) bool,
 		) error {
@@ -118,29 +145,19 @@
 // twice, or takes one that it finds at its start for a new one.
 func TestOrders(t *testing.T) {
 	runWithPair(t, func(t *testing.T, p *pair) {
-		type applied struct {
-			Order kernel.RolloutOrder
-			Seen  bool
-		}
-		listen := func(s *Subscriber) *[]applied {
-			orders := new([]applied)
-			s.options.Rollouts = orderDecoder{}
-			s.options.ApplyOrder = func(order kernel.RolloutOrder, seen bool) { *orders = append(*orders, applied{order, seen}) }
-			return orders
-		}
-		first, second := listen(p.reader), listen(p.follower)
 		p.shared.put(kernel.TopicPublication, "rollout/s", 1)
 		time.Sleep(800 * time.Millisecond)
 		p.shared.put(kernel.TopicPublication, "rollout/s", nil)
 		time.Sleep(800 * time.Millisecond)
-		want := []applied{{kernel.RolloutOrder{Service: "s", Offset: 1}, true}, {kernel.RolloutOrder{Service: "s", Offset: 2, Deleted: true}, true}}
-		assert.DeepEqual(t, *first, want)
-		assert.DeepEqual(t, *second, want)
-		joining := New(p.follower.options)
-		third := listen(joining)
+		want := []appliedOrder{{kernel.RolloutOrder{Service: "s", Offset: 1}, true}, {kernel.RolloutOrder{Service: "s", Offset: 2, Deleted: true}, true}}
+		assert.DeepEqual(t, p.readerOrders.all(), want)
+		assert.DeepEqual(t, p.followerOrders.all(), want)
+		var joined orderLog
+		options := p.follower.options
+		options.ApplyOrder = joined.apply
 		data, _, _ := p.reader.Snapshot()
-		assert.NilError(t, joining.ApplySnapshot(data))
-		assert.DeepEqual(t, *third, []applied{{want[1].Order, false}})
+		assert.NilError(t, New(options).ApplySnapshot(data))
+		assert.DeepEqual(t, joined.all(), []appliedOrder{{want[1].Order, false}})
 	})
 }
 
--- a/router/internal/assembler/rolloutcalls.go
+++ b/router/internal/assembler/rolloutcalls.go
@@ -102,7 +102,7 @@
 func (r *rollouts) readRecord(ctx context.Context, service string) {
 	r.mu.Lock()
 	s, now := r.service(service), time.Now()
-	due := now.Sub(s.answeredAt) >= recordInterval && now.Sub(s.readAt) >= recordInterval
+	due := now.Sub(s.answeredAt) >= fallbackInterval && now.Sub(s.readAt) >= fallbackInterval
 	r.mu.Unlock()
 	if due {
 		if _, _, err := r.readNewest(ctx, service); err != nil {
--- a/router/internal/assembler/rollouts.go
+++ b/router/internal/assembler/rollouts.go
@@ -25,9 +25,13 @@
 	// reportInterval is the time between two reports of other routers. Their reports hold evidence only, and 108 of them
 	// would otherwise take a fifth of the decider's processor.
 	reportInterval = 250 * time.Millisecond
-	// recordInterval is the time between two reads of the record by its decider, and by a router that reaches no decider.
-	// Both are below the time for which a read counts as a verification.
+	// recordInterval is the time between two reads of the record by its decider. It is below the time for which a read counts
+	// as a verification.
 	recordInterval = 500 * time.Millisecond
+	// fallbackInterval is the time without an answer of a decider after which a router reads the record itself, and the time
+	// between two such reads. One of them may fail before the router has to stop using the service's engines after 2 s. All
+	// routers do so while there is no decider.
+	fallbackInterval = 900 * time.Millisecond
 	// rolloutRolePrefix is the prefix of the role of the decider. The name of the service follows.
 	rolloutRolePrefix = "rollout/"
 )
@@ -138,7 +142,13 @@
 	s := r.service(order.Service)
 	versions := r.versions(order.Service)
 	s.gate.SetVersions(versions)
-	s.gate.SetOrder(time.Now(), order, seen)
+	now := time.Now()
+	s.gate.SetOrder(now, order, seen)
+	s.answeredAt = time.Time{}
+	if seen {
+		// A decider has some time to take the role before each router reads the record.
+		s.answeredAt = now
+	}
 	r.options.logger.Info("rollout ordered", zap.String("service", order.Service), zap.String("to", order.To),
 		zap.Duration("duration", order.Duration), zap.Int64("order", order.Offset), zap.Bool("deleted", order.Deleted),
 		zap.Strings("versions", versions), zap.Strings("old_versions", s.gate.Old()), zap.Bool("seen", seen))
