--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -147,8 +147,8 @@
 	return x.relayUnary(ctx, answer, start)
 }
 
-// observeNotice records what the upstream asks of this router and what it states about its load. An answer that the upstream neither signed nor marked as not
-// run may come from elsewhere.
+// observeNotice records what the upstream asks of this router and what it states about its load. An answer that the upstream
+// neither signed nor marked as not run may come from elsewhere.
 func (x *exchange) observeNotice(upstream *cataloguer.Upstream, metadata kernel.AnswerMetadata) {
 	if !metadata.Signed && !metadata.NotRun {
 		return
--- a/internal/forwarder/refusals.go
+++ b/internal/forwarder/refusals.go
@@ -14,6 +14,7 @@
 	holder.CodeUnknownEntry:      http.StatusNotFound,
 	holder.CodeInvalidRequest:    http.StatusBadRequest,
 	holder.CodeTooLarge:          http.StatusRequestEntityTooLarge,
+	holder.CodeBodyTimeout:       http.StatusRequestTimeout,
 	holder.CodeAllowanceExceeded: http.StatusTooManyRequests,
 	holder.CodeLimitExceeded:     http.StatusTooManyRequests,
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -120,7 +120,7 @@
 func (x *exchange) readBody(r *http.Request, publishedLimit int64, deadline time.Time) *holder.Refusal {
 	limit := x.forwarder.options.MaxBodyBytes
 	if publishedLimit > 0 {
-		limit = publishedLimit
+		limit = min(limit, publishedLimit)
 	}
 	x.hasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
 	if !x.hasBody {
@@ -161,7 +161,7 @@
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return &holder.Refusal{
-			Outcome: holder.OutcomeNotRun, Code: holder.CodeDeadlineExpired, Message: "the body did not arrive in time",
+			Outcome: holder.OutcomeNotRun, Code: holder.CodeBodyTimeout, Message: "the body did not arrive in time",
 		}
 	}
 	if err == nil {
--- a/internal/holder/refusal.go
+++ b/internal/holder/refusal.go
@@ -40,6 +40,7 @@
 	CodeNoUpstream         Code = "no_upstream"
 	CodeCallerGone         Code = "caller_gone"
 	CodeTooLarge           Code = "too_large"
+	CodeBodyTimeout        Code = "body_timeout"
 	CodeAllowanceExceeded  Code = "allowance_exceeded"
 )
 
--- a/internal/runner/cell_test.go
+++ b/internal/runner/cell_test.go
@@ -229,6 +229,7 @@
 				return recorder
 			}
 		})
+		synctest.Wait()
 		assert.Equal(t, recorder.takeover, adoptionWait)
 	})
 }
--- a/internal/scheduler/decision.go
+++ b/internal/scheduler/decision.go
@@ -23,7 +23,6 @@
 	CodeNoUpstream          = "no_upstream"
 	CodeRetryBudgetExceeded = "retry_budget_exceeded"
 	CodeAllowanceExceeded   = "allowance_exceeded"
-	CodeTooLarge            = "too_large"
 )
 
 // refuse adds a refusal to the decisions of the next step and removes the request. A retryAfter of 0 means that a retry
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -91,7 +91,7 @@
 	case tokens <= part || largest == 0:
 		return false
 	case tokens > largest:
-		s.refuse(r, CodeTooLarge, fmt.Sprintf("the request needs %.0f tokens, the largest engine holds %.0f", tokens, largest), 0)
+		s.refuse(r, CodeNoUpstream, fmt.Sprintf("the request needs %.0f tokens, the largest engine holds %.0f", tokens, largest), 0)
 	default:
 		s.refuseOverloaded(r, CodeOverloaded, fmt.Sprintf(
 			"the request needs %.0f tokens, of which this part of the routers may use %.0f on each engine", tokens, part))
