Name outages of engines by the usual term

Cause: the pacer called an exclusion or a crash of an engine a fall, which a newcomer has to decode. Change: names and comments only. Measured: go test of pacer and scheduler.

--- a/internal/pacer/history.go
+++ b/internal/pacer/history.go
@@ -6,22 +6,22 @@
 )
 
 const (
-	// historyHalfLife is the time in which half of an engine's falls is forgotten. An engine that fell once counts as
+	// historyHalfLife is the time in which half of an engine's outages is forgotten. An engine that had one counts as
 	// sound again half a minute later, one that flaps for minutes in some minutes.
 	historyHalfLife = 30 * time.Second
-	// maxFalls bounds what an engine has to make up for.
-	maxFalls = 4
+	// maxOutages bounds what an engine has to make up for.
+	maxOutages = 4
 )
 
-// History counts how often an engine fell recently, with exponential decay.
+// History counts the recent outages of an engine, with exponential decay.
 type History struct {
 	score float64
 	at    time.Time
 }
 
-// Add counts a fall.
+// Add counts an outage.
 func (h *History) Add(now time.Time) {
-	h.score = min(maxFalls, h.value(now)+1)
+	h.score = min(maxOutages, h.value(now)+1)
 	h.at = now
 }
 
@@ -30,8 +30,8 @@
 	return h.score * math.Exp2(-passed.Seconds()/historyHalfLife.Seconds())
 }
 
-// falls returns the number of falls that still count. Half a fall doesn't.
-func (h *History) falls(now time.Time) int { return int(math.Ceil(h.value(now) - 0.5)) }
+// outages returns the number of outages that still count. Half an outage doesn't.
+func (h *History) outages(now time.Time) int { return int(math.Ceil(h.value(now) - 0.5)) }
 
 // Forgotten reports whether the history has no effect any more.
-func (h *History) Forgotten(now time.Time) bool { return h.falls(now) == 0 }
+func (h *History) Forgotten(now time.Time) bool { return h.outages(now) == 0 }
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -14,7 +14,7 @@
 
 func began(s Start) event { return func(w *Window, now time.Time) { w.Start(now, s) } }
 func recovered(w *Window, now time.Time) {
-	w.Fell(now)
+	w.RecordOutage(now)
 	w.Recover(now)
 }
 func returned(w *Window, now time.Time) { w.Readmit(now) }
@@ -56,7 +56,7 @@
 	}{
 		{"started", []event{began(now)}, 0, 2},
 		{"cold", []event{began(Start{BornAt: start, Cold: time.Second})}, 0, 1},
-		{"others failed at their first requests", []event{began(Start{BornAt: start, Doubted: true})}, 0, 1},
+		{"others failed at their first requests", []event{began(Start{BornAt: start, OthersFailed: true})}, 0, 1},
 		{"started long ago", []event{began(Start{BornAt: start.Add(-time.Minute)})}, 0, 0},
 		{"started long ago, but still cold", []event{began(Start{BornAt: start.Add(-time.Minute), Cold: time.Hour})}, 0, 1},
 		{"start time unknown", []event{began(Start{})}, 0, 2},
--- a/internal/pacer/window.go
+++ b/internal/pacer/window.go
@@ -71,8 +71,8 @@
 	BornAt time.Time
 	// Cold is for how long after BornAt the engine stays slow.
 	Cold time.Duration
-	// Doubted is set if other engines of the pool failed at their first requests recently.
-	Doubted bool
+	// OthersFailed is set if other engines of the pool failed at their first requests recently.
+	OthersFailed bool
 }
 
 // Run describes a run whose end is reported: when it was granted, and how many requests were in flight then, including
@@ -96,7 +96,7 @@
 		return Unchanged
 	}
 	w.begin(now, starting)
-	if !now.Before(coldUntil) && !start.Doubted && w.history.falls(now) == 0 {
+	if !now.Before(coldUntil) && !start.OthersFailed && w.history.outages(now) == 0 {
 		w.requests = startRequests
 	}
 	return Began
@@ -176,12 +176,12 @@
 }
 
 // doublesUpTo returns the window up to which each answer doubles it: less after the window closed, and for an engine that
-// flaps. A single fall may have any cause and isn't held against the engine.
+// flaps. A single outage may have any cause and isn't held against the engine.
 func (w *Window) doublesUpTo(now time.Time, slots int) int {
 	if w.phase == readmitted {
 		return slots
 	}
-	limit := max(1, slots>>max(0, w.history.falls(now)-1))
+	limit := max(1, slots>>max(0, w.history.outages(now)-1))
 	if !w.closedAt.IsZero() && now.Sub(w.closedAt) < closeMemory {
 		limit = min(limit, w.closedTo)
 	}
@@ -225,9 +225,9 @@
 	return Closed
 }
 
-// Fell records that the engine was excluded or went down, so that it opens more slowly after it recovers. Failed probes of
+// RecordOutage records that the engine was excluded or went down, so that it opens more slowly after it recovers. Failed probes of
 // one outage count once.
-func (w *Window) Fell(now time.Time) {
+func (w *Window) RecordOutage(now time.Time) {
 	if w.Tried() || w.history.Forgotten(now) {
 		w.history.Add(now)
 	}
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -32,7 +32,7 @@
 		s.recordCrashEvidence(e, now, evidencePollFailed)
 		if e.failedPolls >= failedPollsUntilDown && !e.down {
 			e.down = true
-			e.pace.Fell(now)
+			e.pace.RecordOutage(now)
 			e.recordReason(now, "load report failed")
 			s.engines.refresh()
 		}
@@ -43,7 +43,7 @@
 		s.recordAlive(e)
 	}
 	if e.instance != "" && report.Instance != e.instance {
-		e.pace.Fell(now)
+		e.pace.RecordOutage(now)
 		s.recordCrashEvidence(e, now, evidenceRestart)
 		e.reach = reach{}
 		s.engines.prefixes.clear(e)
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -92,7 +92,7 @@
 		e.pace.SetHistory(history)
 		delete(s.pace.histories, info.Name)
 	}
-	start := pacer.Start{Cold: info.ColdRemaining, Doubted: !s.pace.failedStarts.Forgotten(s.now)}
+	start := pacer.Start{Cold: info.ColdRemaining, OthersFailed: !s.pace.failedStarts.Forgotten(s.now)}
 	if info.Incarnation > 0 {
 		start.BornAt = time.UnixMilli(info.Incarnation)
 	}
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -95,7 +95,7 @@
 // engine is back at full use.
 func (s *engineSet) exclude(e *engine, now time.Time, reason string) {
 	e.probeBackoff = min(max(2*e.probeBackoff, s.settings.ProbeAfter), s.settings.ProbeAfterMax)
-	e.pace.Fell(now)
+	e.pace.RecordOutage(now)
 	s.excludeFor(e, now, e.probeBackoff, reason)
 }
 
