Postpone tickets in one place in fillBucket

Cause: the same four lines that postpone a ticket, or leave its flow out for the step, stood four times after the repeats and the takeover were added, and their second half twice more. Change: two local functions, and two comments wrapped. Behaviour is the same.

--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -49,8 +49,8 @@
 	granted        map[string]*request
 	longInFlight   int
 	tokensInFlight float64
-	// orphans holds, by request ID, the runs that may go on although their grants have ended. share is the part of the capacity that this scheduler
-	// may use. Until adoptUntil, grants of other schedulers may not be known.
+	// orphans holds, by request ID, the runs that may go on although their grants have ended. share is the part of the capacity
+	// that this scheduler may use. Until adoptUntil, grants of other schedulers may not be known.
 	orphans    map[string]orphanedRun
 	share      float64
 	adoptUntil time.Time
--- a/internal/scheduler/statedload.go
+++ b/internal/scheduler/statedload.go
@@ -111,9 +111,9 @@
 	return w.value(now)
 }
 
-// stretch returns how long work takes that takes the given time in seconds at the usual speed of the engine. A slowdown is expected to
-// last for another slowPhase, or as long as it has lasted already: a stream of several seconds isn't delayed by 2.5 times
-// its length because its engine is slow for 600 ms, but may be if the engine has been slow for seconds.
+// stretch returns how long work takes that takes the given time in seconds at the usual speed of the engine. A slowdown is
+// expected to last for another slowPhase, or as long as it has lasted already: a stream of several seconds isn't delayed by
+// 2.5 times its length because its engine is slow for 600 ms, but may be if the engine has been slow for seconds.
 func (e *engine) stretch(seconds float64, now time.Time) float64 {
 	w := &e.work
 	factor := w.value(now)
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -106,6 +106,16 @@
 	var blocked [classCount]bool
 	var skipped []*flow
 	var deferred deferredTickets
+	// skip leaves a flow out for the rest of the step, postpone only its first ticket if there is room to remember it.
+	skip := func(f *flow) {
+		b.flows[f.class].remove(f)
+		skipped = append(skipped, f)
+	}
+	postpone := func(f *flow, r *request) {
+		if !deferred.add(r) {
+			skip(f)
+		}
+	}
 	for limit > 0 && s.engines.spareSlots() > 0 {
 		f := s.nextFlow(b, &blocked)
 		if f == nil {
@@ -118,8 +128,7 @@
 		s.engines.updateAlternative(r, now)
 		if s.engines.fitsNowhere(r) {
 			s.engines.reserve(r)
-			b.flows[f.class].remove(f)
-			if skipped = append(skipped, f); len(skipped) >= maxSkippedFlows {
+			if skip(f); len(skipped) >= maxSkippedFlows {
 				break
 			}
 			continue
@@ -135,10 +144,7 @@
 			if s.engines.anySlow() {
 				s.recheckBy(now, now.Add(prefillRecheckInterval))
 			}
-			if !deferred.add(r) {
-				b.flows[f.class].remove(f)
-				skipped = append(skipped, f)
-			}
+			postpone(f, r)
 			continue
 		}
 		switch s.engines.blockOf(r) {
@@ -146,30 +152,20 @@
 			// The prefills in progress, or the wait for the reports of the holders, end soon, but no message tells when.
 			// Shorter prompts may still be granted.
 			s.recheckBy(now, now.Add(prefillRecheckInterval))
-			if !deferred.add(r) {
-				b.flows[f.class].remove(f)
-				skipped = append(skipped, f)
-			}
+			postpone(f, r)
 		case blockPaused:
 			// Other holders' tickets may still be granted.
 			s.recheckBy(now, s.engines.nextPauseEnd(r.holder, now))
-			if !deferred.add(r) {
-				b.flows[f.class].remove(f)
-				skipped = append(skipped, f)
-			}
+			postpone(f, r)
 		case blockAvoided:
 			// Engines that haven't failed the request are in use.
 			if r.avoidUntil.After(now) {
 				s.recheckBy(now, r.avoidUntil)
 			}
-			if !deferred.add(r) {
-				b.flows[f.class].remove(f)
-				skipped = append(skipped, f)
-			}
+			postpone(f, r)
 		case blockRoom, blockIsolation:
 			s.engines.reserve(r)
-			b.flows[f.class].remove(f)
-			skipped = append(skipped, f)
+			skip(f)
 		default:
 			blocked[f.class] = true
 		}
