--- a/internal/admitter/bench_test.go
+++ b/internal/admitter/bench_test.go
@@ -39,7 +39,7 @@
 			reader := bufio.NewReader(connection)
 			b.ReportAllocs()
 			for b.Loop() {
-				_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n\r\n")
+				_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
 				assert.NilError(b, err)
 				response, err := http.ReadResponse(reader, nil)
 				assert.NilError(b, err)
--- a/internal/admitter/table.go
+++ b/internal/admitter/table.go
@@ -127,8 +127,8 @@
 	return nil
 }
 
-// grow sets the memory of a connection's unfinished head. If all heads take too much, or the account is full, it removes the largest unfinished one,
-// which may be e itself and must be closed.
+// grow sets the memory of a connection's unfinished head. If all heads take too much, or the account is full, it removes the
+// largest unfinished one, which may be e itself and must be closed.
 func (t *table) grow(e *entry, charge int64) (closed *entry) {
 	if e.removed {
 		return nil
--- a/internal/promoter/rollout_test.go
+++ b/internal/promoter/rollout_test.go
@@ -82,7 +82,7 @@
 	decider   *Decider
 
 	requests, exposed, bad int
-	// fiftieth is when the 50th bad answer came, lastNew when a router in touch last sent to the new version.
+	// fiftieth is when the 50th bad answer came, lastNew when a router that was not cut off last sent to the new version.
 	fiftieth, lastNew time.Duration
 	ended             time.Duration
 	violation         string
