review: a router that is ready takes no new connections

A scripted case: 704 callers that keep a connection and send a request every 9 s use up the connections of a router. New callers get 503 as long as they stay, while the readiness check is good.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -29,7 +29,7 @@
 	trouble bool
 }
 
-var cases = map[string]func(*bench) (bool, error){"poison": poison, "drain": drain}
+var cases = map[string]func(*bench) (bool, error){"poison": poison, "drain": drain, "crowd": crowd}
 
 func main() {
 	if len(os.Args) != 4 {
