Reject answers with an invalid status

Callers saw a failing engine's answer with status 000 as a success: the connector skipped every status below 200 as an interim answer and read the body of the broken answer as the next one. A status above 599 was relayed, and a model engine's status 000 counted as a failure that it had stated.

Cause: net/http accepts any three digits, even with a sign, and the connector relied on it. CheckHead now ends the exchange as a lost connection for a status outside 100 to 599, and for 101, since no request asks for another protocol. Requests that may be repeated go to another upstream, the others get 502. The client of plain services, reports and the log uses the same check and closes the connection, so that what follows isn't taken for the answer to another request. Its own check for statuses below 200 is covered by the new one and removed. Calls of the platform's log accept only statuses that they know, and needed no change.

--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -25,6 +25,16 @@
 	return fmt.Sprintf("read head of answer: larger than %d bytes", e.Limit)
 }
 
+// InvalidStatusError reports an answer with a status that isn't one of an answer to a request.
+type InvalidStatusError struct {
+	// Status is the number and the reason phrase.
+	Status string
+}
+
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("read head of answer: invalid status %.64q", e.Status)
+}
+
 // ExtraAnswerTooLargeError reports that the body of an answer to another request is too long to be skipped.
 type ExtraAnswerTooLargeError struct {
 	// Limit is in bytes.
--- a/internal/connector/response.go
+++ b/internal/connector/response.go
@@ -11,6 +11,8 @@
 	maxHeadBytes = 64 << 10
 	// unlimitedBytes is the limit of a connection while no head is read.
 	unlimitedBytes = math.MaxInt64
+	// firstInvalidStatus is the lowest number above the five classes of statuses.
+	firstInvalidStatus = 600
 )
 
 // limitedReader reads at most left bytes. Further reads fail with *HeadTooLargeError.
@@ -29,7 +31,7 @@
 }
 
 // readResponse reads the head of a final answer. It skips the interim answers (1xx) before it. Errors:
-// *HeadTooLargeError, and those of the connection.
+// *HeadTooLargeError, those of CheckHead, and those of the connection.
 func (c *connection) readResponse(method string) (*http.Response, error) {
 	c.limit.left = maxHeadBytes
 	for {
@@ -38,6 +40,9 @@
 			// The parser may have failed at the line that was cut at the limit.
 			err = &HeadTooLargeError{Limit: maxHeadBytes}
 		}
+		if err == nil {
+			err = CheckHead(response)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -47,3 +52,14 @@
 		}
 	}
 }
+
+// CheckHead checks what net/http accepts in the head of an answer although HTTP has no such answer. Where the body of a
+// broken answer ends isn't known, so that nothing that follows its head may be used. Errors: *InvalidStatusError.
+func CheckHead(response *http.Response) error {
+	status := response.StatusCode
+	// No request asks for another protocol.
+	if status < http.StatusContinue || status >= firstInvalidStatus || status == http.StatusSwitchingProtocols {
+		return &InvalidStatusError{Status: response.Status}
+	}
+	return nil
+}
--- a/internal/plugins/requester/client.go
+++ b/internal/plugins/requester/client.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/kernel"
 )
 
@@ -74,7 +75,7 @@
 // Open sends a request and returns when the header of the answer has arrived; the caller closes the body.
 // Redirects aren't followed. A request with a body or with NewConnection is never repeated. The transport may repeat
 // other requests on a new connection if an idle connection turns out to be closed. Errors: *kernel.NotSentError if no
-// byte was written, otherwise *kernel.ConnectionLostError.
+// byte was written, otherwise *kernel.ConnectionLostError, also for an answer that connector.CheckHead doesn't accept.
 func (c *Client) Open(ctx context.Context, request Request) (*http.Response, error) {
 	trace := &sendTrace{}
 	built, err := c.buildRequest(httptrace.WithClientTrace(ctx, trace.clientTrace()), request)
@@ -87,7 +88,11 @@
 	}
 	response, err := transport.RoundTrip(built)
 	if err == nil {
-		return response, nil
+		if err = connector.CheckHead(response); err == nil {
+			return response, nil
+		}
+		_ = response.Body.Close()
+		trace.closeConns()
 	}
 	if trace.unsent() {
 		return nil, &kernel.NotSentError{Address: c.address, Cause: err}
@@ -96,18 +101,13 @@
 }
 
 // Do sends a request and reads the whole answer. Errors: those of Open, and *kernel.ConnectionLostError if the answer
-// can't be read, exceeds its size limit (*AnswerTooLargeError) or has no final status (*StatusNotFinalError).
+// can't be read or exceeds its size limit (*AnswerTooLargeError).
 func (c *Client) Do(ctx context.Context, request Request) (Answer, error) {
 	response, err := c.Open(ctx, request)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode < http.StatusOK {
-		return Answer{}, &kernel.ConnectionLostError{
-			Address: c.address, Cause: &StatusNotFinalError{Status: response.StatusCode},
-		}
-	}
 	limit := cmp.Or(request.MaxAnswerBytes, defaultMaxAnswerBytes)
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
--- a/internal/plugins/requester/conn.go
+++ b/internal/plugins/requester/conn.go
@@ -87,3 +87,12 @@
 	}
 	return unsent
 }
+
+// closeConns closes the connections, which the transport may otherwise use for other requests.
+func (t *sendTrace) closeConns() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, traced := range t.conns {
+		_ = traced.conn.Close()
+	}
+}
--- a/internal/plugins/requester/errors.go
+++ b/internal/plugins/requester/errors.go
@@ -36,12 +36,3 @@
 func (e *AnswerTooLargeError) Error() string {
 	return fmt.Sprintf("read answer: larger than %d bytes", e.Limit)
 }
-
-// StatusNotFinalError reports an answer whose status isn't final, such as a switch to another protocol.
-type StatusNotFinalError struct {
-	Status int
-}
-
-func (e *StatusNotFinalError) Error() string {
-	return fmt.Sprintf("read answer: status %d is not final", e.Status)
-}
