Reject answers with a blank in the name of a header field

Callers saw a failing engine's answer as a success without one of its lines, or with a body that wasn't the engine's: with "Transfer-Encoding : chunked", or the same line after a leading blank, they got the sizes of the chunks as a part of the body.

Cause: net/http keeps a field whose name holds a space under that name, and joins a line that begins with a blank to the line before. Either way the field that states where the body ends is lost. Control bytes in names, and a tab within or after a name, are errors for net/http already; the test keeps that. CheckHead now rejects names with a space, and HeadScanner, which sees the bytes before net/http does, finds continued lines. RFC 9112, 5.2 lets a gateway reject them.

--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -35,6 +35,20 @@
 	return fmt.Sprintf("read head of answer: invalid status %.64q", e.Status)
 }
 
+// InvalidFieldNameError reports an answer with a space in the name of a header field.
+type InvalidFieldNameError struct {
+	Name string
+}
+
+func (e *InvalidFieldNameError) Error() string {
+	return fmt.Sprintf("read head of answer: invalid field name %.64q", e.Name)
+}
+
+// ContinuedLineError reports an answer with a line in its head that begins with a blank.
+type ContinuedLineError struct{}
+
+func (e *ContinuedLineError) Error() string { return "read head of answer: a line begins with a blank" }
+
 // ExtraAnswerTooLargeError reports that the body of an answer to another request is too long to be skipped.
 type ExtraAnswerTooLargeError struct {
 	// Limit is in bytes.
--- a/internal/connector/response.go
+++ b/internal/connector/response.go
@@ -4,6 +4,7 @@
 	"io"
 	"math"
 	"net/http"
+	"strings"
 )
 
 const (
@@ -15,10 +16,11 @@
 	firstInvalidStatus = 600
 )
 
-// limitedReader reads at most left bytes. Further reads fail with *HeadTooLargeError.
+// limitedReader reads at most left bytes, and scans them as those of a head. Further reads fail with *HeadTooLargeError.
 type limitedReader struct {
 	reader io.Reader
 	left   int64
+	head   HeadScanner
 }
 
 func (r *limitedReader) Read(buffer []byte) (int, error) {
@@ -27,13 +29,17 @@
 	}
 	n, err := r.reader.Read(buffer[:min(int64(len(buffer)), r.left)])
 	r.left -= int64(n)
+	r.head.Scan(buffer[:n])
 	return n, err
 }
 
 // readResponse reads the head of a final answer. It skips the interim answers (1xx) before it. Errors:
-// *HeadTooLargeError, those of CheckHead, and those of the connection.
+// *HeadTooLargeError, *ContinuedLineError, those of CheckHead, and those of the connection.
 func (c *connection) readResponse(method string) (*http.Response, error) {
-	c.limit.left = maxHeadBytes
+	c.limit.left, c.limit.head = maxHeadBytes, HeadScanner{}
+	// The head may follow an answer to another request in the buffer. Peeking at buffered bytes can't fail.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.limit.head.Scan(buffered)
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil && c.limit.left <= 0 {
@@ -43,6 +49,9 @@
 		if err == nil {
 			err = CheckHead(response)
 		}
+		if err == nil && c.limit.head.Continued() {
+			err = &ContinuedLineError{}
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -54,12 +63,18 @@
 }
 
 // CheckHead checks what net/http accepts in the head of an answer although HTTP has no such answer. Where the body of a
-// broken answer ends isn't known, so that nothing that follows its head may be used. Errors: *InvalidStatusError.
+// broken answer ends isn't known, so that nothing that follows its head may be used. Errors: *InvalidStatusError, *InvalidFieldNameError.
 func CheckHead(response *http.Response) error {
 	status := response.StatusCode
 	// No request asks for another protocol.
 	if status < http.StatusContinue || status >= firstInvalidStatus || status == http.StatusSwitchingProtocols {
 		return &InvalidStatusError{Status: response.Status}
 	}
+	for name := range response.Header {
+		// Other bytes that no name may hold are errors for net/http.
+		if strings.Contains(name, " ") {
+			return &InvalidFieldNameError{Name: name}
+		}
+	}
 	return nil
 }
--- a/internal/plugins/requester/brokenhead_test.go
+++ b/internal/plugins/requester/brokenhead_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,10 +17,17 @@
 // against using its connection again.
 func TestBrokenHead(t *testing.T) {
 	const framing = "Content-Length: 2\r\n\r\n{}"
+	const okLine = "HTTP/1.1 200 OK\r\n"
 	for _, head := range []string{
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 101 Switching Protocols\r\n", "HTTP/1.1 600 OK\r\n",
+		okLine + "A B: c\r\n", okLine + "A : b\r\n", okLine + "A: b\r\n c: d\r\n", okLine + "A: b\r\n\tc: d\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\n" + okLine + "A: b\r\n c: d\r\n",
 	} {
 		for _, newConnection := range []bool{false, true} {
+			if strings.Contains(head, "c: d") && !newConnection {
+				// These answers aren't relayed, and a continued line changes nothing in how they are decoded.
+				continue
+			}
 			t.Run(head, func(t *testing.T) {
 				u, closeUpstream, err := fakes.NewEndlessUpstream(head+framing, " ", time.Millisecond)
 				assert.NilError(t, err)
--- a/internal/plugins/requester/conn.go
+++ b/internal/plugins/requester/conn.go
@@ -4,18 +4,34 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"coltsfootplank/internal/connector"
 )
 
 // countingConn counts the bytes written to a connection, which decides whether a failed request may have reached the
 // network. The hooks of httptrace for written headers can't decide that, since they run before the buffer is flushed.
 type countingConn struct {
 	net.Conn
+	// head scans the only answer on the connection; it is nil if there are several.
+	head          *connector.HeadScanner
 	mu            sync.Mutex
 	written       int64
 	writing       bool
 	writesBlocked bool
 }
 
+// Read reads from the connection. Errors: those of the connection, and *connector.ContinuedLineError.
+func (c *countingConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if c.head == nil {
+		return n, err
+	}
+	if c.head.Scan(buffer[:n]); c.head.Continued() {
+		return 0, &connector.ContinuedLineError{}
+	}
+	return n, err
+}
+
 // Write writes to the connection. Errors: those of the connection, and *WritesBlockedError.
 func (c *countingConn) Write(data []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/plugins/requester/pool.go
+++ b/internal/plugins/requester/pool.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"coltsfootplank/internal/connector"
 )
 
 const (
@@ -45,7 +47,11 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			counting := &countingConn{Conn: conn}
+			if !keepAlive {
+				counting.head = &connector.HeadScanner{}
+			}
+			return counting, nil
 		},
 		DisableKeepAlives:      !keepAlive,
 		DisableCompression:     true,
