Notice a reset that the writer of a request was told about

Callers saw the first part of an answer as the whole one when an engine answered a long upload at once, with a 200 without a length, and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the next call on the socket. If that is the write of the request, the read finds a regular end, which ends a body without a length. DuplexConn now returns the error of the writer instead of such an end. It ends a write that is still under way first, so that its error is known, and takes EPIPE for a regular end: the kernel reports that instead of a reset if the peer had ended its side before. An answer that ended in the regular way during the upload thus stays whole. The client of plain services had the same fault and uses the same connection.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -59,9 +59,10 @@
 }
 
 func newConnection(conn net.Conn, idleLimit time.Duration) *connection {
-	limit := &limitedReader{reader: conn, left: unlimitedBytes}
+	duplex := NewDuplexConn(conn)
+	limit := &limitedReader{reader: duplex, left: unlimitedBytes}
 	return &connection{
-		conn: conn, counter: &countingConn{Conn: conn}, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit,
+		conn: conn, counter: &countingConn{Conn: duplex}, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit,
 		idleLimit: idleLimit, kernelChecks: true,
 	}
 }
--- a/internal/plugins/requester/pool.go
+++ b/internal/plugins/requester/pool.go
@@ -47,7 +47,7 @@
 			if err != nil {
 				return nil, err
 			}
-			counting := &countingConn{Conn: conn}
+			counting := &countingConn{Conn: connector.NewDuplexConn(conn)}
 			if !keepAlive {
 				counting.head = &connector.HeadScanner{}
 			}
