Scan heads whose status follows many spaces, and test pieces of heads

A status line with 24 spaces or more before the status of an interim answer ended the scan there, so that a continued line in the head of the final answer wasn't found in catalogue mode and by the connector.

Measured: the row of TestBrokenHead with 40 spaces, and TestHeadScannerPieces, which splits heads at each size, pass with the race detector.

--- a/internal/connector/brokenhead_test.go
+++ b/internal/connector/brokenhead_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,7 +33,7 @@
 	}
 	// Heads that arrive in the same segment as other ones, after them.
 	fold := "HTTP/1.1 200 OK\r\nRequest: 1\r\nA: b\r\n c: d\r\nContent-Length: 1\r\n\r\na"
-	for _, before := range []string{"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", "HTTP/1.1  103\nA: b\n\n", reply("0", "x")} {
+	for _, before := range []string{"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", "HTTP/1.1" + strings.Repeat(" ", 40) + "103\nA: b\n\n", reply("0", "x")} {
 		heads = append(heads, before+fold)
 	}
 	return heads
@@ -49,3 +50,30 @@
 		})
 	}
 }
+
+// TestHeadScannerPieces guards against results that depend on how the bytes arrive, and against taking lines of a body for
+// continued lines of the head.
+func TestHeadScannerPieces(t *testing.T) {
+	const okLine, body = "HTTP/1.1 200 OK\r\n", "{\n  \"a\": 1\n}\n"
+	for _, c := range []struct {
+		text      string
+		continued bool
+	}{
+		{okLine + "A: b\r\n\r\n" + body, false},
+		{okLine + "\r\n" + body, false},
+		{"HTTP/1.1 200 OK\nA: b\n\n" + body, false},
+		{"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + okLine + "A: b\r\n\r\n" + body, false},
+		{okLine + "A: b\r\n c: d\r\n\r\n", true},
+		{okLine + "A: b\n\tc: d\n\n", true},
+		{okLine + "A: b\r\n \r\n\r\n", true},
+		{"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + okLine + "A: b\r\n c: d\r\n\r\n", true},
+	} {
+		for size := 1; size <= len(c.text); size++ {
+			scanner := HeadScanner{}
+			for rest := c.text; rest != ""; rest = rest[min(size, len(rest)):] {
+				scanner.Scan([]byte(rest[:min(size, len(rest))]))
+			}
+			assert.Equal(t, scanner.Continued(), c.continued, "%q in pieces of %d bytes", c.text, size)
+		}
+	}
+}
--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -25,7 +25,7 @@
 	return fmt.Sprintf("read head of answer: larger than %d bytes", e.Limit)
 }
 
-// InvalidStatusError reports an answer with a status that isn't one of an answer to a request.
+// InvalidStatusError reports an answer whose status is outside 100 to 599, or 101 without a request for another protocol.
 type InvalidStatusError struct {
 	// Status is the number and the reason phrase.
 	Status string
--- a/internal/connector/headscanner.go
+++ b/internal/connector/headscanner.go
@@ -9,7 +9,7 @@
 // line with the one before. If the name of a field begins with a blank, the field becomes a part of another field's value,
 // and the answer may lose its length or its framing.
 type HeadScanner struct {
-	// line is the beginning of the present line.
+	// line holds the first size bytes of the present line.
 	line [scannedLineBytes]byte
 	size int
 	// inFields is set after the status line, interim if that belongs to an interim answer.
@@ -38,7 +38,9 @@
 	switch {
 	case !s.inFields:
 		_, status, _ := bytes.Cut(line, []byte(" "))
-		s.inFields, s.interim = true, bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
+		status = bytes.TrimLeft(status, " ")
+		// net/http accepts any number of spaces before the status, so that it may follow the part that is kept.
+		s.inFields, s.interim = true, len(status) == 0 || status[0] == '1'
 	case len(line) == 0:
 		s.inFields, s.ended = false, !s.interim
 	case line[0] == ' ' || line[0] == '\t':
--- a/internal/connector/response.go
+++ b/internal/connector/response.go
@@ -16,7 +16,7 @@
 	firstInvalidStatus = 600
 )
 
-// limitedReader reads at most left bytes, and scans them as those of a head. Further reads fail with *HeadTooLargeError.
+// limitedReader reads at most left bytes and scans those of a head. Further reads fail with *HeadTooLargeError.
 type limitedReader struct {
 	reader io.Reader
 	left   int64
@@ -62,8 +62,8 @@
 	}
 }
 
-// CheckHead checks what net/http accepts in the head of an answer although HTTP has no such answer. Where the body of a
-// broken answer ends isn't known, so that nothing that follows its head may be used. Errors: *InvalidStatusError, *InvalidFieldNameError.
+// CheckHead rejects heads of answers that net/http accepts although they aren't valid HTTP. Where the body of such an answer
+// ends isn't known, so that nothing that follows the head may be used. Errors: *InvalidStatusError, *InvalidFieldNameError.
 func CheckHead(response *http.Response) error {
 	status := response.StatusCode
 	// No request asks for another protocol.
