--- a/internal/connector/duplexconn_test.go
+++ b/internal/connector/duplexconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,8 @@
 // reset while the request is still being written, and against losing an answer that ended in the regular way.
 func TestAnswerEndsDuringUpload(t *testing.T) {
 	finish := func(conn net.Conn) { _ = conn.(*net.TCPConn).CloseWrite() }
+	ended := make(chan struct{})
+	defer close(ended)
 	cases := []struct {
 		name string
 		end  func(conn net.Conn, reader *bufio.Reader)
@@ -29,7 +32,7 @@
 		}, false, true},
 		{"end, request not read", func(conn net.Conn, _ *bufio.Reader) {
 			finish(conn)
-			time.Sleep(time.Second)
+			<-ended
 		}, false, true},
 		{"end, then reset", func(conn net.Conn, _ *bufio.Reader) {
 			finish(conn)
@@ -45,7 +48,9 @@
 				time.Sleep(20 * time.Millisecond)
 				c.end(conn, reader)
 			})
-			answer, err := newTestConnector(t).Send(t.Context(), u.address, Request{
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			answer, err := newTestConnector(t).Send(ctx, u.address, Request{
 				Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "1", HasBody: true, Body: make([]byte, 32<<20),
 			})
 			assert.NilError(t, err)
@@ -53,12 +58,10 @@
 			if c.writeFails {
 				assert.Assert(t, answer.writing.Wait() != nil)
 			}
-			start := time.Now()
 			body, err := io.ReadAll(answer)
 			assert.Equal(t, err == nil, c.whole, "%v", err)
 			assert.Equal(t, answer.Whole(), c.whole)
 			assert.Equal(t, string(body), "part")
-			assert.Assert(t, time.Since(start) < 500*time.Millisecond)
 		})
 	}
 }
--- a/internal/plugins/requester/brokenhead_test.go
+++ b/internal/plugins/requester/brokenhead_test.go
@@ -25,7 +25,7 @@
 	} {
 		for _, newConnection := range []bool{false, true} {
 			if strings.Contains(head, "c: d") && !newConnection {
-				// These answers aren't relayed, and a continued line changes nothing in how they are decoded.
+				// Connections that are kept carry answers that are decoded, not relayed.
 				continue
 			}
 			t.Run(head, func(t *testing.T) {
