Log which upstreams have lost their registration, and how long they stay in use

The log told how many upstreams are in force, but not which router used one after its registration was gone, for how long, and who had told it.

Measured: cd internal && go test ./subscriber passes; no behaviour changed.

--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -50,7 +50,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.applyRecords(state.Upstreams, time.Now()) {
+	if s.applyRecords(state.Upstreams, time.Now(), sourcePeer) {
 		s.rebuild(sourcePeer)
 	}
 	s.registrationsKnown = true
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -212,9 +212,11 @@
 			goneAt = back
 		}
 	}
-	changed := s.applyRecords(page.Records, goneAt)
+	changed := s.applyRecords(page.Records, goneAt, sourceDirectory)
 	if whole {
-		changed = s.table.dropMissing(page, goneAt) || changed
+		missing := s.table.dropMissing(page, goneAt)
+		s.logGone(missing, goneAt, sourceDirectory)
+		changed = changed || len(missing) > 0
 		s.registrationsKnown = true
 	}
 	if changed || whole && s.config.Load() != nil {
@@ -224,18 +226,31 @@
 }
 
 // applyRecords applies registrations and reports whether the usable upstreams may have changed.
-func (s *Subscriber) applyRecords(records []kernel.DirectoryRecord, goneAt time.Time) bool {
+func (s *Subscriber) applyRecords(records []kernel.DirectoryRecord, goneAt time.Time, source string) bool {
 	changed := false
+	var dropped []kernel.DirectoryRecord
 	for _, record := range records {
 		recordChanged, err := s.table.apply(record, s.options.Directory.Registration, goneAt)
 		changed = changed || recordChanged
 		if err != nil {
 			s.logger.Warn("malformed registration; its upstream is not used", zap.Error(err))
 		}
+		if recordChanged && record.Value == nil {
+			dropped = append(dropped, record)
+		}
 	}
+	s.logGone(dropped, goneAt, source)
 	return changed
 }
 
+// logGone logs which upstreams have lost their registration, and how much longer they are used.
+func (s *Subscriber) logGone(dropped []kernel.DirectoryRecord, goneAt time.Time, source string) {
+	for _, record := range dropped {
+		s.logger.Info("upstream has no registration", zap.String("upstream", record.Key), zap.Int64("offset", record.Offset),
+			zap.Duration("used_for", max(0, time.Until(goneAt))), zap.String("source", source))
+	}
+}
+
 // publish applies a publication if it is newer than the current one.
 func (s *Subscriber) publish(record kernel.DirectoryRecord, source string) {
 	publication, err := s.options.Directory.Publication(record)
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -90,21 +90,21 @@
 	return true
 }
 
-// dropMissing marks the records of the upstreams that are missing in page as dropped, and reports whether there are any.
-// page holds the newest record of each key.
-func (t *table) dropMissing(page kernel.DirectoryPage, goneAt time.Time) bool {
-	changed := false
+// dropMissing marks the records of the upstreams that are missing in page as dropped, and returns these records. page
+// holds the newest record of each key.
+func (t *table) dropMissing(page kernel.DirectoryPage, goneAt time.Time) (dropped []kernel.DirectoryRecord) {
 	present := make(map[string]bool, len(page.Records))
 	for _, record := range page.Records {
 		present[record.Key] = true
 	}
 	for key, known := range t.entries {
 		if !present[key] && known.record.Offset < page.Next && known.goneAt.IsZero() {
-			t.markDropped(known, kernel.DirectoryRecord{Offset: max(known.record.Offset, page.Next-1), Key: key}, goneAt)
-			changed = true
+			record := kernel.DirectoryRecord{Offset: max(known.record.Offset, page.Next-1), Key: key}
+			t.markDropped(known, record, goneAt)
+			dropped = append(dropped, record)
 		}
 	}
-	return changed
+	return dropped
 }
 
 // upstreams returns the usable registrations at now, sorted by name, and when the next of them counts as gone.
