Pass removed registrations on at once, whatever the reader went through

Cause: a reader that regains the directory uses an upstream whose registration is gone for 2.2 s more, because it may have lapsed in an outage, and told its followers only after that. Followers that changed to another reader in the meantime stated the offset of a later change and never heard of the removal.

Now removals are passed on at once, and the grace belongs to the router that noticed an outage itself: until 2.8 s after its own last failed read began. The directory was back no earlier, so the grace ends within the 3 s in which a router that was turned away isn't bound, also at the reader. What the grace was for still holds: without a reader each router reads the directory within 0.25 s, and so notices an outage of the whole directory. For 2 s of grace to be left at its end, failed reads are repeated after 0.8 s at the latest by all routers (1.2 s, and 2.4 s for routers with readers, before).

TestReaderFailover uses the new fixture, its checks are unchanged.

--- a/internal/loader/gateway.go
+++ b/internal/loader/gateway.go
@@ -21,9 +21,9 @@
 	WatchWait time.Duration `yaml:"watch_wait" unit:"duration" min:"100ms" max:"30s" help:"longest wait of a read for a new configuration; a silent connection is noticed after it"`
 	// PollInterval is the time between two reads of the registrations.
 	PollInterval time.Duration `yaml:"poll_interval" unit:"duration" min:"100ms" max:"30s" help:"time between two reads of the upstreams' registrations"`
-	// LapseGrace is how long after an outage of the directory a registration that lapsed during the outage stays in use,
-	// so that its upstream can renew it.
-	LapseGrace time.Duration `yaml:"lapse_grace" unit:"duration" min:"0s" max:"30s" help:"time after an outage of the directory in which lapsed registrations may come back"`
+	// LapseGrace is how long after its last failed read of the directory a router uses upstreams whose registration is
+	// dropped. It may have lapsed in an outage, after which its upstream renews it.
+	LapseGrace time.Duration `yaml:"lapse_grace" unit:"duration" min:"0s" max:"30s" help:"time after a router's last failed read of the directory in which it uses upstreams without a registration"`
 	// MemberInterval is the time between two reads of the routers' own records in the directory.
 	MemberInterval time.Duration `yaml:"member_interval" unit:"duration" min:"100ms" max:"1h" help:"time between two reads of the routers' records in the directory"`
 	// RepeatRatio is the share of a service's requests that all routers together may send to another upstream.
--- /dev/null
+++ b/internal/subscriber/fleet_test.go
@@ -0,0 +1,133 @@
+package subscriber
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+	"coltsfootplank/internal/loader"
+	"coltsfootplank/internal/protocol"
+)
+
+// faultyDirectory is a shared directory that counts the reads of one router and refuses them if refusing is set.
+type faultyDirectory struct {
+	*fakeDirectory
+	refusing atomic.Bool
+	reads    atomic.Int64
+	// alone is set while the router reaches no other router either.
+	alone atomic.Bool
+}
+
+func (d *faultyDirectory) Changes(ctx context.Context, topic kernel.Topic, from int64,
+	wait time.Duration,
+) (kernel.DirectoryPage, error) {
+	d.reads.Add(1)
+	if d.refusing.Load() {
+		return kernel.DirectoryPage{}, &kernel.LogUnavailableError{Operation: "read", Cause: downError{}}
+	}
+	return d.fakeDirectory.Changes(ctx, topic, from, wait)
+}
+
+func (d *faultyDirectory) Newest(ctx context.Context, topic kernel.Topic) (kernel.DirectoryPage, error) {
+	d.reads.Add(1)
+	if d.refusing.Load() {
+		return kernel.DirectoryPage{}, &kernel.LogUnavailableError{Operation: "list", Cause: downError{}}
+	}
+	return d.fakeDirectory.Newest(ctx, topic)
+}
+
+// fleet is the routers of one data centre. The first candidates of them may read the directory for the others.
+type fleet struct {
+	shared      *fakeDirectory
+	directories []*faultyDirectory
+	routers     []*Subscriber
+	candidates  []string
+	group       errgroup.Group
+	stops       []context.CancelFunc
+}
+
+// runWithFleet runs a test with started routers on virtual time. The directory has a configuration and the given upstreams.
+func runWithFleet(t *testing.T, candidates, followers int, upstreams []string, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{shared: newFakeDirectory(), candidates: []string{"first", "second", "third"}[:candidates]}
+		f.shared.put(kernel.TopicPublication, "config", newPublication(1))
+		for _, name := range upstreams {
+			f.shared.put(kernel.TopicUpstreams, name, newRegistration(name))
+		}
+		for range candidates + followers {
+			f.directories = append(f.directories, &faultyDirectory{fakeDirectory: f.shared})
+			f.routers, f.stops = append(f.routers, nil), append(f.stops, nil)
+		}
+		for i := range f.routers {
+			f.routers[i] = f.newRouter(i)
+		}
+		for i := range f.routers {
+			f.start(t, i)
+		}
+		time.Sleep(5 * time.Second)
+		test(t, f)
+		for _, stop := range f.stops {
+			stop()
+		}
+		assert.ErrorIs(t, f.group.Wait(), context.Canceled)
+	})
+}
+
+func (f *fleet) newRouter(i int) *Subscriber {
+	defaults := loader.Defaults().Gateway
+	rank := min(i, len(f.candidates))
+	return New(Options{
+		Directory: f.directories[i], FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
+		Readers: func() Readers {
+			return Readers{Addresses: f.candidates[:rank], Candidate: rank < len(f.candidates)}
+		},
+		Watch: func(ctx context.Context, address string, request *protocol.WatchRequest,
+			receive func(*protocol.WatchUpdate) bool,
+		) error {
+			reader := f.routers[slices.Index(f.candidates, address)]
+			return reader.Serve(ctx, request, func(update *protocol.WatchUpdate) error {
+				if f.directories[i].alone.Load() || !receive(update) {
+					return streamCutError{}
+				}
+				return nil
+			})
+		},
+		WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval, LapseGrace: defaults.LapseGrace, Logger: zap.NewNop(),
+	})
+}
+
+func (f *fleet) start(t *testing.T, i int) {
+	ctx, stop := context.WithCancel(t.Context())
+	f.stops[i] = stop
+	router := f.routers[i]
+	f.group.Go(func() error { return router.Run(ctx) })
+}
+
+// restart replaces a router that isn't a candidate by a new process.
+func (f *fleet) restart(t *testing.T, i int) {
+	f.stops[i]()
+	f.routers[i] = f.newRouter(i)
+	f.start(t, i)
+}
+
+// setAlone sets whether a router is cut off from the directory and from all other routers.
+func (f *fleet) setAlone(alone bool, router int) {
+	f.directories[router].refusing.Store(alone)
+	f.directories[router].alone.Store(alone)
+}
+
+// setRefusing sets whether the directory refuses the reads of the given routers.
+func (f *fleet) setRefusing(refusing bool, routers []int) {
+	for _, i := range routers {
+		f.directories[i].refusing.Store(refusing)
+	}
+}
--- /dev/null
+++ b/internal/subscriber/removal_test.go
@@ -0,0 +1,110 @@
+package subscriber
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+)
+
+const (
+	// removalBound is the time after a removal in which routers may still use the upstream.
+	removalBound = 2 * time.Second
+	// contact is the time after a router's own trouble until it is bound by removalBound again.
+	contact = 3 * time.Second
+	// rounds is how often each row is played. The pauses between the reads of routers are random.
+	rounds = 5
+)
+
+// TestRemovalAfterOutageOfReader guards against routers that use an upstream later than 2 s after its registration was
+// removed, because the routers that read the directory for them could not read it for some time.
+func TestRemovalAfterOutageOfReader(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12}
+	rows := []struct {
+		name string
+		// away are the routers whose reads the directory refuses for the time outage. removal is the time from the start
+		// of the outage to the removal.
+		away            []int
+		outage, removal time.Duration
+		// restarted is a router that starts again during the outage; 0 stands for none.
+		restarted int
+	}{
+		{"one, shortly", []int{0}, time.Second, 1600 * time.Millisecond, 0},
+		{"two, shortly", []int{0, 1}, time.Second, 1600 * time.Millisecond, 0},
+		{"two, removed before the return", []int{0, 1}, time.Second, 900 * time.Millisecond, 0},
+		{"two, for long", []int{0, 1}, 9 * time.Second, 9300 * time.Millisecond, 0},
+		{"two, removed in a long outage", []int{0, 1}, 9 * time.Second, 5 * time.Second, 0},
+		{"all candidates", []int{0, 1, 2}, 2 * time.Second, 2500 * time.Millisecond, 0},
+		{"a third", []int{0, 1, 2, 5, 9}, 5 * time.Second, 5100 * time.Millisecond, 0},
+		{"a third, removed later", []int{0, 1, 2, 5, 9}, 5 * time.Second, 6500 * time.Millisecond, 0},
+		{"two, and a restart", []int{0, 1}, 3 * time.Second, 3500 * time.Millisecond, 7},
+		{"the directory", all, 5 * time.Second, 8 * time.Second, 0},
+		{"the directory, shortly", all, time.Second, 4 * time.Second, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			for range rounds {
+				runWithFleet(t, 3, 10, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+					began := time.Now()
+					f.setRefusing(true, row.away)
+					time.AfterFunc(row.outage, func() { f.setRefusing(false, row.away) })
+					if row.restarted > 0 {
+						time.Sleep(row.outage / 2)
+						f.restart(t, row.restarted)
+					}
+					time.Sleep(time.Until(began.Add(row.removal)))
+					removed := time.Now()
+					f.shared.put(kernel.TopicUpstreams, "a", nil)
+					time.Sleep(100 * time.Millisecond)
+					f.shared.put(kernel.TopicUpstreams, "c", newRegistration("c"))
+					for time.Since(removed) < 10*time.Second {
+						time.Sleep(50 * time.Millisecond)
+						for i, s := range f.routers {
+							bound := removed.Add(removalBound)
+							if back := began.Add(row.outage + contact); slices.Contains(row.away, i) && back.After(bound) {
+								bound = back
+							}
+							if time.Now().After(bound) {
+								used := upstreamNames(s)
+								assert.Assert(t, slices.Equal(used, []string{"b", "c"}), "router %d, %s after the removal: %v", i, time.Since(removed), used)
+							}
+						}
+					}
+				})
+			}
+		})
+	}
+}
+
+// TestLapseAtAllRouters guards against pools that are emptied by an outage of the directory at the routers that don't read
+// it themselves. All registrations lapse during the outage, and running upstreams register again within about 2 s after it.
+func TestLapseAtAllRouters(t *testing.T) {
+	names := []string{"a", "b"}
+	for range rounds {
+		runWithFleet(t, 3, 10, names, func(t *testing.T, f *fleet) {
+			f.shared.setDown(true)
+			time.Sleep(5 * time.Second)
+			for _, name := range names {
+				f.shared.put(kernel.TopicUpstreams, name, nil)
+			}
+			f.shared.setDown(false)
+			back := time.Now()
+			for time.Since(back) < 1900*time.Millisecond {
+				time.Sleep(50 * time.Millisecond)
+				for i, s := range f.routers {
+					used := upstreamNames(s)
+					assert.Assert(t, slices.Equal(used, names), "router %d, %s after the outage: %v", i, time.Since(back), used)
+				}
+			}
+			f.shared.put(kernel.TopicUpstreams, "a", newRegistration("a"))
+			time.Sleep(2 * time.Second)
+			for i, s := range f.routers {
+				used := upstreamNames(s)
+				assert.Assert(t, slices.Equal(used, []string{"a"}), "router %d: %v", i, used)
+			}
+		})
+	}
+}
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -50,7 +49,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.applyRecords(state.Upstreams, time.Now(), sourcePeer) {
+	if s.applyRecords(state.Upstreams, s.goneAt(), sourcePeer) {
 		s.rebuild(sourcePeer)
 	}
 	s.registrationsKnown = true
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -41,8 +41,8 @@
 	// PollInterval is the time between two reads of the registrations. These reads don't wait in the directory, because
 	// the frequent heartbeats of upstreams would end the wait at once.
 	PollInterval time.Duration
-	// LapseGrace is how long after an outage of the directory a registration that lapsed during the outage stays in use,
-	// so that its upstream can register again.
+	// LapseGrace is how long after its last failed read of the directory this router uses upstreams whose registration is
+	// dropped. It may have lapsed in an outage of the directory, and its upstream registers again soon after the outage.
 	LapseGrace time.Duration
 	// Rollouts decodes orders of rollouts; nil if they are ignored.
 	Rollouts kernel.RolloutProtocol
@@ -204,14 +204,7 @@
 func (s *Subscriber) applyUpstreams(page kernel.DirectoryPage, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	goneAt := time.Now()
-	for _, h := range s.health {
-		// An outage of one topic counts as an outage of the directory, because the other topics may not have been read
-		// during it.
-		if back := h.since.Add(s.options.LapseGrace); !h.failing && back.After(goneAt) {
-			goneAt = back
-		}
-	}
+	goneAt := s.goneAt()
 	changed := s.applyRecords(page.Records, goneAt, sourceDirectory)
 	if whole {
 		missing := s.table.dropMissing(page, goneAt)
@@ -225,6 +218,21 @@
 	s.updateReady()
 }
 
+// goneAt returns when an upstream whose registration is dropped now counts as gone: at once, or soon after an outage of the
+// directory in which the registration may have lapsed. Only an outage that this router has noticed itself counts. Its peers
+// may have been turned away while the directory served everyone else.
+func (s *Subscriber) goneAt() time.Time {
+	goneAt := time.Now()
+	for _, h := range s.health {
+		// An outage of one topic counts as an outage of the directory, because the other topics may not have been read
+		// during it.
+		if end := h.failedAt.Add(s.options.LapseGrace); end.After(goneAt) {
+			goneAt = end
+		}
+	}
+	return goneAt
+}
+
 // applyRecords applies registrations and reports whether the usable upstreams may have changed.
 func (s *Subscriber) applyRecords(records []kernel.DirectoryRecord, goneAt time.Time, source string) bool {
 	changed := false
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -13,16 +13,12 @@
 
 const (
 	// backoffMin and backoffMax bound the pause between failed reads. The maximum keeps the recovery after an outage well
-	// within the time in which a change must take effect.
+	// within the time in which a change must take effect, and leaves 2 s of LapseGrace after the end of the outage.
 	backoffMin = 150 * time.Millisecond
-	backoffMax = 1200 * time.Millisecond
+	backoffMax = 800 * time.Millisecond
 	// firstBackoffMax is backoffMax for the candidates among the readers while they have no configuration. All requests are
 	// refused until one of them has read it.
 	firstBackoffMax = 300 * time.Millisecond
-	// readerBackoffFactor is the factor by which a router with readers extends its backoff, since its readers notice when
-	// the directory is back. If they can't read it either, the longest pause is still shorter than the time after an outage
-	// in which the guaranteed bounds don't apply.
-	readerBackoffFactor = 2
 	// readerFailoverWait is how long a router that has lost its reader waits for the next one before it reads the
 	// directory itself. Together with the time until a lost reader is noticed, it is well below the time in which a change
 	// must take effect.
@@ -39,11 +35,14 @@
 	discoveryTime = 300 * time.Millisecond
 )
 
-// health is the state of the reads of a topic: whether they succeed or fail, and since when.
+// health is the state of the reads of a topic.
 type health struct {
 	known   bool
 	failing bool
-	since   time.Time
+	// since is when the first of the reads that fail was noticed.
+	since time.Time
+	// failedAt is when the last read that failed began; zero if none has failed. The directory was back no earlier.
+	failedAt time.Time
 }
 
 // tail reads a topic until ctx ends: first the newest record of each key, then the changes. It pauses while this router
@@ -73,6 +72,7 @@
 			// A read that waits for a change would only show after its wait that the directory is back.
 			readWait = 0
 		}
+		began := time.Now()
 		page, whole, err := s.read(ctx, topic, next, readWait)
 		var trimmed *kernel.TrimmedError
 		if errors.As(err, &trimmed) {
@@ -82,7 +82,7 @@
 			continue
 		}
 		if err != nil {
-			s.recordFailure(topic, err)
+			s.recordFailure(topic, began, err)
 			s.backOff(ctx, readers, backoff)
 			backoff = min(2*backoff, s.longestBackoff(readers))
 			continue
@@ -108,14 +108,14 @@
 	return backoffMax
 }
 
-// backOff waits after a failed read. A router with readers waits longer, or until it follows one of them.
+// backOff waits after a failed read. A router with readers stops waiting once it follows one of them.
 func (s *Subscriber) backOff(ctx context.Context, readers Readers, backoff time.Duration) {
 	wait := backoff/2 + rand.N(backoff/2)
 	if len(readers.Addresses) == 0 || readers.Candidate {
 		sleep(ctx, wait)
 		return
 	}
-	s.awaitReader(ctx, wait*readerBackoffFactor)
+	s.awaitReader(ctx, wait)
 }
 
 // read returns the newest record of each key if next is negative, otherwise the changes from next on. whole reports
@@ -148,7 +148,8 @@
 	return s.health[topic].failing
 }
 
-func (s *Subscriber) recordFailure(topic kernel.Topic, err error) {
+// recordFailure records that a read that began at the given time failed.
+func (s *Subscriber) recordFailure(topic kernel.Topic, began time.Time, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &s.health[topic]
@@ -156,9 +157,10 @@
 		s.logger.Warn("directory lost", zap.Stringer("topic", topic), zap.Error(err))
 	}
 	if !h.failing {
-		*h = health{known: true, failing: true, since: time.Now()}
+		h.known, h.failing, h.since = true, true, time.Now()
 		s.notifyFollowers()
 	}
+	h.failedAt = began
 }
 
 func (s *Subscriber) recordSuccess(topic kernel.Topic) {
@@ -168,11 +170,10 @@
 	switch {
 	case !h.known:
 		s.logger.Info("directory reached", zap.Stringer("topic", topic))
-		*h = health{known: true}
 	case h.failing:
 		s.logger.Info("directory regained", zap.Stringer("topic", topic), zap.Duration("after", time.Since(h.since)))
-		*h = health{known: true, since: time.Now()}
 	}
+	h.known, h.failing = true, false
 }
 
 // sleep waits for pause, or until ctx ends.
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -74,13 +74,12 @@
 		*version, publication = current, s.compressed
 	}
 	state.Orders = s.unsentOrders(sent)
-	now := time.Now()
 	for key, known := range s.table.entries {
 		last, alreadySent := sent[key]
 		if !alreadySent {
 			last = offset
 		}
-		if known.changed <= last || !known.goneAt.IsZero() && now.Before(known.goneAt) {
+		if known.changed <= last {
 			continue
 		}
 		sent[key] = known.changed
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -313,98 +313,33 @@
 	})
 }
 
-// faultyDirectory is a shared directory that counts the reads of one router and refuses them if refusing is set.
-type faultyDirectory struct {
-	*fakeDirectory
-	refusing atomic.Bool
-	reads    atomic.Int64
-}
-
-func (d *faultyDirectory) Changes(ctx context.Context, topic kernel.Topic, from int64,
-	wait time.Duration,
-) (kernel.DirectoryPage, error) {
-	d.reads.Add(1)
-	if d.refusing.Load() {
-		return kernel.DirectoryPage{}, &kernel.LogUnavailableError{Operation: "read", Cause: downError{}}
-	}
-	return d.fakeDirectory.Changes(ctx, topic, from, wait)
-}
-
-func (d *faultyDirectory) Newest(ctx context.Context, topic kernel.Topic) (kernel.DirectoryPage, error) {
-	d.reads.Add(1)
-	if d.refusing.Load() {
-		return kernel.DirectoryPage{}, &kernel.LogUnavailableError{Operation: "list", Cause: downError{}}
-	}
-	return d.fakeDirectory.Newest(ctx, topic)
-}
-
 // TestReaderFailover guards against routers that all read the directory themselves while it refuses the reads of their
 // reader, and against changes that reach them late during that time.
 func TestReaderFailover(t *testing.T) {
-	const followers = 10
-	synctest.Test(t, func(t *testing.T) {
-		shared := newFakeDirectory()
-		shared.put(kernel.TopicPublication, "config", newPublication(1))
-		shared.put(kernel.TopicUpstreams, "a", newRegistration("a"))
-		addresses := []string{"first", "second", "third"}
-		routers := make(map[string]*Subscriber)
-		ctx, cancel := context.WithCancel(t.Context())
-		var group errgroup.Group
-		var directories []*faultyDirectory
-		var all []*Subscriber
-		for i := range len(addresses) + followers {
-			rank := min(i, len(addresses))
-			directories = append(directories, &faultyDirectory{fakeDirectory: shared})
-			s := New(Options{
-				Directory: directories[i], FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
-				Readers: func() Readers {
-					return Readers{Addresses: addresses[:rank], Candidate: rank < len(addresses)}
-				},
-				Watch: func(ctx context.Context, address string, request *protocol.WatchRequest,
-					receive func(*protocol.WatchUpdate) bool,
-				) error {
-					return routers[address].Serve(ctx, request, func(update *protocol.WatchUpdate) error {
-						if !receive(update) {
-							return streamCutError{}
-						}
-						return nil
-					})
-				},
-				WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond, Logger: zap.NewNop(),
-			})
-			if rank < len(addresses) {
-				routers[addresses[rank]] = s
-			}
-			all = append(all, s)
-		}
-		for _, s := range all {
-			group.Go(func() error { return s.Run(ctx) })
-		}
-		time.Sleep(5 * time.Second)
+	const candidates, followers = 3, 10
+	runWithFleet(t, candidates, followers, []string{"a"}, func(t *testing.T, f *fleet) {
 		read := func() (sum int64) {
-			for _, d := range directories[len(addresses):] {
+			for _, d := range f.directories[candidates:] {
 				sum += d.reads.Load()
 			}
 			return sum
 		}
 		before := read()
-		directories[0].refusing.Store(true)
+		f.setRefusing(true, []int{0})
 		time.Sleep(time.Second)
 		for next := int64(2); next < 6; next++ {
-			shared.put(kernel.TopicPublication, "config", newPublication(next))
+			f.shared.put(kernel.TopicPublication, "config", newPublication(next))
 			time.Sleep(time.Second)
 			// The first router would learn of changes through snapshots of its peers, which this test doesn't simulate.
-			for i, s := range all[1:] {
+			for i, s := range f.routers[1:] {
 				assert.Equal(t, s.RoutingConfig().Version, next, "router %d", i+1)
 			}
 		}
 		assert.Assert(t, read()-before <= followers, "%d reads", read()-before)
-		directories[0].refusing.Store(false)
+		f.setRefusing(false, []int{0})
 		time.Sleep(3 * time.Second)
-		before = directories[1].reads.Load()
+		before = f.directories[1].reads.Load()
 		time.Sleep(5 * time.Second)
-		assert.Equal(t, directories[1].reads.Load(), before, "the first reader reads again")
-		cancel()
-		assert.ErrorIs(t, group.Wait(), context.Canceled)
+		assert.Equal(t, f.directories[1].reads.Load(), before, "the first reader reads again")
 	})
 }
