List the registered upstreams to routers that begin to follow

A router that was cut off from the directory and from all routers for more than a minute went on sending to an engine whose registration had been removed in that time, until the engine ended.

Followers state the offset up to which they have every change, not that of the newest one.

TestRemovalNeverHeard failed before in its first round; the package passes with the race detector.

--- a/internal/subscriber/removal_test.go
+++ b/internal/subscriber/removal_test.go
@@ -19,6 +19,26 @@
 	rounds = 5
 )
 
+// TestRemovalNeverHeard guards against a router that uses an upstream until it ends, because the readers have forgotten the
+// removal by the time that it is back from an absence.
+func TestRemovalNeverHeard(t *testing.T) {
+	const router, absence = 9, goneRetention + 30*time.Second
+	for range rounds {
+		runWithFleet(t, 3, 10, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+			f.setAlone(true, router)
+			time.Sleep(10 * time.Second)
+			f.shared.put(kernel.TopicUpstreams, "a", nil)
+			time.Sleep(goneRetention + time.Second)
+			f.shared.put(kernel.TopicUpstreams, "c", newRegistration("c"))
+			time.Sleep(absence - goneRetention - 11*time.Second)
+			f.setAlone(false, router)
+			time.Sleep(contact)
+			used := upstreamNames(f.routers[router])
+			assert.Assert(t, slices.Equal(used, []string{"b", "c"}), "%v", used)
+		})
+	}
+}
+
 // TestRemovalAfterOutageOfReader guards against routers that use an upstream later than 2 s after its registration was
 // removed, because the routers that read the directory for them could not read it for some time.
 func TestRemovalAfterOutageOfReader(t *testing.T) {
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -12,6 +12,11 @@
 type snapshot struct {
 	Publication kernel.DirectoryRecord   `json:"publication"`
 	Upstreams   []kernel.DirectoryRecord `json:"upstreams"`
+	// Registered holds the names of all upstreams that are registered; nil if it isn't stated. The peer may not have heard
+	// that another one was removed, and the sender may have forgotten it since.
+	Registered []string `json:"registered"`
+	// Next is the offset up to which Upstreams and what the peer had before hold every change.
+	Next int64 `json:"next"`
 	// Orders are the orders of rollouts.
 	Orders []kernel.DirectoryRecord `json:"orders,omitempty"`
 }
@@ -21,7 +26,10 @@
 func (s *Subscriber) Snapshot() (data []byte, version uint64, offset int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := snapshot{Publication: s.publication}
+	state := snapshot{Publication: s.publication, Next: s.table.next}
+	if s.registrationsKnown {
+		state.Registered = s.table.registered()
+	}
 	for _, known := range s.table.entries {
 		state.Upstreams = append(state.Upstreams, known.record)
 	}
@@ -47,12 +55,25 @@
 	if state.Publication.Value != nil {
 		s.publish(state.Publication, sourcePeer)
 	}
+	s.applyRegistrations(state)
+	return nil
+}
+
+// applyRegistrations applies the registrations of a peer's state.
+func (s *Subscriber) applyRegistrations(state snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.applyRecords(state.Upstreams, s.goneAt(), sourcePeer) {
+	goneAt := s.goneAt()
+	changed := s.applyRecords(state.Upstreams, goneAt, sourcePeer)
+	if state.Registered != nil {
+		changed = s.dropMissing(state.Registered, state.Next, goneAt, sourcePeer) || changed
+	}
+	s.table.next = max(s.table.next, state.Next)
+	if changed {
 		s.rebuild(sourcePeer)
 	}
-	s.registrationsKnown = true
+	if state.Registered != nil || len(state.Upstreams) > 0 {
+		s.registrationsKnown = true
+	}
 	s.updateReady()
-	return nil
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -207,11 +207,10 @@
 	goneAt := s.goneAt()
 	changed := s.applyRecords(page.Records, goneAt, sourceDirectory)
 	if whole {
-		missing := s.table.dropMissing(page, goneAt)
-		s.logGone(missing, goneAt, sourceDirectory)
-		changed = changed || len(missing) > 0
+		changed = s.dropMissing(keys(page.Records), page.Next, goneAt, sourceDirectory) || changed
 		s.registrationsKnown = true
 	}
+	s.table.next = max(s.table.next, page.Next)
 	if changed || whole && s.config.Load() != nil {
 		s.rebuild(sourceDirectory)
 	}
@@ -251,6 +250,27 @@
 	return changed
 }
 
+// dropMissing drops the upstreams that weren't registered at offset next and reports whether there are any. registered holds
+// the names of all that were.
+func (s *Subscriber) dropMissing(registered []string, next int64, goneAt time.Time, source string) bool {
+	names := make(map[string]bool, len(registered))
+	for _, name := range registered {
+		names[name] = true
+	}
+	dropped := s.table.dropMissing(names, next, goneAt)
+	s.logGone(dropped, goneAt, source)
+	return len(dropped) > 0
+}
+
+// keys returns the keys of records.
+func keys(records []kernel.DirectoryRecord) []string {
+	list := make([]string, 0, len(records))
+	for _, record := range records {
+		list = append(list, record.Key)
+	}
+	return list
+}
+
 // logGone logs which upstreams have lost their registration, and how much longer they are used.
 func (s *Subscriber) logGone(dropped []kernel.DirectoryRecord, goneAt time.Time, source string) {
 	for _, record := range dropped {
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -17,6 +17,8 @@
 	entries map[string]*entry
 	// changed is the offset of the last record that changed a registration. Heartbeats don't count.
 	changed int64
+	// next is the offset up to which every change is known. Later ones may be known too.
+	next int64
 }
 
 // entry is the known state of one upstream.
@@ -90,16 +92,12 @@
 	return true
 }
 
-// dropMissing marks the records of the upstreams that are missing in page as dropped, and returns these records. page
-// holds the newest record of each key.
-func (t *table) dropMissing(page kernel.DirectoryPage, goneAt time.Time) (dropped []kernel.DirectoryRecord) {
-	present := make(map[string]bool, len(page.Records))
-	for _, record := range page.Records {
-		present[record.Key] = true
-	}
+// dropMissing marks the records of the upstreams that aren't registered as dropped, and returns these records. registered
+// holds the names of all that were registered at offset next.
+func (t *table) dropMissing(registered map[string]bool, next int64, goneAt time.Time) (dropped []kernel.DirectoryRecord) {
 	for key, known := range t.entries {
-		if !present[key] && known.record.Offset < page.Next && known.goneAt.IsZero() {
-			record := kernel.DirectoryRecord{Offset: max(known.record.Offset, page.Next-1), Key: key}
+		if !registered[key] && known.record.Offset < next && known.goneAt.IsZero() {
+			record := kernel.DirectoryRecord{Offset: max(known.record.Offset, next-1), Key: key}
 			t.markDropped(known, record, goneAt)
 			dropped = append(dropped, record)
 		}
@@ -107,6 +105,17 @@
 	return dropped
 }
 
+// registered returns the names of all upstreams that have a record.
+func (t *table) registered() []string {
+	names := []string{}
+	for key, known := range t.entries {
+		if known.goneAt.IsZero() {
+			names = append(names, key)
+		}
+	}
+	return names
+}
+
 // upstreams returns the usable registrations at now, sorted by name, and when the next of them counts as gone.
 func (t *table) upstreams(now time.Time) (list []kernel.Registration, next time.Time) {
 	for _, key := range slices.Sorted(maps.Keys(t.entries)) {
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -29,19 +29,30 @@
 	maxRecordBytes = 8 << 20
 )
 
+// follower is what a router that follows this one has.
+type follower struct {
+	// version is that of its publication.
+	version uint64
+	// offset is the last offset up to which it had every change of the registrations when it began to follow.
+	offset int64
+	// sent holds the offsets of the records that it was sent, by key.
+	sent map[string]int64
+	// listed is set once it was sent the names of the registered upstreams.
+	listed bool
+}
+
 // Serve sends all changes to a follower, and an update without changes every updateInterval, until ctx ends or send
 // fails.
 func (s *Subscriber) Serve(ctx context.Context, request *protocol.WatchRequest,
 	send func(*protocol.WatchUpdate) error,
 ) error {
-	version := request.GetRevision()
-	sent := make(map[string]int64)
+	f := &follower{version: request.GetRevision(), offset: request.GetOffset(), sent: make(map[string]int64)}
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
 	for {
-		state, publication, changed, reading := s.pendingUpdate(&version, request.GetOffset(), sent)
+		state, publication, changed, reading := s.pendingUpdate(f)
 		update := &protocol.WatchUpdate{Reading: reading, Publication: publication}
-		if len(state.Upstreams) > 0 || len(state.Orders) > 0 {
+		if state.Registered != nil || len(state.Upstreams) > 0 || len(state.Orders) > 0 {
 			data, err := json.Marshal(state)
 			if err != nil {
 				return err
@@ -62,27 +73,29 @@
 
 // pendingUpdate returns the records that a follower doesn't have yet and marks them as sent. It also returns a channel
 // that is closed at the next change and whether this router reads the directory itself.
-func (s *Subscriber) pendingUpdate(version *uint64, offset int64,
-	sent map[string]int64,
-) (state snapshot, publication []byte, changed <-chan struct{}, reading bool) {
+func (s *Subscriber) pendingUpdate(f *follower) (state snapshot, publication []byte, changed <-chan struct{}, reading bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if current := s.version(); current > *version {
+	if current := s.version(); current > f.version {
 		if s.compressed == nil {
 			s.compressed = compressRecord(s.publication)
 		}
-		*version, publication = current, s.compressed
+		f.version, publication = current, s.compressed
+	}
+	state.Orders = s.unsentOrders(f.sent)
+	state.Next = s.table.next
+	if !f.listed && s.registrationsKnown {
+		state.Registered, f.listed = s.table.registered(), true
 	}
-	state.Orders = s.unsentOrders(sent)
 	for key, known := range s.table.entries {
-		last, alreadySent := sent[key]
+		last, alreadySent := f.sent[key]
 		if !alreadySent {
-			last = offset
+			last = f.offset
 		}
 		if known.changed <= last {
 			continue
 		}
-		sent[key] = known.changed
+		f.sent[key] = known.changed
 		state.Upstreams = append(state.Upstreams, known.record)
 	}
 	// A router that follows another one must not be followed itself, since two routers could then follow each other.
@@ -121,8 +134,8 @@
 
 // applyUpdate applies an update from the reader.
 func (s *Subscriber) applyUpdate(update *protocol.WatchUpdate) error {
-	if len(update.GetState()) > 0 && s.options.Rollouts != nil {
-		var state snapshot
+	var state snapshot
+	if len(update.GetState()) > 0 {
 		if err := json.Unmarshal(update.GetState(), &state); err != nil {
 			return &kernel.MalformedRecordError{Key: "update", Cause: err}
 		}
@@ -136,7 +149,7 @@
 		s.publish(record, sourcePeer)
 	}
 	if len(update.GetState()) > 0 {
-		return s.ApplySnapshot(update.GetState())
+		s.applyRegistrations(state)
 	}
 	return nil
 }
@@ -171,10 +184,7 @@
 // watch follows one reader until its stream breaks, it can't read the directory, or it is no longer one of the readers.
 // It reports whether that reader was followed.
 func (s *Subscriber) watch(ctx context.Context, reader string) bool {
-	version, offset := s.Version()
-	err := s.options.Watch(ctx, reader, &protocol.WatchRequest{
-		Revision: version, Offset: offset,
-	}, func(update *protocol.WatchUpdate) bool {
+	err := s.options.Watch(ctx, reader, s.watchRequest(), func(update *protocol.WatchUpdate) bool {
 		if err := s.applyUpdate(update); err != nil {
 			s.logger.Warn("applying an update from the reader failed", zap.String("reader", reader), zap.Error(err))
 			return false
@@ -192,6 +202,13 @@
 	return followed
 }
 
+// watchRequest states what this router has.
+func (s *Subscriber) watchRequest() *protocol.WatchRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &protocol.WatchRequest{Revision: s.version(), Offset: s.table.next - 1}
+}
+
 // setFollowing records which router is followed, empty for none, and reports whether that has changed.
 func (s *Subscriber) setFollowing(reader string) bool {
 	s.mu.Lock()
