Keep verdicts on requests that crash engines in the directory

Cause: suspicions and verdicts lived in the memory of the routers alone. The new archiver writes them to the directory, one record each and 128 at most: verdicts on requests and parts of prompts, and suspects of two crashes. The router that found something writes it in the background; the routers that read the directory check that it is there, also after the directory was restored from a copy (Store-Era), which loses what was written since. Each router reads the records with the list of routers at its start, without a further call.

--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -225,6 +225,11 @@
 	Changes(ctx context.Context, topic Topic, from int64, wait time.Duration) (DirectoryPage, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic Topic) (DirectoryPage, error)
+	// Write writes records of TopicRouters, all or none. A nil value deletes the key; offsets are ignored.
+	Write(ctx context.Context, records []DirectoryRecord) error
+	// Era returns how often the directory had been restored from a copy by its latest answer, 0 if it doesn't state it.
+	// What routers wrote after the copy was made is lost.
+	Era() int64
 	// Announce writes the record of a router under its name; nil deletes it.
 	Announce(ctx context.Context, router string, record []byte) error
 	// Publication decodes a record of TopicPublication, or returns nil if the record is of another kind. Errors:
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -184,6 +184,16 @@
 // DirectoryFailing reports whether the last read of the publications failed.
 func (s *Subscriber) DirectoryFailing() bool { return s.failing(kernel.TopicPublication) }
 
+// Reading reports whether this router reads the directory itself, and its last reads succeeded.
+func (s *Subscriber) Reading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reading()
+}
+
+// reading is Reading with the lock held.
+func (s *Subscriber) reading() bool { return s.following == "" && s.ownReadsHealthy() }
+
 // Healthy reports whether the last reads of the directory succeeded, by this router or by the one that it follows.
 func (s *Subscriber) Healthy() bool {
 	s.mu.Lock()
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -133,6 +133,10 @@
 	return page, nil
 }
 
+func (d *fakeDirectory) Era() int64 { return 0 }
+
+func (d *fakeDirectory) Write(context.Context, []kernel.DirectoryRecord) error { return nil }
+
 func (d *fakeDirectory) Announce(context.Context, string, []byte) error { return nil }
 
 func (d *fakeDirectory) Publication(record kernel.DirectoryRecord) (*kernel.Publication, error) {
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -99,7 +99,7 @@
 		state.Upstreams = append(state.Upstreams, known.record)
 	}
 	// A router that follows another one must not be followed itself, since two routers could then follow each other.
-	return state, publication, s.changed, s.following == "" && s.ownReadsHealthy()
+	return state, publication, s.changed, s.reading()
 }
 
 // compressRecord encodes and compresses a record. A configuration with hundreds of routes is sent to tens of followers
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -11,6 +11,7 @@
 	"coltsfootplank/internal/abstainer"
 	"coltsfootplank/internal/administrator"
 	"coltsfootplank/internal/admitter"
+	"coltsfootplank/internal/archiver"
 	"coltsfootplank/internal/cataloguer"
 	"coltsfootplank/internal/connector"
 	"coltsfootplank/internal/detector"
@@ -20,6 +21,7 @@
 	"coltsfootplank/internal/messenger"
 	"coltsfootplank/internal/protocol"
 	"coltsfootplank/internal/ranker"
+	"coltsfootplank/internal/runner"
 	"coltsfootplank/internal/subscriber"
 )
 
@@ -33,6 +35,7 @@
 	subscriber *subscriber.Subscriber
 	connector  *connector.Connector
 	abstainer  *abstainer.Abstainer
+	archiver   *archiver.Archiver
 	forwarder  *forwarder.Forwarder
 	// rollouts is nil if the settings don't turn rollouts on.
 	rollouts *rollouts
@@ -64,7 +67,10 @@
 		subscriberOptions.Rollouts, subscriberOptions.ApplyOrder = directory, g.rollouts.ApplyOrder
 	}
 	g.subscriber = subscriber.New(subscriberOptions)
-	r.createComponents(componentOptions{catalogue: g.subscriber, vmList: routerList{directory, log}, vmListInterval: settings.MemberInterval})
+	r.createComponents(componentOptions{
+		catalogue: g.subscriber, members: g.archiveConvictions, vmListInterval: settings.MemberInterval,
+		vmList: routerList{directory: directory, observe: func(records []kernel.DirectoryRecord) { g.archiver.Observe(records) }, logger: log},
+	})
 	r.holder = r.newHolder(g.subscriber, nil, nil)
 	var versions forwarder.Rollouts
 	if g.rollouts != nil {
@@ -93,6 +99,26 @@
 	return g, nil
 }
 
+// archivedMembers are the members of which the convictions are kept in the directory.
+type archivedMembers struct {
+	*detector.Detector
+	archiver *archiver.Archiver
+}
+
+// AddConvictions adds convictions that this router found.
+func (m archivedMembers) AddConvictions(convictions []*protocol.Conviction) {
+	m.archiver.Add(convictions)
+}
+
+// archiveConvictions creates the archiver and returns the members through which the runner tells it what it finds.
+func (g *gatewayMode) archiveConvictions(members *detector.Detector) runner.Membership {
+	g.archiver = archiver.New(archiver.Options{
+		Directory: g.directory, Known: func() []*protocol.Conviction { return members.View().Convictions },
+		Add: members.AddConvictions, Reading: g.subscriber.Reading, Retention: g.settings.Scheduling.PoisonRetention, Logger: g.logger.Logger,
+	})
+	return archivedMembers{Detector: members, archiver: g.archiver}
+}
+
 // registered reports whether the catalogue has an upstream with a name.
 func (g *gatewayMode) registered(name string) bool {
 	_, ok := g.subscriber.Current().Upstream(name)
@@ -102,7 +128,7 @@
 func (g *gatewayMode) Handler() http.Handler { return g.forwarder }
 
 func (g *gatewayMode) Tasks() []func(ctx context.Context) error {
-	tasks := []func(ctx context.Context) error{g.subscriber.Run, g.connector.Run, g.announce, g.announceVersion}
+	tasks := []func(ctx context.Context) error{g.subscriber.Run, g.connector.Run, g.archiver.Run, g.announce, g.announceVersion}
 	if g.rollouts != nil {
 		tasks = append(tasks, g.rollouts.Run)
 	}
@@ -238,7 +264,7 @@
 		return directoryState{
 			Version: int64(version), Offset: offset, Healthy: g.subscriber.Healthy(), Pools: g.subscriber.Current().Pools,
 		}
-	}}, {"abstentions", func() any { return g.abstainer.Dump() }}}
+	}}, {"abstentions", func() any { return g.abstainer.Dump() }}, {"archive", func() any { return g.archiver.Dump() }}}
 	if g.rollouts != nil {
 		sections = append(sections, section{"rollouts", g.rollouts.Dump})
 	}
--- a/router/internal/assembler/records.go
+++ b/router/internal/assembler/records.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"coltsfootplank/internal/archiver"
 	"coltsfootplank/internal/detector"
 	"coltsfootplank/internal/kernel"
 )
@@ -67,7 +69,9 @@
 // routerList is a VM list that consists of the routers' own records in the directory.
 type routerList struct {
 	directory kernel.DirectoryProtocol
-	logger    *zap.Logger
+	// observe gets all newest records of the routers, among which there are also other ones.
+	observe func(records []kernel.DirectoryRecord)
+	logger  *zap.Logger
 }
 
 // VMs implements kernel.VMListProtocol. A router that ended without a planned stop leaves its record behind, so records
@@ -77,9 +81,13 @@
 	if err != nil {
 		return nil, err
 	}
+	l.observe(page.Records)
 	var records []routerRecord
 	var newest int64
 	for _, stored := range page.Records {
+		if strings.HasPrefix(stored.Key, archiver.KeyPrefix) {
+			continue
+		}
 		if rollout, err := l.directory.RolloutRecord(stored); len(stored.Value) == 0 || rollout != nil || err != nil {
 			continue
 		}
--- a/router/internal/assembler/router.go
+++ b/router/internal/assembler/router.go
@@ -158,8 +158,12 @@
 		SuspectTimeout: s.Membership.SuspectTimeout, VMList: options.vmList, VMListInterval: options.vmListInterval,
 		Logger: r.logger.Logger,
 	}, r.peers)
+	members := runner.Membership(r.detector)
+	if options.members != nil {
+		members = options.members(r.detector)
+	}
 	r.runner = runner.New(runner.Options{
-		Self: s.Name, Members: r.detector, Catalogue: options.catalogue,
+		Self: s.Name, Members: members, Catalogue: options.catalogue,
 		Factory: schedulerFactory(s.Scheduling, r.logger.Logger), CellEngines: s.Scheduling.CellEngines, Reporter: s.Gateway.Reporter, Logger: r.logger.Logger,
 	})
 	r.ticketer = ticketer.New(ticketer.Options{
@@ -170,7 +174,9 @@
 
 // componentOptions holds what a mode supplies to the components that both modes use.
 type componentOptions struct {
-	catalogue      catalogueSource
+	catalogue catalogueSource
+	// members returns the members as the runner sees them; nil for those of the detector.
+	members        func(*detector.Detector) runner.Membership
 	vmList         kernel.VMListProtocol
 	vmListInterval time.Duration
 }
