Refuse grants of engines whose registration was removed before this router knew it

A router that doesn't know an engine sent requests to it if a scheduler granted it: one that started after the removal of the engine's registration, or that has forgotten it, while the scheduler couldn't read the directory. Found by reading; no caller reported it.

Grants now state the offset of the registration by which the scheduler knows the engine. A router that has read the directory beyond this offset and has no entry of the engine returns the grant, unless it has itself noticed an outage in which the registration may have lapsed.

TestGrantOfRemovedUpstream fails without the check; TestThreeRouters and TestExchange check that grants carry the offset.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -104,7 +104,7 @@
 // send sends the request to one upstream and relays its answer.
 func (x *exchange) send(ctx context.Context, upstream *cataloguer.Upstream) holder.SendResult {
 	options := &x.forwarder.options
-	if options.RoutingConfigSource.Departed(upstream.Name) {
+	if options.RoutingConfigSource.Departed(upstream.Name, upstream.Registered) {
 		return holder.SendResult{Kind: protocol.ReleaseKind_RELEASE_KIND_UNREACHABLE}
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.holderRequest.Deadline)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,8 +29,9 @@
 	// AwaitRoutingConfig returns the newest configuration. If there is none yet, it waits for the first one, and
 	// returns nil when the wait is over or ctx ends.
 	AwaitRoutingConfig(ctx context.Context, wait time.Duration) *subscriber.RoutingConfig
-	// Departed reports whether an upstream is known to be leaving or gone.
-	Departed(upstream string) bool
+	// Departed reports whether an upstream is known to be leaving or gone. registered is cataloguer.Upstream.Registered as the
+	// scheduler that granted the upstream knows it.
+	Departed(upstream string, registered int64) bool
 	// DirectoryFailing reports whether the last read of the configuration failed.
 	DirectoryFailing() bool
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -161,9 +161,9 @@
 	return source.config
 }
 
-func (source fakeConfigSource) Departed(name string) bool { return name == source.departed }
-func (source fakeConfigSource) DirectoryFailing() bool    { return source.failing }
-func route(kind kernel.RouteKind) kernel.Route            { return kernel.Route{Kind: kind} }
+func (source fakeConfigSource) Departed(name string, _ int64) bool { return name == source.departed }
+func (source fakeConfigSource) DirectoryFailing() bool             { return source.failing }
+func route(kind kernel.RouteKind) kernel.Route                     { return kernel.Route{Kind: kind} }
 
 const (
 	okAnswer        = "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: 2\r\n\r\nab"
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -38,7 +38,7 @@
 
 // exchange sends an opaque request under a grant. Its results are those of dispatch.
 func (h *Holder) exchange(ctx context.Context, request *Request, grant *protocol.Grant) (refusal *Refusal, sent bool) {
-	upstream := &cataloguer.Upstream{Name: grant.GetEngine(), Address: grant.GetAddress()}
+	upstream := &cataloguer.Upstream{Name: grant.GetEngine(), Address: grant.GetAddress(), Registered: grant.GetRegistered()}
 	if known, ok := h.catalogue.Current().Upstream(grant.GetEngine()); ok {
 		upstream = known
 	}
--- a/internal/holder/exchange_test.go
+++ b/internal/holder/exchange_test.go
@@ -17,17 +17,21 @@
 type scriptedExchange struct {
 	script []SendResult
 	sends  int
+	// upstream is that of the last call.
+	upstream cataloguer.Upstream
 }
 
-func (s *scriptedExchange) Send(context.Context, *cataloguer.Upstream) SendResult {
+func (s *scriptedExchange) Send(_ context.Context, upstream *cataloguer.Upstream) SendResult {
 	s.sends++
+	s.upstream = *upstream
 	sent := s.script[0]
 	s.script = s.script[1:]
 	return sent
 }
 
 // TestExchange guards against a request that may have run being refused as not run, and against a request that waits
-// for a grant although no ticket is open for it. It also guards against a repeat that is sent to the engine that failed it.
+// for a grant although no ticket is open for it. It also guards against a repeat that is sent to the engine that failed it, and
+// against an upstream of which it isn't known whether it has been removed.
 func TestExchange(t *testing.T) {
 	full := &Refusal{Outcome: OutcomeNotRun, Code: CodeOverloaded}
 	lost := &Refusal{Outcome: OutcomeUnknown, Code: CodeUpstreamLost}
@@ -59,7 +63,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(DefaultSettings())
 			f.tickets.decide = func(_ int, handler ticketer.DecisionHandler) {
-				handler.Granted(&protocol.Grant{Engine: "elsewhere", Address: "127.0.0.1:1"})
+				handler.Granted(&protocol.Grant{Engine: "elsewhere", Address: "127.0.0.1:1", Registered: 7})
 			}
 			exchange := &scriptedExchange{script: c.script}
 			request := f.request()
@@ -67,6 +71,7 @@
 			request.Exchange = exchange
 			refusal := f.holder.Serve(t.Context(), request)
 			assert.Equal(t, exchange.sends, c.sends)
+			assert.DeepEqual(t, exchange.upstream, cataloguer.Upstream{Name: "elsewhere", Address: "127.0.0.1:1", Registered: 7})
 			assert.DeepEqual(t, f.tickets.avoided, c.avoided)
 			if c.outcome == "" {
 				assert.Assert(t, refusal == nil)
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -188,6 +188,8 @@
 	ColdRemaining time.Duration
 	// Version is the version of the upstream's software; empty if the registration doesn't state it.
 	Version string
+	// Registered is one more than the offset of the record that last changed the registration; 0 in one that was just decoded.
+	Registered int64
 }
 
 // Topic is one kind of record in the directory.
--- a/internal/runner/cluster_test.go
+++ b/internal/runner/cluster_test.go
@@ -25,7 +25,8 @@
 	return ranked
 }
 
-// TestThreeRouters guards against tickets that are granted never or more than once in normal operation.
+// TestThreeRouters guards against tickets that are granted never or more than once in normal operation, and against grants
+// that don't tell how their scheduler knows the engine.
 func TestThreeRouters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tc := newTestCluster(t, 3, newFakeCatalogue(4, "chat"))
@@ -49,6 +50,8 @@
 		assert.Equal(t, countGranted(all), 6)
 		for _, r := range all {
 			assert.Equal(t, r.granted(), 1)
+			assert.Equal(t, r.grants[0].GetAddress(), "127.0.0.1:1")
+			assert.Equal(t, r.grants[0].GetRegistered(), int64(7))
 		}
 	})
 }
--- a/internal/runner/engine.go
+++ b/internal/runner/engine.go
@@ -24,8 +24,10 @@
 
 // engine is one upstream of the cell.
 type engine struct {
-	address  string
-	protocol string
+	address string
+	// registered is cataloguer.Upstream.Registered.
+	registered int64
+	protocol   string
 	// cancel ends the polling; nil while the engine isn't polled.
 	cancel  context.CancelFunc
 	leaving bool
@@ -55,10 +57,10 @@
 		}
 	}
 	for name, u := range wanted {
-		if c.engines[name] != nil {
-			continue
+		if c.engines[name] == nil {
+			c.engines[name] = &engine{address: u.Address, protocol: pool.Protocol, reported: true, suspicious: make(chan struct{}, 1)}
 		}
-		c.engines[name] = &engine{address: u.Address, protocol: pool.Protocol, reported: true, suspicious: make(chan struct{}, 1)}
+		c.engines[name].registered = u.Registered
 	}
 	c.startPolling()
 }
--- a/internal/runner/fifo_test.go
+++ b/internal/runner/fifo_test.go
@@ -164,7 +164,7 @@
 	c := &cataloguer.Catalogue{Revision: 1}
 	for _, name := range pools {
 		c.Pools = append(c.Pools, cataloguer.Pool{Name: name, Protocol: "fake", Upstreams: []cataloguer.Upstream{
-			{Name: name + "-engine", Address: "127.0.0.1:1", Slots: slots},
+			{Name: name + "-engine", Address: "127.0.0.1:1", Slots: slots, Registered: 7},
 		}})
 	}
 	return &fakeCatalogue{current: c}
--- a/internal/runner/holder.go
+++ b/internal/runner/holder.go
@@ -239,7 +239,7 @@
 		grant := proto.CloneOf(decision.Grant)
 		grant.Attempt, grant.Pool, grant.Cell = r.attempt, c.pool, uint32(c.index)
 		if e := c.engines[grant.GetEngine()]; e != nil {
-			grant.Address = e.address
+			grant.Address, grant.Registered = e.address, e.registered
 		}
 		r.granted, r.engine = true, grant.GetEngine()
 		message.Grants = append(message.Grants, grant)
--- a/internal/subscriber/removal_test.go
+++ b/internal/subscriber/removal_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/internal/kernel"
@@ -128,3 +129,39 @@
 		})
 	}
 }
+
+// TestGrantOfRemovedUpstream guards against a router that sends a request to an upstream that it doesn't know, because a
+// scheduler that can't read the directory goes on granting it, and against one that refuses a new upstream that the scheduler
+// heard of first.
+func TestGrantOfRemovedUpstream(t *testing.T) {
+	rows := []struct {
+		name string
+		// failed is set if this router's reads of the directory failed shortly before.
+		failed bool
+		// registered is that of the grant of an upstream which this router doesn't know.
+		registered int64
+		want       bool
+	}{
+		{"removed", false, 3, true},
+		{"newest that is known here", false, 5, true},
+		{"newer than what is known here", false, 6, false},
+		{"not stated", false, 0, false},
+		{"lapsed in an outage", true, 3, false},
+	}
+	for _, row := range rows {
+		f := newFakeDirectory()
+		for range 5 {
+			f.put(kernel.TopicUpstreams, "a", newRegistration("a"))
+		}
+		s := New(Options{Directory: f, LapseGrace: time.Minute, Logger: zap.NewNop()})
+		assert.Check(t, !s.Departed("x", row.registered), "nothing is known yet, %s", row.name)
+		page, err := f.Newest(t.Context(), kernel.TopicUpstreams)
+		assert.NilError(t, err)
+		s.applyUpstreams(page, true)
+		if row.failed {
+			s.recordFailure(kernel.TopicUpstreams, time.Now(), downError{})
+		}
+		assert.Equal(t, s.Departed("x", row.registered), row.want, row.name)
+		assert.Check(t, !s.Departed("a", row.registered), row.name)
+	}
+}
--- a/internal/subscriber/routingconfig.go
+++ b/internal/subscriber/routingconfig.go
@@ -152,7 +152,7 @@
 		pool.Upstreams = append(pool.Upstreams, cataloguer.Upstream{
 			Name: upstream.Name, Address: upstream.Address, DataCentre: upstream.DataCentre, Slots: upstream.Slots,
 			KVTokens: c.services[upstream.Service].KVTokens, Incarnation: upstream.Incarnation, Version: upstream.Version,
-			ColdRemaining: upstream.ColdRemaining,
+			ColdRemaining: upstream.ColdRemaining, Registered: upstream.Registered,
 		})
 	}
 	for _, workspace := range c.Workspaces {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -174,11 +174,17 @@
 	}
 }
 
-// Departed reports whether an upstream is known to be leaving or gone.
-func (s *Subscriber) Departed(name string) bool {
+// Departed reports whether an upstream is known to be leaving or gone. registered is one more than the offset of the
+// registration by which the scheduler that granted it knows it; 0 if that isn't known.
+func (s *Subscriber) Departed(name string, registered int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.departed(time.Now(), name)
+	now := time.Now()
+	if s.table.entries[name] == nil && now.Before(s.lapsesUntil()) {
+		// The registration may have lapsed before this router started.
+		return false
+	}
+	return s.table.departed(now, name, registered)
 }
 
 // DirectoryFailing reports whether the last read of the publications failed.
@@ -228,18 +234,26 @@
 }
 
 // goneAt returns when an upstream whose registration is dropped now counts as gone: at once, or soon after an outage of the
-// directory in which the registration may have lapsed. Only an outage that this router has noticed itself counts. Its peers
-// may have been turned away while the directory served everyone else.
+// directory in which the registration may have lapsed.
 func (s *Subscriber) goneAt() time.Time {
-	goneAt := time.Now()
+	now, lapses := time.Now(), s.lapsesUntil()
+	if lapses.After(now) {
+		return lapses
+	}
+	return now
+}
+
+// lapsesUntil returns until when a registration that is missing may have lapsed in an outage of the directory. Only an outage
+// that this router has noticed itself counts. Its peers may have been turned away while the directory served everyone else.
+func (s *Subscriber) lapsesUntil() (until time.Time) {
 	for _, h := range s.health {
 		// An outage of one topic counts as an outage of the directory, because the other topics may not have been read
 		// during it.
-		if end := h.failedAt.Add(s.options.LapseGrace); end.After(goneAt) {
-			goneAt = end
+		if end := h.failedAt.Add(s.options.LapseGrace); end.After(until) {
+			until = end
 		}
 	}
-	return goneAt
+	return until
 }
 
 // applyRecords applies registrations and reports whether the usable upstreams may have changed.
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -259,7 +259,7 @@
 			directory.put(kernel.TopicUpstreams, step.key, step.value)
 			time.Sleep(time.Second)
 			assert.DeepEqual(t, upstreamNames(s), step.want)
-			assert.Equal(t, s.Departed(step.key), step.departed, step.name)
+			assert.Equal(t, s.Departed(step.key, 0), step.departed, step.name)
 		}
 	})
 }
@@ -310,7 +310,7 @@
 		directory.put(kernel.TopicUpstreams, "a", newRegistration("a"))
 		time.Sleep(2 * time.Second)
 		assert.DeepEqual(t, upstreamNames(s), []string{"a"})
-		assert.Assert(t, s.Departed("b"))
+		assert.Assert(t, s.Departed("b", 0))
 		directory.put(kernel.TopicUpstreams, "a", nil)
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, upstreamNames(s), []string{})
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -130,17 +130,20 @@
 			next = known.goneAt
 		}
 		if known.usable {
-			list = append(list, known.registration)
+			registration := known.registration
+			registration.Registered = known.changed + 1
+			list = append(list, registration)
 		}
 	}
 	return list, next
 }
 
-// departed reports whether an upstream is known to be leaving, gone or unusable.
-func (t *table) departed(now time.Time, name string) bool {
+// departed reports whether an upstream is known to be leaving, gone or unusable. An upstream without an entry is gone if the
+// registration by which another router knows it isn't newer than what is known here.
+func (t *table) departed(now time.Time, name string, registered int64) bool {
 	known := t.entries[name]
 	if known == nil {
-		return false
+		return registered > 0 && registered <= t.next
 	}
 	return !known.usable || known.registration.Leaving || !known.goneAt.IsZero() && !now.Before(known.goneAt)
 }
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -127,7 +127,7 @@
 		p.shared.put(kernel.TopicUpstreams, "a", nil)
 		time.Sleep(800 * time.Millisecond)
 		assert.DeepEqual(t, upstreamNames(p.follower), []string{"b"})
-		assert.Assert(t, p.follower.Departed("a"))
+		assert.Assert(t, p.follower.Departed("a", 0))
 	})
 }
 
