Claim to read the directory only after a read of one's own

Cause: a candidate that loses the reader that it follows claimed at once to read the directory, since its last own read, of long ago, had succeeded. Its followers waited for its next read to fail. What a router knows by its own reads is now forgotten when it begins to follow another one.

--- a/internal/subscriber/fleet_test.go
+++ b/internal/subscriber/fleet_test.go
@@ -17,11 +17,16 @@
 	"coltsfootplank/internal/protocol"
 )
 
+// callTimeout is how long a client of the directory waits for an answer beyond the wait that it asked for.
+const callTimeout = 400 * time.Millisecond
+
 // faultyDirectory is a shared directory that counts the reads of one router and refuses them if refusing is set.
 type faultyDirectory struct {
 	*fakeDirectory
 	refusing atomic.Bool
-	reads    atomic.Int64
+	// silent makes refused reads fail only after their wait and callTimeout.
+	silent atomic.Bool
+	reads  atomic.Int64
 	// alone is set while the router reaches no other router either.
 	alone atomic.Bool
 }
@@ -29,21 +34,37 @@
 func (d *faultyDirectory) Changes(ctx context.Context, topic kernel.Topic, from int64,
 	wait time.Duration,
 ) (kernel.DirectoryPage, error) {
-	d.reads.Add(1)
-	if d.refusing.Load() {
+	if err := d.refuse(ctx, wait); err != nil {
+		return kernel.DirectoryPage{}, err
+	}
+	began := time.Now()
+	page, err := d.fakeDirectory.Changes(ctx, topic, from, wait)
+	if d.silent.Load() {
+		sleep(ctx, time.Until(began.Add(wait+callTimeout)))
 		return kernel.DirectoryPage{}, &kernel.LogUnavailableError{Operation: "read", Cause: downError{}}
 	}
-	return d.fakeDirectory.Changes(ctx, topic, from, wait)
+	return page, err
 }
 
 func (d *faultyDirectory) Newest(ctx context.Context, topic kernel.Topic) (kernel.DirectoryPage, error) {
-	d.reads.Add(1)
-	if d.refusing.Load() {
-		return kernel.DirectoryPage{}, &kernel.LogUnavailableError{Operation: "list", Cause: downError{}}
+	if err := d.refuse(ctx, 0); err != nil {
+		return kernel.DirectoryPage{}, err
 	}
 	return d.fakeDirectory.Newest(ctx, topic)
 }
 
+// refuse returns an error if the directory doesn't answer this router.
+func (d *faultyDirectory) refuse(ctx context.Context, wait time.Duration) error {
+	d.reads.Add(1)
+	if !d.refusing.Load() {
+		return nil
+	}
+	if d.silent.Load() {
+		sleep(ctx, wait+callTimeout)
+	}
+	return &kernel.LogUnavailableError{Operation: "read", Cause: downError{}}
+}
+
 // fleet is the routers of one data centre. The first candidates of them may read the directory for the others.
 type fleet struct {
 	shared      *fakeDirectory
--- a/internal/subscriber/removal_test.go
+++ b/internal/subscriber/removal_test.go
@@ -130,6 +130,33 @@
 	}
 }
 
+// TestReadersSilenced guards against routers that follow one candidate after the other, none of which can read the directory
+// any more and each of which takes the time of a read to notice it. A change must take effect within 2 s, of which 0.5 s are
+// left for the network and the work that this test doesn't simulate.
+func TestReadersSilenced(t *testing.T) {
+	candidates := []int{0, 1, 2}
+	for i := range 20 {
+		runWithFleet(t, 3, 10, []string{"a", "b"}, func(t *testing.T, f *fleet) {
+			// Each candidate has read the directory itself at some time.
+			f.setRefusing(true, candidates[:2])
+			time.Sleep(contact)
+			f.setRefusing(false, candidates[:2])
+			time.Sleep(contact + time.Duration(i)*37*time.Millisecond)
+			for _, c := range candidates {
+				f.directories[c].silent.Store(true)
+			}
+			f.setRefusing(true, candidates)
+			f.shared.put(kernel.TopicPublication, "config", newPublication(2))
+			f.shared.put(kernel.TopicUpstreams, "a", nil)
+			time.Sleep(1500 * time.Millisecond)
+			for i, s := range f.routers[3:] {
+				assert.Equal(t, s.RoutingConfig().Version, int64(2), "router %d", 3+i)
+				assert.DeepEqual(t, upstreamNames(s), []string{"b"})
+			}
+		})
+	}
+}
+
 // TestGrantOfRemovedUpstream guards against a router that sends a request to an upstream that it doesn't know, because a
 // scheduler that can't read the directory goes on granting it, and against one that refuses a new upstream that the scheduler
 // heard of first.
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -35,7 +35,8 @@
 	discoveryTime = 300 * time.Millisecond
 )
 
-// health is the state of the reads of a topic.
+// health is the state of this router's own reads of a topic. It isn't known before the first read, and after the router has
+// followed another one.
 type health struct {
 	known   bool
 	failing bool
@@ -153,10 +154,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &s.health[topic]
-	if h.known && !h.failing {
-		s.logger.Warn("directory lost", zap.Stringer("topic", topic), zap.Error(err))
-	}
 	if !h.failing {
+		s.logger.Warn("directory lost", zap.Stringer("topic", topic), zap.Error(err))
 		h.known, h.failing, h.since = true, true, time.Now()
 		s.notifyFollowers()
 	}
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -220,6 +220,10 @@
 		s.logger.Info("reader followed", zap.String("reader", reader))
 	}
 	s.following = reader
+	for i := range s.health {
+		// This router can't tell by its own reads any more whether the directory can be read.
+		s.health[i].known, s.health[i].failing = false, false
+	}
 	close(s.followingChanged)
 	s.followingChanged = make(chan struct{})
 	return true
