Let followers hear of orders of rollouts that were deleted in their absence

A router that was away while the order of a rollout was deleted, and then followed a reader that had started after the deletion, carried the rollout on. Found on the path of removed registrations; no caller reported it.

An older order that isn't listed was deleted.

--- a/internal/subscriber/orders.go
+++ b/internal/subscriber/orders.go
@@ -33,23 +33,31 @@
 	}
 }
 
-// missingOrders returns records that delete the known orders that are missing in page, which holds the newest record of each
-// key.
-func (s *Subscriber) missingOrders(page kernel.DirectoryPage) (deleted []kernel.DirectoryRecord) {
+// missingOrders returns records that delete the known orders that are missing in records. These are the newest records of all
+// keys that had one at offset next.
+func (s *Subscriber) missingOrders(records []kernel.DirectoryRecord, next int64) (deleted []kernel.DirectoryRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	present := make(map[string]bool, len(page.Records))
-	for _, record := range page.Records {
+	present := make(map[string]bool, len(records))
+	for _, record := range records {
 		present[record.Key] = true
 	}
 	for key, known := range s.orders {
-		if !present[key] && known.Value != nil && known.Offset < page.Next-1 {
-			deleted = append(deleted, kernel.DirectoryRecord{Key: key, Offset: page.Next - 1})
+		if !present[key] && known.Value != nil && known.Offset < next-1 {
+			deleted = append(deleted, kernel.DirectoryRecord{Key: key, Offset: next - 1})
 		}
 	}
 	return deleted
 }
 
+// listOrders returns the newest records of all orders.
+func (s *Subscriber) listOrders() (orders []kernel.DirectoryRecord) {
+	for _, record := range s.orders {
+		orders = append(orders, record)
+	}
+	return orders
+}
+
 // unsentOrders returns the orders that a follower doesn't have yet and marks them as sent.
 func (s *Subscriber) unsentOrders(sent map[string]int64) (orders []kernel.DirectoryRecord) {
 	for key, record := range s.orders {
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -17,8 +17,10 @@
 	Registered []string `json:"registered"`
 	// Next is the offset up to which Upstreams and what the peer had before hold every change.
 	Next int64 `json:"next"`
-	// Orders are the orders of rollouts.
-	Orders []kernel.DirectoryRecord `json:"orders,omitempty"`
+	// Orders are the orders of rollouts, all that the sender knows if Registered is stated. OrdersNext is the offset up to which
+	// it has read them.
+	Orders     []kernel.DirectoryRecord `json:"orders,omitempty"`
+	OrdersNext int64                    `json:"orders_next"`
 }
 
 // Snapshot returns the encoded newest records for a peer, the version of the publication and the offset of the last
@@ -26,16 +28,13 @@
 func (s *Subscriber) Snapshot() (data []byte, version uint64, offset int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := snapshot{Publication: s.publication, Next: s.table.next}
+	state := snapshot{Publication: s.publication, Next: s.table.next, Orders: s.listOrders(), OrdersNext: s.ordersNext}
 	if s.registrationsKnown {
 		state.Registered = s.table.registered()
 	}
 	for _, known := range s.table.entries {
 		state.Upstreams = append(state.Upstreams, known.record)
 	}
-	for _, record := range s.orders {
-		state.Orders = append(state.Orders, record)
-	}
 	data, err := json.Marshal(state)
 	if err != nil {
 		s.logger.Error("encoding the snapshot failed", zap.Error(err))
@@ -51,7 +50,7 @@
 	if err := json.Unmarshal(data, &state); err != nil {
 		return &kernel.MalformedRecordError{Key: "snapshot", Cause: err}
 	}
-	s.applyOrders(state.Orders)
+	s.applyOrdersOf(state)
 	if state.Publication.Value != nil {
 		s.publish(state.Publication, sourcePeer)
 	}
@@ -59,6 +58,14 @@
 	return nil
 }
 
+// applyOrdersOf applies the orders of a peer's state.
+func (s *Subscriber) applyOrdersOf(state snapshot) {
+	s.applyOrders(state.Orders)
+	if state.Registered != nil {
+		s.applyOrders(s.missingOrders(state.Orders, state.OrdersNext))
+	}
+}
+
 // applyRegistrations applies the registrations of a peer's state.
 func (s *Subscriber) applyRegistrations(state snapshot) {
 	s.mu.Lock()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -84,7 +84,9 @@
 	compressed []byte
 	table      *table
 	// orders holds the newest record of each order's key.
-	orders      map[string]kernel.DirectoryRecord
+	orders map[string]kernel.DirectoryRecord
+	// ordersNext is the offset up to which every order is known.
+	ordersNext  int64
 	revision    uint64
 	lapseTimer  *time.Timer
 	health      [2]health
@@ -210,8 +212,11 @@
 func (s *Subscriber) applyPublications(page kernel.DirectoryPage, whole bool) {
 	s.applyOrders(page.Records)
 	if whole {
-		s.applyOrders(s.missingOrders(page))
+		s.applyOrders(s.missingOrders(page.Records, page.Next))
 	}
+	s.mu.Lock()
+	s.ordersNext = max(s.ordersNext, page.Next)
+	s.mu.Unlock()
 	for _, record := range page.Records {
 		s.publish(record, sourceDirectory)
 	}
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -86,6 +86,7 @@
 	state.Next = s.table.next
 	if !f.listed && s.registrationsKnown {
 		state.Registered, f.listed = s.table.registered(), true
+		state.Orders, state.OrdersNext = s.listOrders(), s.ordersNext
 	}
 	for key, known := range s.table.entries {
 		last, alreadySent := f.sent[key]
@@ -139,7 +140,7 @@
 		if err := json.Unmarshal(update.GetState(), &state); err != nil {
 			return &kernel.MalformedRecordError{Key: "update", Cause: err}
 		}
-		s.applyOrders(state.Orders)
+		s.applyOrdersOf(state)
 	}
 	if len(update.GetPublication()) > 0 {
 		record, err := decompressRecord(update.GetPublication())
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -161,6 +161,42 @@
 	})
 }
 
+// TestOrderDeletedDuringAbsence guards against a router that carries on a rollout whose order was deleted while it was away, and
+// which the reader that it follows now has never known, and against one that drops an order that the reader hasn't read yet.
+func TestOrderDeletedDuringAbsence(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// next is the offset up to which the reader has read.
+		next int64
+		want []appliedOrder
+	}{
+		{"deleted", 9, []appliedOrder{{kernel.RolloutOrder{Service: "s", Offset: 5}, false}, {kernel.RolloutOrder{Service: "s", Offset: 8, Deleted: true}, false}}},
+		{"not read yet", 5, []appliedOrder{{kernel.RolloutOrder{Service: "s", Offset: 5}, false}}},
+	} {
+		for _, snapshot := range []bool{false, true} {
+			var orders orderLog
+			options := Options{Directory: newFakeDirectory(), Rollouts: orderDecoder{}, ApplyOrder: orders.apply, Logger: zap.NewNop()}
+			away := New(options)
+			away.applyPublications(kernel.DirectoryPage{Records: []kernel.DirectoryRecord{{Key: "rollout/s", Offset: 5, Value: []byte("1")}}, Next: 6}, true)
+			options.ApplyOrder = func(kernel.RolloutOrder, bool) {}
+			reader := New(options)
+			reader.applyPublications(kernel.DirectoryPage{Next: row.next}, true)
+			reader.applyUpstreams(kernel.DirectoryPage{Next: 1}, true)
+			if snapshot {
+				data, _, _ := reader.Snapshot()
+				assert.NilError(t, away.ApplySnapshot(data))
+			} else {
+				err := reader.Serve(t.Context(), away.watchRequest(), func(update *protocol.WatchUpdate) error {
+					assert.NilError(t, away.applyUpdate(update))
+					return streamCutError{}
+				})
+				assert.ErrorIs(t, err, streamCutError{})
+			}
+			assert.DeepEqual(t, orders.all(), row.want)
+		}
+	}
+}
+
 // TestAwaitRoutingConfig guards against a router that accepts requests while it knows the configuration but no
 // upstreams, and against one that delays them although it knows both.
 func TestAwaitRoutingConfig(t *testing.T) {
