Read answers of the platform's log with the checks of the requester

Answers of the log with a continued line in their head were used, although such a line may hide their framing, and records were taken for stored whose append was reset after the head of an answer: the kernel had reported the reset to the writer, and the reader found a regular end. Callers saw nothing of it; routers keep more than short records there now.

The client of the log had connections of its own without these checks. It is now the requester, with connections of its own that the same dialer opens. Redirects aren't followed any more, as by the other clients.

--- a/internal/plugins/requester/client.go
+++ b/internal/plugins/requester/client.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -35,6 +36,8 @@
 // Client sends requests to one upstream. It is safe for concurrent use.
 type Client struct {
 	address string
+	// keepAlive reuses connections, singleUse opens one for each request.
+	keepAlive, singleUse *http.Transport
 }
 
 // Request is one HTTP request.
@@ -56,17 +59,39 @@
 type Answer struct {
 	Status      int
 	ContentType string
+	Header      http.Header
 	Body        []byte
 }
 
 // New returns a client for "ip:port" and a function that closes it. Errors: *InvalidAddressError.
 func New(address string) (*Client, func(), error) {
+	if err := checkAddress(address); err != nil {
+		return nil, nil, err
+	}
+	transports.acquire()
+	client := &Client{address: address, keepAlive: transports.keepAlive, singleUse: transports.singleUse}
+	return client, sync.OnceFunc(transports.release), nil
+}
+
+// NewDedicated returns a client for "ip:port" with connections of its own, which a dialer opens, and a function that closes it.
+// Errors: *InvalidAddressError.
+func NewDedicated(address string, dialer *net.Dialer) (*Client, func(), error) {
+	if err := checkAddress(address); err != nil {
+		return nil, nil, err
+	}
+	client := &Client{address: address, keepAlive: newTransport(true, dialer), singleUse: newTransport(false, dialer)}
+	return client, func() {
+		client.keepAlive.CloseIdleConnections()
+		client.singleUse.CloseIdleConnections()
+	}, nil
+}
+
+func checkAddress(address string) error {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil || parsed.Port() == 0 {
-		return nil, nil, &InvalidAddressError{Address: address}
+		return &InvalidAddressError{Address: address}
 	}
-	transports.acquire()
-	return &Client{address: address}, sync.OnceFunc(transports.release), nil
+	return nil
 }
 
 // Address returns the upstream's "ip:port".
@@ -82,9 +107,9 @@
 	if err != nil {
 		return nil, &kernel.NotSentError{Address: c.address, Cause: err}
 	}
-	transport := transports.keepAlive
+	transport := c.keepAlive
 	if request.NewConnection {
-		transport = transports.singleUse
+		transport = c.singleUse
 	}
 	response, err := transport.RoundTrip(built)
 	if err == nil {
@@ -117,7 +142,7 @@
 		return Answer{}, &kernel.ConnectionLostError{Address: c.address, Cause: err}
 	}
 	return Answer{
-		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Header: response.Header, Body: body,
 	}, nil
 }
 
--- a/internal/plugins/requester/pool.go
+++ b/internal/plugins/requester/pool.go
@@ -37,10 +37,11 @@
 	singleUse *http.Transport
 }
 
-var transports = transportPool{keepAlive: newTransport(true), singleUse: newTransport(false)}
+var transports = transportPool{
+	keepAlive: newTransport(true, &net.Dialer{Timeout: dialTimeout}), singleUse: newTransport(false, &net.Dialer{Timeout: dialTimeout}),
+}
 
-func newTransport(keepAlive bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(keepAlive bool, dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
