--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -1,6 +1,7 @@
 package archiver
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -34,7 +35,7 @@
 // Options are the dependencies of an archiver.
 type Options struct {
 	Directory Directory
-	// Known returns the convictions that the routers know.
+	// Known returns the convictions that the routers know, sorted by fingerprint.
 	Known func() []*protocol.Conviction
 	// Add adds convictions to those that the routers know.
 	Add func(convictions []*protocol.Conviction)
@@ -90,12 +91,15 @@
 	}
 }
 
-func find(convictions []*protocol.Conviction, fingerprint uint64) *protocol.Conviction {
-	i := slices.IndexFunc(convictions, func(c *protocol.Conviction) bool { return c.GetFingerprint() == fingerprint })
-	if i < 0 {
+// find returns the conviction of a fingerprint from a sorted list, or nil if there is none.
+func find(sorted []*protocol.Conviction, fingerprint uint64) *protocol.Conviction {
+	i, found := slices.BinarySearchFunc(sorted, fingerprint, func(c *protocol.Conviction, fingerprint uint64) int {
+		return cmp.Compare(c.GetFingerprint(), fingerprint)
+	})
+	if !found {
 		return nil
 	}
-	return convictions[i]
+	return sorted[i]
 }
 
 // Observe takes over the convictions among the newest records of the routers, as read from the directory.
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -1,6 +1,7 @@
 package archiver
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -112,6 +113,7 @@
 		r.known = slices.DeleteFunc(r.known, func(k *protocol.Conviction) bool { return k.GetFingerprint() == c.GetFingerprint() })
 		r.known = append(r.known, c)
 	}
+	slices.SortFunc(r.known, func(a, b *protocol.Conviction) int { return cmp.Compare(a.GetFingerprint(), b.GetFingerprint()) })
 }
 
 // start starts all routers, which know nothing and read the directory as far as they can.
--- /dev/null
+++ b/internal/subscriber/registrations.go
@@ -0,0 +1,129 @@
+package subscriber
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// applyUpstreams applies registrations that were read from the directory: the newest record of each key if whole is set,
+// otherwise changes.
+func (s *Subscriber) applyUpstreams(page kernel.DirectoryPage, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	goneAt := s.goneAt()
+	changed := s.applyRecords(page.Records, goneAt, sourceDirectory)
+	if whole {
+		changed = s.dropMissing(keys(page.Records), page.Next, goneAt, sourceDirectory) || changed
+		s.registrationsKnown = true
+	}
+	s.table.next = max(s.table.next, page.Next)
+	if changed || whole && s.config.Load() != nil {
+		s.rebuild(sourceDirectory)
+	}
+	s.updateReady()
+}
+
+// goneAt returns when an upstream whose registration is dropped now counts as gone: at once, or soon after an outage of the
+// directory in which the registration may have lapsed.
+func (s *Subscriber) goneAt() time.Time {
+	now, lapses := time.Now(), s.lapsesUntil()
+	if lapses.After(now) {
+		return lapses
+	}
+	return now
+}
+
+// lapsesUntil returns until when a registration that is missing may have lapsed in an outage of the directory. Only an outage
+// that this router has noticed itself counts. Its peers may have been turned away while the directory served everyone else.
+func (s *Subscriber) lapsesUntil() (until time.Time) {
+	for _, h := range s.health {
+		// An outage of one topic counts as an outage of the directory, because the other topics may not have been read
+		// during it.
+		if end := h.failedAt.Add(s.options.LapseGrace); end.After(until) {
+			until = end
+		}
+	}
+	return until
+}
+
+// applyRecords applies registrations and reports whether the usable upstreams may have changed.
+func (s *Subscriber) applyRecords(records []kernel.DirectoryRecord, goneAt time.Time, source string) bool {
+	changed := false
+	var dropped []kernel.DirectoryRecord
+	for _, record := range records {
+		recordChanged, err := s.table.apply(record, s.options.Directory.Registration, goneAt)
+		changed = changed || recordChanged
+		if err != nil {
+			s.logger.Warn("malformed registration; its upstream is not used", zap.Error(err))
+		}
+		if recordChanged && record.Value == nil {
+			dropped = append(dropped, record)
+		}
+	}
+	s.logGone(dropped, goneAt, source)
+	return changed
+}
+
+// dropMissing drops the upstreams that weren't registered at offset next and reports whether there are any. registered holds
+// the names of all that were.
+func (s *Subscriber) dropMissing(registered []string, next int64, goneAt time.Time, source string) bool {
+	names := make(map[string]bool, len(registered))
+	for _, name := range registered {
+		names[name] = true
+	}
+	dropped := s.table.dropMissing(names, next, goneAt)
+	s.logGone(dropped, goneAt, source)
+	return len(dropped) > 0
+}
+
+// keys returns the keys of records.
+func keys(records []kernel.DirectoryRecord) []string {
+	list := make([]string, 0, len(records))
+	for _, record := range records {
+		list = append(list, record.Key)
+	}
+	return list
+}
+
+// logGone logs which upstreams have lost their registration, and how much longer they are used.
+func (s *Subscriber) logGone(dropped []kernel.DirectoryRecord, goneAt time.Time, source string) {
+	for _, record := range dropped {
+		s.logger.Info("upstream has no registration", zap.String("upstream", record.Key), zap.Int64("offset", record.Offset),
+			zap.Duration("used_for", max(0, time.Until(goneAt))), zap.String("source", source))
+	}
+}
+
+// applyRegistrations applies the registrations of a peer's state.
+func (s *Subscriber) applyRegistrations(state snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	goneAt := s.goneAt()
+	changed := s.applyRecords(state.Upstreams, goneAt, sourcePeer)
+	if state.Registered != nil {
+		changed = s.dropMissing(state.Registered, state.Next, goneAt, sourcePeer) || changed
+	}
+	s.table.next = max(s.table.next, state.Next)
+	if changed {
+		s.rebuild(sourcePeer)
+	}
+	if state.Registered != nil || len(state.Upstreams) > 0 {
+		s.registrationsKnown = true
+	}
+	s.updateReady()
+}
+
+// Departed reports whether an upstream is known to be leaving or gone. registered is one more than the offset of the
+// registration by which the scheduler that granted it knows it; 0 if that isn't known.
+func (s *Subscriber) Departed(name string, registered int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.table.entries[name] == nil && now.Before(s.lapsesUntil()) {
+		// The registration may have lapsed before this router started.
+		return false
+	}
+	return s.table.departed(now, name, registered)
+}
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -65,22 +65,3 @@
 		s.applyOrders(s.missingOrders(state.Orders, state.OrdersNext))
 	}
 }
-
-// applyRegistrations applies the registrations of a peer's state.
-func (s *Subscriber) applyRegistrations(state snapshot) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	goneAt := s.goneAt()
-	changed := s.applyRecords(state.Upstreams, goneAt, sourcePeer)
-	if state.Registered != nil {
-		changed = s.dropMissing(state.Registered, state.Next, goneAt, sourcePeer) || changed
-	}
-	s.table.next = max(s.table.next, state.Next)
-	if changed {
-		s.rebuild(sourcePeer)
-	}
-	if state.Registered != nil || len(state.Upstreams) > 0 {
-		s.registrationsKnown = true
-	}
-	s.updateReady()
-}
