Begin another read of the directory 0.8 s after one that failed at the latest

With a directory that doesn't answer at all, a failed read takes 0.4 s, so that up to 1.2 s lay between the begins of two reads.

The pause now counts from the begin of the failed read, with less of it left to chance, so that 2 s remain. TestLapseDuringOutage, TestFirstConfigAfterOutage 1,000 times and TestLapseAtAllRouters 60 times pass.

--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// backoffMin and backoffMax bound the pause between failed reads. The maximum keeps the recovery after an outage well
-	// within the time in which a change must take effect, and leaves 2 s of LapseGrace after the end of the outage.
+	// backoffMin and backoffMax bound the time between two failed reads, from begin to begin. The maximum keeps the recovery
+	// after an outage well within the time in which a change must take effect, and leaves 2 s of LapseGrace after the end of
+	// the outage.
 	backoffMin = 150 * time.Millisecond
 	backoffMax = 800 * time.Millisecond
 	// firstBackoffMax is backoffMax for the candidates among the readers while they have no configuration. All requests are
@@ -73,7 +74,7 @@
 		}
 		if err != nil {
 			s.recordFailure(topic, began, err)
-			s.backOff(ctx, readers, backoff)
+			s.backOff(ctx, readers, backoff-time.Since(began))
 			backoff = min(2*backoff, s.longestBackoff(readers))
 			continue
 		}
@@ -98,9 +99,10 @@
 	return backoffMax
 }
 
-// backOff waits after a failed read. A router with readers stops waiting once it follows one of them.
-func (s *Subscriber) backOff(ctx context.Context, readers Readers, backoff time.Duration) {
-	wait := backoff/2 + rand.N(backoff/2)
+// backOff waits after a failed read, for a little less than the given time. A router with readers stops waiting once it
+// follows one of them.
+func (s *Subscriber) backOff(ctx context.Context, readers Readers, longest time.Duration) {
+	wait := max(backoffMin, longest) - rand.N(backoffMin/2)
 	if len(readers.Addresses) == 0 || readers.Candidate {
 		sleep(ctx, wait)
 		return
