Keep the first crash of a request that few others ran with

A request that crashes one engine in each life of the routers, all of which are killed after it, went on crashing engines without end: only suspects of two crashes were told to the other routers and kept in the directory.

A request of one crash is now told and kept too, if at most two others were lost with it at the begin of their answers. Of a crash of a busy engine that would be too many, as before.

The row of TestConvictionsLost that expected one crash not to be kept expects it now.

--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"coltsfootplank/internal/isolator"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
 )
@@ -163,7 +164,7 @@
 	}{
 		{"convicted", newConviction(1, 3, true), false, func(*routers) {}, 10 * time.Millisecond, true},
 		{"two crashes", newConviction(1, 2, false), false, func(*routers) {}, 10 * time.Millisecond, true},
-		{"one crash of many requests", newConviction(1, 1, false), false, func(*routers) {}, 5 * time.Second, false},
+		{"one crash", newConviction(1, 1, false), false, func(*routers) {}, 10 * time.Millisecond, true},
 		{"finder killed in an outage", newConviction(1, 3, true), true, func(r *routers) {
 			time.Sleep(300 * time.Millisecond)
 			r.kill(finder)
@@ -219,6 +220,36 @@
 	}
 }
 
+// TestOneCrashInEachLife guards against a request that crashes one engine after the other because all routers are lost after
+// each crash.
+func TestOneCrashInEachLife(t *testing.T) {
+	const lives, limit = 9, 3
+	settings := isolator.Settings{SuspectRetention: 10 * time.Minute, PoisonRetention: retention, MaxEntries: 100, CrashLimit: limit}
+	stored := make(map[uint64]*protocol.Conviction)
+	crashes := 0
+	for life := range uint64(lives) {
+		now := time.Now()
+		i := isolator.New(settings)
+		i.Merge(now, slices.Collect(maps.Values(stored)))
+		if i.State(now, 1) == isolator.Poison {
+			continue
+		}
+		crashes++
+		i.RecordCrash(now, isolator.Crash{ID: 100 + life, At: now}, isolator.Run{Traits: isolator.Traits{Fingerprint: 1}, GrantedAt: now})
+		// Another engine ends for a cause of its own, with many requests on it.
+		for other := range uint64(12) {
+			id := 1000*(life+1) + other
+			i.RecordCrash(now, isolator.Crash{ID: 200 + life, At: now}, isolator.Run{Traits: isolator.Traits{Fingerprint: id}, GrantedAt: now})
+		}
+		put, _ := plan(now, i.List(now), stored)
+		for _, c := range put {
+			stored[c.GetFingerprint()] = c
+		}
+	}
+	assert.Equal(t, crashes, limit)
+	assert.Equal(t, len(stored), 1, "requests that ran with many others are stored")
+}
+
 // TestPlan guards against records that grow without bound, that are written again and again, or that are less than what the
 // routers know.
 func TestPlan(t *testing.T) {
@@ -242,7 +273,8 @@
 	}{
 		{"new", list{newConviction(1, 3, true)}, nil, 1, nil},
 		{"stored", list{newConviction(1, 3, true)}, list{newConviction(1, 3, true)}, 0, nil},
-		{"one crash", list{newConviction(1, 1, false)}, nil, 0, nil},
+		{"one crash", list{newConviction(1, 1, false)}, nil, 1, nil},
+		{"one crash of a part", list{{Fingerprint: 1, Part: true, Crashes: 1, ExpiresUnixMs: expiry}}, nil, 0, nil},
 		{"another crash", list{newConviction(1, 3, false)}, list{newConviction(1, 2, false)}, 1, nil},
 		{"convicted after", list{newConviction(1, 3, true)}, list{newConviction(1, 3, false)}, 1, nil},
 		{"another crash of a convicted one", list{newConviction(1, 4, true)}, list{newConviction(1, 3, true)}, 0, nil},
--- a/internal/archiver/plan.go
+++ b/internal/archiver/plan.go
@@ -11,9 +11,9 @@
 const (
 	// maxRecords bounds the records in the directory. Few requests crash engines at a time.
 	maxRecords = 128
-	// minCrashes is the number of crashes from which a suspect is stored. Each crash makes all requests on the engine
-	// suspect, nearly all of them only once.
-	minCrashes = 2
+	// minPartCrashes is the number of crashes from which a suspect part is stored. Each crash makes all parts of the requests
+	// on the engine suspect, nearly all of them only once.
+	minPartCrashes = 2
 	// expiryTolerance is how much earlier than known a stored conviction may expire.
 	expiryTolerance = 30 * time.Second
 )
@@ -44,7 +44,7 @@
 }
 
 func worthStoring(now time.Time, c *protocol.Conviction) bool {
-	return (c.GetConvicted() || c.GetCrashes() >= minCrashes) && c.GetExpiresUnixMs() > now.UnixMilli()
+	return (c.GetConvicted() || !c.GetPart() || c.GetCrashes() >= minPartCrashes) && c.GetExpiresUnixMs() > now.UnixMilli()
 }
 
 // compareWorth orders convictions by what is lost without them: convicted ones first, then those with the most crashes.
--- a/internal/isolator/gossip.go
+++ b/internal/isolator/gossip.go
@@ -7,8 +7,13 @@
 	"coltsfootplank/internal/protocol"
 )
 
-// maxCrashIDs bounds the crashes in a message. Fewer suffice for a conviction.
-const maxCrashIDs = 8
+const (
+	// maxCrashIDs bounds the crashes in a message. Fewer suffice for a conviction.
+	maxCrashIDs = 8
+	// fewRequests is the number of requests lost at the begin of their answer in one crash up to which each of them is
+	// suspicious enough to be told to others.
+	fewRequests = 3
+)
 
 // Merge adds entries from other routers and returns the fingerprints and parts whose state may have changed. An expiry
 // later than a local entry could have is shortened, so that a wrong clock on another router can't keep a request poison
@@ -85,8 +90,8 @@
 }
 
 // List returns the entries for gossip and removes those that are forgotten. Parts on which engines answered requests
-// before, and requests that may run with others and had one crash at the begin of their answer, are too many to be worth
-// it.
+// before, and requests that may run with others and had one crash at the begin of their answer, together with many others,
+// are too many to be worth it.
 func (i *Isolator) List(now time.Time) []*protocol.Conviction {
 	var list []*protocol.Conviction
 	for _, s := range i.suspects {
@@ -115,7 +120,7 @@
 	case s.poison && !s.refused(now):
 		return nil
 	case s.poison:
-	case len(runs) == 0, s.part && !s.soundAt.IsZero(), counted && len(runs) < 2:
+	case len(runs) == 0, s.part && !s.soundAt.IsZero(), counted && len(runs) < 2 && runs[0].crash.requests > fewRequests:
 		return nil
 	}
 	c := &protocol.Conviction{
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -91,6 +91,9 @@
 // never refused because of the requests that it ran with.
 func (i *Isolator) RecordCrash(now time.Time, c Crash, run Run) (changed []uint64) {
 	known := i.recordedCrash(now, c)
+	if !run.Begun {
+		known.requests++
+	}
 	request := i.blame(now, known, run.Fingerprint, false, run)
 	if !run.Begun && i.settings.PartCrashLimit > 0 {
 		for _, part := range run.Parts {
--- a/internal/isolator/suspect.go
+++ b/internal/isolator/suspect.go
@@ -18,6 +18,8 @@
 	at time.Time
 	// explained is set once a poison part is found to have caused the crash. It then counts against nothing else.
 	explained bool
+	// requests is the number of requests that were lost here at the begin of their answer.
+	requests int
 }
 
 // lostRun is a run of a suspect that ended with a crash.
