review: case 11 with a pause between the operator's two writes

The next version comes 250 ms after the newest one was written again, so that the case doesn't rest on two writes at the same moment.

--- a/review/rig-3/era.go
+++ b/review/rig-3/era.go
@@ -59,6 +59,8 @@
 	const (
 		copyAge = 5 * time.Second
 		away    = 1200 * time.Millisecond
+		// pause is the time between the two writes of the operator once the store is back.
+		pause   = 250 * time.Millisecond
 		newDesk = "order-desk-2"
 	)
 	keys := []string{tenantKey}
@@ -88,6 +90,7 @@
 		c.deploy.store.bringBack(failed.Add(-copyAge))
 		c.record.note("store     back from a copy, ends at offset %d of the operator's records", c.deploy.store.end(topicOperator))
 		c.publish(4, before(4))
+		time.Sleep(pause)
 	}
 	acknowledged := c.publish(7, after(7))
 	sleepUntil(acknowledged.Add(contact + configPropagation + outerBound))
