review: case 13, a service that starts after the store was restored stays unused

Followers ask their reader for entries above the highest offset that they know, which is one of the era before the restoration, so that they never hear of servers that register soon after it. The scheduler of the new service knows no server.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -17,8 +17,9 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(c *caseRun) bool{
-	"era-removal": eraRemoval,
-	"era-config":  eraConfig,
+	"era-removal":     eraRemoval,
+	"era-config":      eraConfig,
+	"era-new-service": eraNewService,
 }
 
 // caseRun is what a case has at hand.
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -100,10 +100,12 @@
 	return desk
 }
 
-// startRouters starts one router in each zone and waits until all are ready.
-func (c *caseRun) startRouters() {
-	for _, zone := range zones {
-		c.deploy.addRouter(zone)
+// startRouters starts routers in each zone and waits until all are ready.
+func (c *caseRun) startRouters(perZone int) {
+	for range perZone {
+		for _, zone := range zones {
+			c.deploy.addRouter(zone)
+		}
 	}
 	for _, r := range c.deploy.routers {
 		c.deploy.start(r)
@@ -117,10 +119,7 @@
 	var group sync.WaitGroup
 	var sent []*request
 	for i := range count {
-		q := &request{
-			method: "POST", host: host, path: bookingPath + "2f", key: tenantKey, deadline: 3 * time.Second,
-			body: `{"kiln":7}`,
-		}
+		q := c.newBooking(bookingPath)
 		sent = append(sent, q)
 		group.Go(func() { q.send(c.deploy.routers[i%len(c.deploy.routers)].callers, c.record) })
 	}
@@ -128,4 +127,11 @@
 	return sent
 }
 
+// newBooking returns a booking on a route that isn't sent yet.
+func (c *caseRun) newBooking(path string) *request {
+	return &request{
+		method: "POST", host: host, path: path + "2f", key: tenantKey, deadline: 3 * time.Second, body: `{"kiln":7}`,
+	}
+}
+
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
