--- a/review/rig-3/engine.go
+++ b/review/rig-3/engine.go
@@ -78,14 +78,32 @@
 	if e.gone || e.state == "" {
 		return true
 	}
+	_, ok := e.store.put(topicServers, e.id, e.entry())
+	return ok
+}
+
+// entry returns the next entry; the caller holds the lock.
+func (e *engine) entry() []byte {
 	e.sequence++
 	entry, err := json.Marshal(map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "1", "slots": e.slots, "state": e.state,
 		"cold_remaining_ms": 0, "sequence": e.sequence, "born": e.born,
 	})
 	check(err)
-	_, ok := e.store.put(topicServers, e.id, entry)
-	return ok
+	return entry
+}
+
+// beatLate sends a heartbeat that gets no answer and that the store executes later.
+func (e *engine) beatLate(after time.Duration) {
+	e.mu.Lock()
+	entry, sequence := e.entry(), e.sequence
+	e.mu.Unlock()
+	e.record.note("server    %s sends heartbeat %d and gets no answer", e.id, sequence)
+	go func() {
+		time.Sleep(after)
+		offset, _ := e.store.put(topicServers, e.id, entry)
+		e.record.note("store     executes heartbeat %d of %s at offset %d", sequence, e.id, offset)
+	}()
 }
 
 // leave makes the server leave without reporting that it drains: its entry is removed, and it says so in its answers. It
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(c *caseRun) bool{
 	"era-removal":     eraRemoval,
 	"era-config":      eraConfig,
+	"late-heartbeat":  lateHeartbeat,
 	"era-new-service": eraNewService,
 }
 
