--- a/review/rig-3/router.go
+++ b/review/rig-3/router.go
@@ -42,12 +42,15 @@
 	"pass_ms": 120, "cache_window_s": 7.7,
 }
 
-// freePort returns a port that is free at an address now.
-func freePort(ip string) int {
-	listener, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+// freePorts returns different ports that are free at an address now.
+func freePorts(ip string, count int) (ports []int) {
+	for range count {
+		listener, err := net.Listen("tcp", ip+":0")
+		check(err)
+		defer func() { _ = listener.Close() }()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
 }
 
 // addRouter prepares a router with a loopback address of its own.
@@ -55,10 +58,11 @@
 	n := len(d.routers) + 1
 	ip := fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, n)
 	r := &router{name: fmt.Sprintf("frontend-%s-%d", zone, n), zone: zone, ip: ip}
-	r.callers = fmt.Sprintf("%s:%d", ip, freePort(ip))
-	r.readiness = fmt.Sprintf("%s:%d", ip, freePort(ip))
-	r.peers = fmt.Sprintf("%s:%d", ip, freePort(ip))
-	r.firstPort = freePort(ip)
+	ports := freePorts(ip, 4)
+	r.callers = fmt.Sprintf("%s:%d", ip, ports[0])
+	r.readiness = fmt.Sprintf("%s:%d", ip, ports[1])
+	r.peers = fmt.Sprintf("%s:%d", ip, ports[2])
+	r.firstPort = ports[3]
 	d.routers = append(d.routers, r)
 	return r
 }
