Read the directory anew after it was restored from a copy

Cause: a reader goes on at the offset that it has reached. After the restoration the topic ended there again, so the read was valid, and the versions below that offset were never read. Only a read beyond the end makes a reader list the topic.

A position now consists of the era that the directory states in each answer and the offset in it. A read of changes whose answer is of another era fails with a RestoredError, and the reader lists the newest records, however short the outage was and however many restorations there were. Records still have plain offsets; that is the next fault.

--- a/internal/kernel/errors.go
+++ b/internal/kernel/errors.go
@@ -162,6 +162,18 @@
 	return fmt.Sprintf("read log stream %s: records before offset %d have been removed by retention", e.Stream, e.First)
 }
 
+// RestoredError reports a read from a position in another era than the answer's: the log has been restored from a copy, and what
+// it has at the offset may be another record. Era is that of the answer.
+type RestoredError struct {
+	Stream string
+	From   Position
+	Era    int64
+}
+
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("read log stream %s from %s: the log has been restored from a copy and is in era %d", e.Stream, e.From, e.Era)
+}
+
 // RateLimitedError reports a call that exceeded the rate limit of the log or the weight store.
 type RateLimitedError struct {
 	Operation string
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -213,18 +213,18 @@
 	Value  []byte
 }
 
-// DirectoryPage holds records in offset order. Next is the offset at which to continue reading.
+// DirectoryPage holds records in offset order. Next is the position at which to continue reading.
 type DirectoryPage struct {
-	Next    int64
+	Next    Position
 	Records []DirectoryRecord
 }
 
 // DirectoryProtocol is a client of the directory, in which operators publish the configuration and upstreams register.
-// Errors of its calls: *TrimmedError, *LogUnavailableError, *RateLimitedError.
+// Errors of its calls: *TrimmedError, *RestoredError, *LogUnavailableError, *RateLimitedError.
 type DirectoryProtocol interface {
 	RolloutProtocol
-	// Changes returns the records at or after offset from. If there are none yet, it waits up to wait for the first.
-	Changes(ctx context.Context, topic Topic, from int64, wait time.Duration) (DirectoryPage, error)
+	// Changes returns the records at or after from. If there are none yet, it waits up to wait for the first.
+	Changes(ctx context.Context, topic Topic, from Position, wait time.Duration) (DirectoryPage, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic Topic) (DirectoryPage, error)
 	// Write writes records of TopicRouters, all or none. A nil value deletes the key; offsets are ignored.
--- a/internal/subscriber/fleet_test.go
+++ b/internal/subscriber/fleet_test.go
@@ -31,7 +31,7 @@
 	alone atomic.Bool
 }
 
-func (d *faultyDirectory) Changes(ctx context.Context, topic kernel.Topic, from int64,
+func (d *faultyDirectory) Changes(ctx context.Context, topic kernel.Topic, from kernel.Position,
 	wait time.Duration,
 ) (kernel.DirectoryPage, error) {
 	if err := d.refuse(ctx, wait); err != nil {
--- a/internal/subscriber/registrations.go
+++ b/internal/subscriber/registrations.go
@@ -16,10 +16,10 @@
 	goneAt := s.goneAt()
 	changed := s.applyRecords(page.Records, goneAt, sourceDirectory)
 	if whole {
-		changed = s.dropMissing(keys(page.Records), page.Next, goneAt, sourceDirectory) || changed
+		changed = s.dropMissing(keys(page.Records), page.Next.Offset(), goneAt, sourceDirectory) || changed
 		s.registrationsKnown = true
 	}
-	s.table.next = max(s.table.next, page.Next)
+	s.table.next = max(s.table.next, page.Next.Offset())
 	if changed || whole && s.config.Load() != nil {
 		s.rebuild(sourceDirectory)
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -199,10 +199,10 @@
 func (s *Subscriber) applyPublications(page kernel.DirectoryPage, whole bool) {
 	s.applyOrders(page.Records)
 	if whole {
-		s.applyOrders(s.missingOrders(page.Records, page.Next))
+		s.applyOrders(s.missingOrders(page.Records, page.Next.Offset()))
 	}
 	s.mu.Lock()
-	s.ordersNext = max(s.ordersNext, page.Next)
+	s.ordersNext = max(s.ordersNext, page.Next.Offset())
 	s.mu.Unlock()
 	for _, record := range page.Records {
 		s.publish(record, sourceDirectory)
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,8 +28,10 @@
 	noWakeups bool
 	first     [2]int64
 	records   [2][]kernel.DirectoryRecord
-	changed   chan struct{}
-	calls     int
+	// era counts the restorations from a copy.
+	era     int64
+	changed chan struct{}
+	calls   int
 	// newestCalls counts the calls of Newest.
 	newestCalls int
 }
@@ -77,7 +80,27 @@
 	d.records[topic] = nil
 }
 
-func (d *fakeDirectory) Changes(ctx context.Context, topic kernel.Topic, from int64,
+// copy returns a copy of the topics for restore.
+func (d *fakeDirectory) copy() (records [2][]kernel.DirectoryRecord) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for topic := range d.records {
+		records[topic] = slices.Clone(d.records[topic])
+	}
+	return records
+}
+
+// restore replaces the topics by a copy and begins a new era. What was appended since is lost.
+func (d *fakeDirectory) restore(records [2][]kernel.DirectoryRecord) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.records = records
+	d.era++
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *fakeDirectory) Changes(ctx context.Context, topic kernel.Topic, from kernel.Position,
 	wait time.Duration,
 ) (kernel.DirectoryPage, error) {
 	deadline := time.NewTimer(wait)
@@ -85,17 +108,19 @@
 	for {
 		d.mu.Lock()
 		d.calls++
-		changed, down, first := d.changed, d.down, d.first[topic]
+		changed, down, era, first, next := d.changed, d.down, d.era, d.first[topic], d.first[topic]+int64(len(d.records[topic]))
 		page := kernel.DirectoryPage{Next: from}
-		if from >= first {
-			page.Records = append(page.Records, d.records[topic][min(int(from-first), len(d.records[topic])):]...)
-			page.Next += int64(len(page.Records))
+		if from.Offset() >= first && from.Offset() <= next {
+			page.Records = append(page.Records, d.records[topic][from.Offset()-first:]...)
+			page.Next += kernel.Position(len(page.Records))
 		}
 		d.mu.Unlock()
 		switch {
 		case down:
 			return page, &kernel.LogUnavailableError{Operation: "read", Cause: downError{}}
-		case from < first:
+		case era != from.Era():
+			return page, &kernel.RestoredError{Stream: topic.String(), From: from, Era: era}
+		case from.Offset() < first || from.Offset() > next:
 			return page, &kernel.TrimmedError{Stream: topic.String(), First: first}
 		case len(page.Records) > 0 || wait == 0:
 			return page, nil
@@ -117,7 +142,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.newestCalls++
-	page := kernel.DirectoryPage{Next: d.first[topic] + int64(len(d.records[topic]))}
+	page := kernel.DirectoryPage{Next: kernel.PositionOf(d.era, d.first[topic]+int64(len(d.records[topic])))}
 	if d.down {
 		return page, &kernel.LogUnavailableError{Operation: "list", Cause: downError{}}
 	}
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -41,13 +41,13 @@
 func (s *Subscriber) tail(ctx context.Context, topic kernel.Topic, wait, pause time.Duration,
 	apply func(page kernel.DirectoryPage, whole bool),
 ) error {
-	next, backoff := int64(-1), backoffMin
+	next, backoff := kernel.Position(noOffset), backoffMin
 	s.awaitFirstReader(ctx)
 	for ctx.Err() == nil {
 		waited := s.awaitNotFollowing(ctx)
 		readers := s.options.Readers()
 		if waited {
-			next = -1
+			next = noOffset
 			if !readers.Candidate {
 				s.awaitReader(ctx, readerFailoverWait)
 			}
@@ -65,11 +65,10 @@
 		}
 		began := time.Now()
 		page, whole, err := s.read(ctx, topic, next, readWait)
-		var trimmed *kernel.TrimmedError
-		if errors.As(err, &trimmed) {
-			s.logger.Warn("directory dropped records that were not read", zap.Stringer("topic", topic), zap.Int64("next", next),
-				zap.Int64("first", trimmed.First))
-			next = -1
+		if !whole && unreadable(err) {
+			s.logger.Warn("records of the directory can't be read one after the other", zap.Stringer("topic", topic),
+				zap.Stringer("next", next), zap.Error(err))
+			next = noOffset
 			continue
 		}
 		if err != nil {
@@ -91,6 +90,14 @@
 	return ctx.Err()
 }
 
+// unreadable reports whether a read of changes failed because the directory doesn't have them, so that the newest records have
+// to be listed: it dropped them, or was restored from a copy and gives out their offsets again.
+func unreadable(err error) bool {
+	var trimmed *kernel.TrimmedError
+	var restored *kernel.RestoredError
+	return errors.As(err, &trimmed) || errors.As(err, &restored)
+}
+
 // longestBackoff returns the bound of the pause between failed reads.
 func (s *Subscriber) longestBackoff(readers Readers) time.Duration {
 	if s.config.Load() == nil && (readers.Candidate || len(readers.Addresses) == 0) {
@@ -112,7 +119,7 @@
 
 // read returns the newest record of each key if next is negative, otherwise the changes from next on. whole reports
 // which of them it returns.
-func (s *Subscriber) read(ctx context.Context, topic kernel.Topic, next int64,
+func (s *Subscriber) read(ctx context.Context, topic kernel.Topic, next kernel.Position,
 	wait time.Duration,
 ) (page kernel.DirectoryPage, whole bool, err error) {
 	if next < 0 {
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -167,7 +167,7 @@
 	for _, row := range []struct {
 		name string
 		// next is the offset up to which the reader has read.
-		next int64
+		next kernel.Position
 		want []appliedOrder
 	}{
 		{"deleted", 9, []appliedOrder{{kernel.RolloutOrder{Service: "s", Offset: 5}, false}, {kernel.RolloutOrder{Service: "s", Offset: 8, Deleted: true}, false}}},
@@ -306,7 +306,7 @@
 	reads atomic.Int64
 }
 
-func (c *countingDirectory) Changes(ctx context.Context, topic kernel.Topic, from int64,
+func (c *countingDirectory) Changes(ctx context.Context, topic kernel.Topic, from kernel.Position,
 	wait time.Duration,
 ) (kernel.DirectoryPage, error) {
 	c.reads.Add(1)
--- a/router/internal/assembler/rolloutcalls.go
+++ b/router/internal/assembler/rolloutcalls.go
@@ -136,7 +136,7 @@
 		s.gate.SetRecord(started, *found)
 	}
 	s.gate.Verify(started)
-	return found, page.Next, nil
+	return found, page.Next.Offset(), nil
 }
 
 // limitSchedulers applies the gate to this router's schedulers. The caller holds r.mu.
