Order records of the directory by era and offset

Cause: the offsets that the copy lacks are given out again, and everything that compares offsets took the new records for old ones: the table, the streams to followers, grants of unknown upstreams and gossip.

Records now have the position that reads already use: the era, then the offset, in one number. It takes the place of the offset in the messages between routers, so all these comparisons follow time across any number of restorations, and routers that missed one count as older.

--- a/internal/cataloguer/entries.go
+++ b/internal/cataloguer/entries.go
@@ -67,7 +67,7 @@
 	ColdRemaining time.Duration `yaml:"-"`
 	// Version is the version of the upstream's software, empty if it isn't known.
 	Version string `yaml:"-"`
-	// Registered is one more than the offset of the record that last changed the registration; 0 in catalogues that operators
+	// Registered is one more than the position of the record that last changed the registration; 0 in catalogues that operators
 	// edit.
 	Registered int64 `yaml:"-"`
 }
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -188,7 +188,7 @@
 	ColdRemaining time.Duration
 	// Version is the version of the upstream's software; empty if the registration doesn't state it.
 	Version string
-	// Registered is one more than the offset of the record that last changed the registration; 0 in one that was just decoded.
+	// Registered is one more than the position of the record that last changed the registration; 0 in one that was just decoded.
 	Registered int64
 }
 
@@ -208,12 +208,13 @@
 
 // DirectoryRecord is the newest record of a key. Value is nil if the key was deleted.
 type DirectoryRecord struct {
-	Offset int64
-	Key    string
-	Value  []byte
+	// Position has its JSON name from a time when routers told each other offsets alone.
+	Position Position `json:"Offset"`
+	Key      string
+	Value    []byte
 }
 
-// DirectoryPage holds records in offset order. Next is the position at which to continue reading.
+// DirectoryPage holds records in the order of their positions. Next is the position at which to continue reading.
 type DirectoryPage struct {
 	Next    Position
 	Records []DirectoryRecord
@@ -227,7 +228,7 @@
 	Changes(ctx context.Context, topic Topic, from Position, wait time.Duration) (DirectoryPage, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic Topic) (DirectoryPage, error)
-	// Write writes records of TopicRouters, all or none. A nil value deletes the key; offsets are ignored.
+	// Write writes records of TopicRouters, all or none. A nil value deletes the key; positions are ignored.
 	Write(ctx context.Context, records []DirectoryRecord) error
 	// Era returns how often the directory had been restored from a copy by its latest answer, 0 if it doesn't state it.
 	// What routers wrote after the copy was made is lost.
--- a/internal/subscriber/orders.go
+++ b/internal/subscriber/orders.go
@@ -16,12 +16,12 @@
 	defer s.mu.Unlock()
 	for _, record := range records {
 		known, ok := s.orders[record.Key]
-		if ok && known.Offset >= record.Offset {
+		if ok && known.Position >= record.Position {
 			continue
 		}
 		order, err := s.options.Rollouts.RolloutOrder(record)
 		if err != nil {
-			s.logger.Warn("ignoring a malformed order of a rollout", zap.Int64("offset", record.Offset), zap.Error(err))
+			s.logger.Warn("ignoring a malformed order of a rollout", zap.Stringer("position", record.Position), zap.Error(err))
 			continue
 		}
 		if order == nil {
@@ -34,8 +34,8 @@
 }
 
 // missingOrders returns records that delete the known orders that are missing in records. These are the newest records of all
-// keys that had one at offset next.
-func (s *Subscriber) missingOrders(records []kernel.DirectoryRecord, next int64) (deleted []kernel.DirectoryRecord) {
+// keys that had one at position next.
+func (s *Subscriber) missingOrders(records []kernel.DirectoryRecord, next kernel.Position) (deleted []kernel.DirectoryRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	present := make(map[string]bool, len(records))
@@ -43,8 +43,8 @@
 		present[record.Key] = true
 	}
 	for key, known := range s.orders {
-		if !present[key] && known.Value != nil && known.Offset < next-1 {
-			deleted = append(deleted, kernel.DirectoryRecord{Key: key, Offset: next - 1})
+		if !present[key] && known.Value != nil && known.Position < next-1 {
+			deleted = append(deleted, kernel.DirectoryRecord{Key: key, Position: next - 1})
 		}
 	}
 	return deleted
@@ -59,12 +59,12 @@
 }
 
 // unsentOrders returns the orders that a follower doesn't have yet and marks them as sent.
-func (s *Subscriber) unsentOrders(sent map[string]int64) (orders []kernel.DirectoryRecord) {
+func (s *Subscriber) unsentOrders(sent map[string]kernel.Position) (orders []kernel.DirectoryRecord) {
 	for key, record := range s.orders {
 		// The keys of orders and upstreams may be equal; no upstream's name has a space.
 		name := "order " + key
-		if last, ok := sent[name]; !ok || last < record.Offset {
-			sent[name] = record.Offset
+		if last, ok := sent[name]; !ok || last < record.Position {
+			sent[name] = record.Position
 			orders = append(orders, record)
 		}
 	}
--- a/internal/subscriber/registrations.go
+++ b/internal/subscriber/registrations.go
@@ -16,10 +16,10 @@
 	goneAt := s.goneAt()
 	changed := s.applyRecords(page.Records, goneAt, sourceDirectory)
 	if whole {
-		changed = s.dropMissing(keys(page.Records), page.Next.Offset(), goneAt, sourceDirectory) || changed
+		changed = s.dropMissing(keys(page.Records), page.Next, goneAt, sourceDirectory) || changed
 		s.registrationsKnown = true
 	}
-	s.table.next = max(s.table.next, page.Next.Offset())
+	s.table.next = max(s.table.next, page.Next)
 	if changed || whole && s.config.Load() != nil {
 		s.rebuild(sourceDirectory)
 	}
@@ -67,9 +67,9 @@
 	return changed
 }
 
-// dropMissing drops the upstreams that weren't registered at offset next and reports whether there are any. registered holds
+// dropMissing drops the upstreams that weren't registered at position next and reports whether there are any. registered holds
 // the names of all that were.
-func (s *Subscriber) dropMissing(registered []string, next int64, goneAt time.Time, source string) bool {
+func (s *Subscriber) dropMissing(registered []string, next kernel.Position, goneAt time.Time, source string) bool {
 	names := make(map[string]bool, len(registered))
 	for _, name := range registered {
 		names[name] = true
@@ -91,7 +91,7 @@
 // logGone logs which upstreams have lost their registration, and how much longer they are used.
 func (s *Subscriber) logGone(dropped []kernel.DirectoryRecord, goneAt time.Time, source string) {
 	for _, record := range dropped {
-		s.logger.Info("upstream has no registration", zap.String("upstream", record.Key), zap.Int64("offset", record.Offset),
+		s.logger.Info("upstream has no registration", zap.String("upstream", record.Key), zap.Stringer("position", record.Position),
 			zap.Duration("used_for", max(0, time.Until(goneAt))), zap.String("source", source))
 	}
 }
@@ -115,7 +115,7 @@
 	s.updateReady()
 }
 
-// Departed reports whether an upstream is known to be leaving or gone. registered is one more than the offset of the
+// Departed reports whether an upstream is known to be leaving or gone. registered is one more than the position of the
 // registration by which the scheduler that granted it knows it; 0 if that isn't known.
 func (s *Subscriber) Departed(name string, registered int64) bool {
 	s.mu.Lock()
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -15,17 +15,17 @@
 	// Registered holds the names of all upstreams that are registered; nil if it isn't stated. The peer may not have heard
 	// that another one was removed, and the sender may have forgotten it since.
 	Registered []string `json:"registered"`
-	// Next is the offset up to which Upstreams and what the peer had before hold every change.
-	Next int64 `json:"next"`
-	// Orders are the orders of rollouts, all that the sender knows if Registered is stated. OrdersNext is the offset up to which
+	// Next is the position up to which Upstreams and what the peer had before hold every change.
+	Next kernel.Position `json:"next"`
+	// Orders are the orders of rollouts, all that the sender knows if Registered is stated. OrdersNext is the position up to which
 	// it has read them.
 	Orders     []kernel.DirectoryRecord `json:"orders,omitempty"`
-	OrdersNext int64                    `json:"orders_next"`
+	OrdersNext kernel.Position          `json:"orders_next"`
 }
 
-// Snapshot returns the encoded newest records for a peer, the version of the publication and the offset of the last
-// registration that changed.
-func (s *Subscriber) Snapshot() (data []byte, version uint64, offset int64) {
+// Snapshot returns the encoded newest records for a peer, the version of the publication and the position of the
+// last registration that changed.
+func (s *Subscriber) Snapshot() (data []byte, version uint64, position kernel.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := snapshot{Publication: s.publication, Next: s.table.next, Orders: s.listOrders(), OrdersNext: s.ordersNext}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -85,8 +85,8 @@
 	table      *table
 	// orders holds the newest record of each order's key.
 	orders map[string]kernel.DirectoryRecord
-	// ordersNext is the offset up to which every order is known.
-	ordersNext  int64
+	// ordersNext is the position up to which every order is known.
+	ordersNext  kernel.Position
 	revision    uint64
 	lapseTimer  *time.Timer
 	health      [2]health
@@ -199,10 +199,10 @@
 func (s *Subscriber) applyPublications(page kernel.DirectoryPage, whole bool) {
 	s.applyOrders(page.Records)
 	if whole {
-		s.applyOrders(s.missingOrders(page.Records, page.Next.Offset()))
+		s.applyOrders(s.missingOrders(page.Records, page.Next))
 	}
 	s.mu.Lock()
-	s.ordersNext = max(s.ordersNext, page.Next.Offset())
+	s.ordersNext = max(s.ordersNext, page.Next)
 	s.mu.Unlock()
 	for _, record := range page.Records {
 		s.publish(record, sourceDirectory)
@@ -241,8 +241,8 @@
 	return uint64(config.Version)
 }
 
-// Version returns the version of the publication and the offset of the last registration that changed.
-func (s *Subscriber) Version() (version uint64, offset int64) {
+// Version returns the version of the publication and the position of the last registration that changed.
+func (s *Subscriber) Version() (version uint64, position kernel.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.version(), s.table.changed
@@ -260,7 +260,7 @@
 	catalogue := config.catalogue(s.revision, upstreams)
 	s.current.Store(catalogue)
 	s.logger.Info("upstreams in force", zap.Int("upstreams", len(upstreams)), zap.Int64("version", config.Version),
-		zap.Int64("offset", s.table.changed), zap.String("source", source))
+		zap.Stringer("position", s.table.changed), zap.String("source", source))
 	if s.lapseTimer != nil {
 		s.lapseTimer.Stop()
 	}
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -45,7 +45,7 @@
 func (d *fakeDirectory) put(topic kernel.Topic, key string, value any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	record := kernel.DirectoryRecord{Offset: d.first[topic] + int64(len(d.records[topic])), Key: key}
+	record := kernel.DirectoryRecord{Position: kernel.PositionOf(d.era, d.first[topic]+int64(len(d.records[topic]))), Key: key}
 	if value != nil {
 		record.Value, _ = json.Marshal(value)
 	}
@@ -94,8 +94,15 @@
 func (d *fakeDirectory) restore(records [2][]kernel.DirectoryRecord) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.records = records
+	for topic := range records {
+		d.records[topic] = slices.Clone(records[topic])
+	}
 	d.era++
+	for _, topic := range d.records {
+		for i := range topic {
+			topic[i].Position = kernel.PositionOf(d.era, topic[i].Position.Offset())
+		}
+	}
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -305,7 +312,7 @@
 	}
 	table := newTable()
 	for i, step := range steps {
-		record := kernel.DirectoryRecord{Offset: int64(i), Key: "a", Value: []byte(step.name)}
+		record := kernel.DirectoryRecord{Position: kernel.Position(i), Key: "a", Value: []byte(step.name)}
 		changed, err := table.apply(record, func(kernel.DirectoryRecord) (kernel.Registration, error) {
 			return kernel.Registration{Name: "a", Incarnation: step.incarnation, ColdRemaining: step.cold}, nil
 		}, time.Time{})
@@ -413,9 +420,9 @@
 // TestPeerSnapshots guards against a router that can't read the directory and stays without a configuration, or
 // replaces it by an older one from a peer.
 func TestPeerSnapshots(t *testing.T) {
-	record := func(offset int64, key string, value any) kernel.DirectoryRecord {
+	record := func(offset kernel.Position, key string, value any) kernel.DirectoryRecord {
 		data, _ := json.Marshal(value)
-		return kernel.DirectoryRecord{Offset: offset, Key: key, Value: data}
+		return kernel.DirectoryRecord{Position: offset, Key: key, Value: data}
 	}
 	var current atomic.Pointer[[]byte]
 	setSnapshot := func(publication kernel.DirectoryRecord, upstreams ...kernel.DirectoryRecord) {
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -9,16 +9,16 @@
 	"coltsfootplank/internal/kernel"
 )
 
-// noOffset is lower than the offset of any record; the first record has offset 0.
-const noOffset = -1
+// noPosition is lower than the position of any record; the first record has position 0.
+const noPosition kernel.Position = -1
 
-// table holds the newest known record of each upstream. Records are ordered by offset, regardless of their source.
+// table holds the newest known record of each upstream. Records are ordered by position, regardless of their source.
 type table struct {
 	entries map[string]*entry
-	// changed is the offset of the last record that changed a registration. Heartbeats don't count.
-	changed int64
-	// next is the offset up to which every change is known. Later ones may be known too.
-	next int64
+	// changed is the position of the last record that changed a registration. Heartbeats don't count.
+	changed kernel.Position
+	// next is the position up to which every change is known. Later ones may be known too.
+	next kernel.Position
 }
 
 // entry is the known state of one upstream.
@@ -27,8 +27,8 @@
 	// registration is valid if usable is set.
 	registration kernel.Registration
 	usable       bool
-	// changed is the offset of the last record that changed the registration. Heartbeats don't count.
-	changed int64
+	// changed is the position of the last record that changed the registration. Heartbeats don't count.
+	changed kernel.Position
 	// goneAt is when an upstream whose record was dropped counts as gone; zero while it has a record.
 	goneAt time.Time
 	// removeAt is when the entry of an upstream whose record was dropped is removed.
@@ -39,7 +39,7 @@
 // to it.
 const goneRetention = time.Minute
 
-func newTable() *table { return &table{entries: make(map[string]*entry), changed: noOffset} }
+func newTable() *table { return &table{entries: make(map[string]*entry), changed: noPosition} }
 
 // apply applies a record and reports whether the usable upstreams may have changed. A dropped record takes effect at
 // goneAt.
@@ -47,11 +47,11 @@
 	goneAt time.Time,
 ) (bool, error) {
 	known := t.entries[record.Key]
-	if known != nil && known.record.Offset >= record.Offset {
+	if known != nil && known.record.Position >= record.Position {
 		return false, nil
 	}
 	if known == nil {
-		known = &entry{changed: noOffset}
+		known = &entry{changed: noPosition}
 		t.entries[record.Key] = known
 	}
 	if record.Value == nil {
@@ -66,8 +66,8 @@
 		changed := registration != known.registration || (err == nil) != known.usable || !known.goneAt.IsZero()
 		*known = entry{record: record, registration: registration, usable: err == nil, changed: known.changed}
 		if changed {
-			known.changed = record.Offset
-			t.changed = max(t.changed, record.Offset)
+			known.changed = record.Position
+			t.changed = max(t.changed, record.Position)
 		}
 		return changed, err
 	}
@@ -86,18 +86,18 @@
 			// This is in the past, but not the zero time, which would mean that there is a record.
 			known.goneAt = time.Time{}.Add(time.Nanosecond)
 		}
-		known.changed = record.Offset
-		t.changed = max(t.changed, record.Offset)
+		known.changed = record.Position
+		t.changed = max(t.changed, record.Position)
 	}
 	return true
 }
 
 // dropMissing marks the records of the upstreams that aren't registered as dropped, and returns these records. registered
-// holds the names of all that were registered at offset next.
-func (t *table) dropMissing(registered map[string]bool, next int64, goneAt time.Time) (dropped []kernel.DirectoryRecord) {
+// holds the names of all that were registered at position next.
+func (t *table) dropMissing(registered map[string]bool, next kernel.Position, goneAt time.Time) (dropped []kernel.DirectoryRecord) {
 	for key, known := range t.entries {
-		if !registered[key] && known.record.Offset < next && known.goneAt.IsZero() {
-			record := kernel.DirectoryRecord{Offset: max(known.record.Offset, next-1), Key: key}
+		if !registered[key] && known.record.Position < next && known.goneAt.IsZero() {
+			record := kernel.DirectoryRecord{Position: max(known.record.Position, next-1), Key: key}
 			t.markDropped(known, record, goneAt)
 			dropped = append(dropped, record)
 		}
@@ -131,7 +131,7 @@
 		}
 		if known.usable {
 			registration := known.registration
-			registration.Registered = known.changed + 1
+			registration.Registered = int64(known.changed) + 1
 			list = append(list, registration)
 		}
 	}
@@ -143,7 +143,7 @@
 func (t *table) departed(now time.Time, name string, registered int64) bool {
 	known := t.entries[name]
 	if known == nil {
-		return registered > 0 && registered <= t.next
+		return registered > 0 && registered <= int64(t.next)
 	}
 	return !known.usable || known.registration.Leaving || !known.goneAt.IsZero() && !now.Before(known.goneAt)
 }
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -41,13 +41,13 @@
 func (s *Subscriber) tail(ctx context.Context, topic kernel.Topic, wait, pause time.Duration,
 	apply func(page kernel.DirectoryPage, whole bool),
 ) error {
-	next, backoff := kernel.Position(noOffset), backoffMin
+	next, backoff := noPosition, backoffMin
 	s.awaitFirstReader(ctx)
 	for ctx.Err() == nil {
 		waited := s.awaitNotFollowing(ctx)
 		readers := s.options.Readers()
 		if waited {
-			next = noOffset
+			next = noPosition
 			if !readers.Candidate {
 				s.awaitReader(ctx, readerFailoverWait)
 			}
@@ -68,7 +68,7 @@
 		if !whole && unreadable(err) {
 			s.logger.Warn("records of the directory can't be read one after the other", zap.Stringer("topic", topic),
 				zap.Stringer("next", next), zap.Error(err))
-			next = noOffset
+			next = noPosition
 			continue
 		}
 		if err != nil {
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -33,10 +33,10 @@
 type follower struct {
 	// version is that of its publication.
 	version uint64
-	// offset is the last offset up to which it had every change of the registrations when it began to follow.
-	offset int64
-	// sent holds the offsets of the records that it was sent, by key.
-	sent map[string]int64
+	// position is the last one up to which it had every change of the registrations when it began to follow.
+	position kernel.Position
+	// sent holds the positions of the records that it was sent, by key.
+	sent map[string]kernel.Position
 	// listed is set once it was sent the names of the registered upstreams.
 	listed bool
 }
@@ -46,7 +46,7 @@
 func (s *Subscriber) Serve(ctx context.Context, request *protocol.WatchRequest,
 	send func(*protocol.WatchUpdate) error,
 ) error {
-	f := &follower{version: request.GetRevision(), offset: request.GetOffset(), sent: make(map[string]int64)}
+	f := &follower{version: request.GetRevision(), position: kernel.Position(request.GetOffset()), sent: make(map[string]kernel.Position)}
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
 	for {
@@ -91,7 +91,7 @@
 	for key, known := range s.table.entries {
 		last, alreadySent := f.sent[key]
 		if !alreadySent {
-			last = f.offset
+			last = f.position
 		}
 		if known.changed <= last {
 			continue
@@ -207,7 +207,7 @@
 func (s *Subscriber) watchRequest() *protocol.WatchRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &protocol.WatchRequest{Revision: s.version(), Offset: s.table.next - 1}
+	return &protocol.WatchRequest{Revision: s.version(), Offset: int64(s.table.next - 1)}
 }
 
 // setFollowing records which router is followed, empty for none, and reports whether that has changed.
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -138,7 +138,7 @@
 	if record.Key != "rollout/s" {
 		return nil, nil
 	}
-	return &kernel.RolloutOrder{Service: "s", Offset: record.Offset, Deleted: record.Value == nil}, nil
+	return &kernel.RolloutOrder{Service: "s", Offset: record.Position.Offset(), Deleted: record.Value == nil}, nil
 }
 
 // TestOrders guards against a follower, or a router with a peer's snapshot, that doesn't get the orders of rollouts, gets one
@@ -177,7 +177,7 @@
 			var orders orderLog
 			options := Options{Directory: newFakeDirectory(), Rollouts: orderDecoder{}, ApplyOrder: orders.apply, Logger: zap.NewNop()}
 			away := New(options)
-			away.applyPublications(kernel.DirectoryPage{Records: []kernel.DirectoryRecord{{Key: "rollout/s", Offset: 5, Value: []byte("1")}}, Next: 6}, true)
+			away.applyPublications(kernel.DirectoryPage{Records: []kernel.DirectoryRecord{{Key: "rollout/s", Position: 5, Value: []byte("1")}}, Next: 6}, true)
 			options.ApplyOrder = func(kernel.RolloutOrder, bool) {}
 			reader := New(options)
 			reader.applyPublications(kernel.DirectoryPage{Next: row.next}, true)
@@ -262,7 +262,7 @@
 	}
 	value, err := json.Marshal(publication)
 	assert.NilError(t, err)
-	record := kernel.DirectoryRecord{Offset: 7, Key: "config", Value: value}
+	record := kernel.DirectoryRecord{Position: 7, Key: "config", Value: value}
 	compressed := compressRecord(record)
 	assert.Assert(t, len(compressed)*followers < linkBytes, "%d bytes of %d", len(compressed), len(value))
 	got, err := decompressRecord(compressed)
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -140,8 +140,8 @@
 		Accept: g.runner.Accept,
 		Gossip: g.detector.Handle,
 		Snapshot: func(context.Context, *protocol.SnapshotRequest) (*protocol.SnapshotResponse, error) {
-			data, version, offset := g.subscriber.Snapshot()
-			return &protocol.SnapshotResponse{Revision: version, Offset: offset, Catalogue: data}, nil
+			data, version, position := g.subscriber.Snapshot()
+			return &protocol.SnapshotResponse{Revision: version, Offset: int64(position), Catalogue: data}, nil
 		},
 		Watch: g.subscriber.Serve,
 	}
@@ -176,13 +176,14 @@
 	}
 }
 
-// announceVersion regularly announces to the other routers the version of the publication and the offset that this one
-// has.
+// announceVersion regularly announces to the other routers the version of the publication and the position of the registrations
+// that this one has.
 func (g *gatewayMode) announceVersion(ctx context.Context) error {
 	ticker := time.NewTicker(controlInterval)
 	defer ticker.Stop()
 	for {
-		g.detector.SetCatalogue(g.subscriber.Version())
+		version, position := g.subscriber.Version()
+		g.detector.SetCatalogue(version, int64(position))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -232,8 +233,8 @@
 // fetchState returns the state of the router with the newest configuration and registrations, or nil if none is newer
 // than that of this router.
 func (g *gatewayMode) fetchState(ctx context.Context) ([]byte, error) {
-	version, offset := g.subscriber.Version()
-	address := ""
+	version, position := g.subscriber.Version()
+	address, offset := "", int64(position)
 	for _, member := range g.detector.View().Members {
 		newer := member.CatalogueRevision > version || member.CatalogueRevision == version && member.CatalogueOffset > offset
 		if member.Name != g.settings.Name && newer && reachable(member.State) {
@@ -254,15 +255,16 @@
 type directoryState struct {
 	Version int64 `json:"version"`
 	Offset  int64 `json:"offset"`
+	Era     int64 `json:"era"`
 	Healthy bool  `json:"directory_healthy"`
 	Pools   any   `json:"pools"`
 }
 
 func (g *gatewayMode) Sections() []section {
 	sections := []section{{"directory", func() any {
-		version, offset := g.subscriber.Version()
+		version, position := g.subscriber.Version()
 		return directoryState{
-			Version: int64(version), Offset: offset, Healthy: g.subscriber.Healthy(), Pools: g.subscriber.Current().Pools,
+			Version: int64(version), Offset: position.Offset(), Era: position.Era(), Healthy: g.subscriber.Healthy(), Pools: g.subscriber.Current().Pools,
 		}
 	}}, {"abstentions", func() any { return g.abstainer.Dump() }}, {"archive", func() any { return g.archiver.Dump() }}}
 	if g.rollouts != nil {
