Hold back registrations that may be outdated

Cause: any record with a higher offset counted as newer.

A record of an earlier process, with a sequence that isn't higher, or of an upstream that was removed in the last 10 s is now held back until the directory would have dropped it if its upstream were silent: three heartbeats and two reads. Registrations that may have lapsed in an outage of the directory, and records by which an upstream leaves, are not held back.

--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -184,6 +184,8 @@
 	Leaving bool
 	// Incarnation distinguishes the starts of an upstream that keeps its name; 0 if it isn't known.
 	Incarnation int64
+	// Sequence grows with what the upstream's process writes, so that a lower one was written earlier; 0 if it isn't known.
+	Sequence int64
 	// ColdRemaining is for how long the upstream stays slow, as of the record.
 	ColdRemaining time.Duration
 	// Version is the version of the upstream's software; empty if the registration doesn't state it.
--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -50,7 +50,7 @@
 			EnginePolicy:            "expected_first_token",
 		},
 		Gateway: Gateway{
-			WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond, LapseGrace: 2800 * time.Millisecond,
+			WatchWait: 700 * time.Millisecond, PollInterval: 700 * time.Millisecond, LapseGrace: 2800 * time.Millisecond, Heartbeat: 1200 * time.Millisecond,
 			MemberInterval: 5 * time.Minute, RepeatRatio: 0.1, RepeatSlack: 20, IdlePerUpstream: 16,
 			Rollouts: Rollouts{ExposureShare: 0.1, ExposureSlack: 50},
 		},
--- a/internal/loader/gateway.go
+++ b/internal/loader/gateway.go
@@ -24,6 +24,9 @@
 	// LapseGrace is how long after its last failed read of the directory a router uses upstreams whose registration is
 	// dropped. It may have lapsed in an outage, after which its upstream renews it.
 	LapseGrace time.Duration `yaml:"lapse_grace" unit:"duration" min:"0s" max:"30s" help:"time after a router's last failed read of the directory in which it uses upstreams without a registration"`
+	// Heartbeat is the interval at which upstreams renew their registrations in the directory, which drops a registration after
+	// three intervals of silence.
+	Heartbeat time.Duration `yaml:"heartbeat" unit:"duration" min:"10ms" max:"30s" help:"interval at which upstreams renew their registrations; the directory drops one after three of them"`
 	// MemberInterval is the time between two reads of the routers' own records in the directory.
 	MemberInterval time.Duration `yaml:"member_interval" unit:"duration" min:"100ms" max:"1h" help:"time between two reads of the routers' records in the directory"`
 	// RepeatRatio is the share of a service's requests that all routers together may send to another upstream.
--- a/internal/subscriber/fleet_test.go
+++ b/internal/subscriber/fleet_test.go
@@ -122,7 +122,7 @@
 				return nil
 			})
 		},
-		WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval, LapseGrace: defaults.LapseGrace, Logger: zap.NewNop(),
+		WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval, LapseGrace: defaults.LapseGrace, Heartbeat: defaults.Heartbeat, Logger: zap.NewNop(),
 	})
 }
 
--- /dev/null
+++ b/internal/subscriber/held.go
@@ -0,0 +1,88 @@
+package subscriber
+
+import (
+	"cmp"
+	"time"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// lapseHeartbeats is the number of heartbeats without a sign of an upstream after which the directory drops its registration.
+const lapseHeartbeats = 3
+
+// maxLateness is longer than the directory takes to execute a write that got no answer.
+const maxLateness = 10 * time.Second
+
+// stamp orders the records of an upstream by when its processes wrote them. The directory may execute a write seconds after it
+// was sent, when it has long executed later ones.
+type stamp struct {
+	incarnation, sequence int64
+}
+
+// newest returns the later of two stamps.
+func (s stamp) newest(other stamp) stamp {
+	if cmp.Or(cmp.Compare(other.incarnation, s.incarnation), cmp.Compare(other.sequence, s.sequence)) > 0 {
+		return other
+	}
+	return s
+}
+
+// heldRecord is a record that the upstream may have written before the record that is in force, or before it left.
+type heldRecord struct {
+	record       kernel.DirectoryRecord
+	registration kernel.Registration
+	stamp        stamp
+	// until is when the record is put in force. If its upstream were gone, the directory would have dropped it by then.
+	until time.Time
+}
+
+// position returns the position of the newest record, whether it is in force or held back.
+func (e *entry) position() kernel.Position {
+	if e.held != nil {
+		return e.held.record.Position
+	}
+	return e.record.Position
+}
+
+// doubts reports whether a record may be outdated: an earlier process of the upstream wrote it, or the same process wrote it
+// before another one that is known, or its upstream has been removed since. The sequence alone doesn't show the latter where
+// the directory stores changes only, and not each heartbeat. Only if the registration may have lapsed in an outage of the
+// directory, its upstream is expected back. What a reader passes on has been held back by it. That an upstream is leaving is
+// never doubted, unless an earlier process says so.
+func (e *entry) doubts(next stamp, leaving bool, a arrival) bool {
+	removed := !e.goneAt.IsZero() && !e.lapsed && a.source == sourceDirectory && a.at.Sub(e.droppedAt) < maxLateness
+	switch known := next.incarnation != 0 && e.stamp.incarnation != 0; {
+	case known && next.incarnation != e.stamp.incarnation:
+		return next.incarnation < e.stamp.incarnation
+	case leaving:
+		return false
+	case !known:
+		return removed
+	case next.sequence > 0 && next.sequence <= e.stamp.sequence:
+		return true
+	default:
+		return removed
+	}
+}
+
+// hold holds back a record. It takes the place of one that is held already, and its time, since both show a sign of the upstream.
+func (e *entry) hold(next *heldRecord) {
+	if e.held != nil {
+		next.until = e.held.until
+	}
+	e.held = next
+}
+
+// release puts the held records that are due in force.
+func (t *table) release(now time.Time) (released []kernel.DirectoryRecord) {
+	for _, known := range t.entries {
+		held := known.held
+		if held == nil || now.Before(held.until) {
+			continue
+		}
+		t.replace(known, held.record, held.registration, true, true)
+		known.stamp = held.stamp
+		released = append(released, held.record)
+	}
+	return released
+}
--- /dev/null
+++ b/internal/subscriber/held_test.go
@@ -0,0 +1,93 @@
+package subscriber
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootplank/internal/kernel"
+)
+
+// TestOutdatedRegistrations guards against the use of an upstream that is leaving or gone, because the directory executes one of
+// its earlier heartbeats late, and against an upstream that is never used again although it is there.
+func TestOutdatedRegistrations(t *testing.T) {
+	write := func(incarnation, sequence int64, leaving bool) kernel.Registration {
+		registration := newRegistration("a")
+		registration.Incarnation, registration.Sequence, registration.Leaving = incarnation, sequence, leaving
+		return registration
+	}
+	type step struct {
+		// at is the time from the first step.
+		at    time.Duration
+		value any
+	}
+	const second = time.Second
+	rows := []struct {
+		name  string
+		steps []step
+		// outage is how long the directory is down from 1 s on.
+		outage time.Duration
+		// unused and used are times at which the upstream must not, or must, be used, from the first step.
+		unused, used []time.Duration
+	}{
+		{"removed, and an earlier heartbeat", []step{
+			{0, write(1, 5, false)}, {2 * second, nil}, {5 * second, write(1, 4, false)}, {8600 * time.Millisecond, nil},
+		}, 0, []time.Duration{4 * second, 7 * second, 9400 * time.Millisecond, 15 * second}, []time.Duration{second}},
+		{"removed, and the last heartbeat", []step{
+			{0, write(1, 1, false)}, {2 * second, nil}, {5 * second, write(1, 7, false)}, {8600 * time.Millisecond, nil},
+		}, 0, []time.Duration{4 * second, 7 * second, 9400 * time.Millisecond, 15 * second}, []time.Duration{second}},
+		{"removed, and a heartbeat without numbers", []step{
+			{0, write(0, 0, false)}, {2 * second, nil}, {5 * second, write(0, 0, false)}, {8600 * time.Millisecond, nil},
+		}, 0, []time.Duration{4 * second, 7 * second, 9400 * time.Millisecond, 15 * second}, []time.Duration{second}},
+		{"leaving, and an earlier heartbeat", []step{
+			{0, write(1, 1, false)}, {2 * second, write(1, 9, true)}, {3 * second, write(1, 7, false)}, {5 * second, nil},
+		}, 0, []time.Duration{4 * second, 7 * second, 12 * second}, []time.Duration{second}},
+		{"leaving, and a heartbeat that leaves again", []step{
+			{0, write(1, 1, false)}, {2 * second, write(1, 9, true)}, {3 * second, write(1, 7, false)}, {4 * second, write(1, 10, true)},
+		}, 0, []time.Duration{4 * second, 7 * second, 12 * second}, []time.Duration{second}},
+		{"leaving with an earlier number", []step{
+			{0, write(1, 5, false)}, {2 * second, write(1, 5, true)},
+		}, 0, []time.Duration{3 * second, 12 * second}, []time.Duration{second}},
+		{"removed and back", []step{
+			{0, write(1, 1, false)}, {2 * second, nil}, {5 * second, write(1, 7, false)},
+		}, 0, []time.Duration{4 * second, 7 * second}, []time.Duration{second, 12 * second, 80 * second}},
+		{"removed and back much later", []step{
+			{0, write(1, 1, false)}, {2 * second, nil}, {13 * second, write(1, 10, false)},
+		}, 0, []time.Duration{4 * second}, []time.Duration{second, 14 * second, 130 * second}},
+		{"earlier process is the one that is there", []step{
+			{0, write(2, 1, false)}, {2 * second, nil}, {59 * second, write(1, 50, false)}, {61 * second, write(1, 51, false)},
+		}, 0, []time.Duration{4 * second, 62 * second}, []time.Duration{second, 75 * second, 130 * second}},
+		{"another process", []step{
+			{0, write(1, 5, false)}, {2 * second, nil}, {3 * second, write(2, 1, false)},
+		}, 0, []time.Duration{2900 * time.Millisecond}, []time.Duration{second, 4 * second, 12 * second}},
+		{"another process, and a heartbeat of the one before that leaves", []step{
+			{0, write(1, 5, false)}, {2 * second, write(2, 1, false)}, {3 * second, write(1, 6, true)}, {4200 * time.Millisecond, write(2, 3, false)},
+		}, 0, nil, []time.Duration{second, 3 * second, 4 * second, 12 * second}},
+		{"lapsed in an outage", []step{
+			{0, write(1, 1, false)}, {5 * second, nil}, {7900 * time.Millisecond, write(1, 7, false)},
+		}, 5 * second, nil, []time.Duration{second, 7 * second, 8800 * time.Millisecond, 12 * second}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			runWithFleet(t, 3, 10, nil, func(t *testing.T, f *fleet) {
+				began := time.Now()
+				time.AfterFunc(second, func() { f.shared.setDown(row.outage > 0) })
+				time.AfterFunc(second+row.outage, func() { f.shared.setDown(false) })
+				for _, step := range row.steps {
+					time.AfterFunc(step.at, func() { f.shared.put(kernel.TopicUpstreams, "a", step.value) })
+				}
+				times := slices.Concat(row.unused, row.used)
+				slices.Sort(times)
+				for _, at := range times {
+					time.Sleep(time.Until(began.Add(at)))
+					for i, s := range f.routers {
+						used := slices.Contains(upstreamNames(s), "a")
+						assert.Check(t, used == slices.Contains(row.used, at), "router %d after %s: used %t", i, at, used)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/subscriber/registrations.go
+++ b/internal/subscriber/registrations.go
@@ -13,10 +13,10 @@
 func (s *Subscriber) applyUpstreams(page kernel.DirectoryPage, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	goneAt := s.goneAt()
-	changed := s.applyRecords(page.Records, goneAt, sourceDirectory)
+	a := s.arrival(sourceDirectory)
+	changed := s.applyRecords(page.Records, a)
 	if whole {
-		changed = s.dropMissing(keys(page.Records), page.Next, goneAt, sourceDirectory) || changed
+		changed = s.dropMissing(keys(page.Records), page.Next, a) || changed
 		s.registrationsKnown = true
 	}
 	s.table.next = max(s.table.next, page.Next)
@@ -26,14 +26,16 @@
 	s.updateReady()
 }
 
-// goneAt returns when an upstream whose registration is dropped now counts as gone: at once, or soon after an outage of the
-// directory in which the registration may have lapsed.
-func (s *Subscriber) goneAt() time.Time {
+// arrival returns how records arrive now. An upstream whose registration is dropped counts as gone at once, or soon after an
+// outage of the directory in which the registration may have lapsed.
+func (s *Subscriber) arrival(source string) arrival {
 	now, lapses := time.Now(), s.lapsesUntil()
+	// A dropped registration is read after the next two reads at the latest.
+	a := arrival{source: source, at: now, goneAt: now, heldUntil: now.Add(lapseHeartbeats*s.options.Heartbeat + 2*s.options.PollInterval)}
 	if lapses.After(now) {
-		return lapses
+		a.goneAt = lapses
 	}
-	return now
+	return a
 }
 
 // lapsesUntil returns until when a registration that is missing may have lapsed in an outage of the directory. Only an outage
@@ -50,11 +52,11 @@
 }
 
 // applyRecords applies registrations and reports whether the usable upstreams may have changed.
-func (s *Subscriber) applyRecords(records []kernel.DirectoryRecord, goneAt time.Time, source string) bool {
+func (s *Subscriber) applyRecords(records []kernel.DirectoryRecord, a arrival) bool {
 	changed := false
 	var dropped []kernel.DirectoryRecord
 	for _, record := range records {
-		recordChanged, err := s.table.apply(record, s.options.Directory.Registration, goneAt)
+		recordChanged, err := s.table.apply(record, s.options.Directory.Registration, a)
 		changed = changed || recordChanged
 		if err != nil {
 			s.logger.Warn("malformed registration; its upstream is not used", zap.Error(err))
@@ -62,20 +64,25 @@
 		if recordChanged && record.Value == nil {
 			dropped = append(dropped, record)
 		}
+		if known := s.table.entries[record.Key]; recordChanged && known.held != nil {
+			s.logger.Info("registration held back", zap.String("upstream", record.Key), zap.Stringer("position", record.Position),
+				zap.Int64("sequence", known.held.stamp.sequence), zap.Int64("newest_sequence", known.stamp.sequence),
+				zap.Duration("for", time.Until(known.held.until)), zap.String("source", a.source))
+		}
 	}
-	s.logGone(dropped, goneAt, source)
+	s.logGone(dropped, a)
 	return changed
 }
 
 // dropMissing drops the upstreams that weren't registered at position next and reports whether there are any. registered holds
 // the names of all that were.
-func (s *Subscriber) dropMissing(registered []string, next kernel.Position, goneAt time.Time, source string) bool {
+func (s *Subscriber) dropMissing(registered []string, next kernel.Position, a arrival) bool {
 	names := make(map[string]bool, len(registered))
 	for _, name := range registered {
 		names[name] = true
 	}
-	dropped := s.table.dropMissing(names, next, goneAt)
-	s.logGone(dropped, goneAt, source)
+	dropped := s.table.dropMissing(names, next, a)
+	s.logGone(dropped, a)
 	return len(dropped) > 0
 }
 
@@ -89,10 +96,10 @@
 }
 
 // logGone logs which upstreams have lost their registration, and how much longer they are used.
-func (s *Subscriber) logGone(dropped []kernel.DirectoryRecord, goneAt time.Time, source string) {
+func (s *Subscriber) logGone(dropped []kernel.DirectoryRecord, a arrival) {
 	for _, record := range dropped {
 		s.logger.Info("upstream has no registration", zap.String("upstream", record.Key), zap.Stringer("position", record.Position),
-			zap.Duration("used_for", max(0, time.Until(goneAt))), zap.String("source", source))
+			zap.Duration("used_for", max(0, time.Until(a.goneAt))), zap.String("source", a.source))
 	}
 }
 
@@ -100,10 +107,10 @@
 func (s *Subscriber) applyRegistrations(state snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	goneAt := s.goneAt()
-	changed := s.applyRecords(state.Upstreams, goneAt, sourcePeer)
+	a := s.arrival(sourcePeer)
+	changed := s.applyRecords(state.Upstreams, a)
 	if state.Registered != nil {
-		changed = s.dropMissing(state.Registered, state.Next, goneAt, sourcePeer) || changed
+		changed = s.dropMissing(state.Registered, state.Next, a) || changed
 	}
 	s.table.next = max(s.table.next, state.Next)
 	if changed {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -44,6 +44,9 @@
 	// LapseGrace is how long after its last failed read of the directory this router uses upstreams whose registration is
 	// dropped. It may have lapsed in an outage of the directory, and its upstream registers again soon after the outage.
 	LapseGrace time.Duration
+	// Heartbeat is the interval at which upstreams renew their registrations. The directory drops a registration after
+	// lapseHeartbeats of them.
+	Heartbeat time.Duration
 	// Rollouts decodes orders of rollouts; nil if they are ignored.
 	Rollouts kernel.RolloutProtocol
 	// ApplyOrder is called with each newer order. seen reports whether the configuration was known before, so that the order
@@ -255,7 +258,11 @@
 	if config == nil {
 		return
 	}
-	upstreams, next := s.table.upstreams(time.Now())
+	now := time.Now()
+	for _, record := range s.table.release(now) {
+		s.logger.Info("registration no longer held back", zap.String("upstream", record.Key), zap.Stringer("position", record.Position))
+	}
+	upstreams, next := s.table.upstreams(now)
 	s.revision++
 	catalogue := config.catalogue(s.revision, upstreams)
 	s.current.Store(catalogue)
@@ -273,7 +280,8 @@
 	s.notifyFollowers()
 }
 
-// rebuildAfterLapse removes the upstreams whose registration lapsed and wasn't renewed in time.
+// rebuildAfterLapse removes the upstreams whose registration lapsed and wasn't renewed in time, and adds those whose record is no
+// longer held back.
 func (s *Subscriber) rebuildAfterLapse() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -215,7 +215,7 @@
 		s := New(Options{
 			Directory: directory, FetchSnapshot: func(context.Context) ([]byte, error) { return peer(), nil },
 			Readers: func() Readers { return Readers{} }, WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval,
-			LapseGrace: defaults.LapseGrace, Logger: zap.NewNop(),
+			LapseGrace: defaults.LapseGrace, Heartbeat: defaults.Heartbeat, Logger: zap.NewNop(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		var group errgroup.Group
@@ -315,7 +315,7 @@
 		record := kernel.DirectoryRecord{Position: kernel.Position(i), Key: "a", Value: []byte(step.name)}
 		changed, err := table.apply(record, func(kernel.DirectoryRecord) (kernel.Registration, error) {
 			return kernel.Registration{Name: "a", Incarnation: step.incarnation, ColdRemaining: step.cold}, nil
-		}, time.Time{})
+		}, arrival{})
 		assert.NilError(t, err)
 		assert.Equal(t, changed, step.changed, step.name)
 		list, _ := table.upstreams(time.Now())
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -60,7 +60,7 @@
 	g.directory = directory
 	subscriberOptions := subscriber.Options{
 		Directory: directory, FetchSnapshot: g.fetchState, Readers: g.readers, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
-		LapseGrace: settings.LapseGrace, Logger: log,
+		LapseGrace: settings.LapseGrace, Heartbeat: settings.Heartbeat, Logger: log,
 	}
 	if settings.Rollouts.Enabled() {
 		g.rollouts = g.newRollouts()
