Keep what is known of upstreams when the directory forgets it

After a restoration from a copy, routers dropped upstreams at once that had registered in the seconds that the copy lacks, and could use upstreams again that had left in these seconds.

Causes: the listing in the new era counted as complete although the upstreams have yet to write their registrations again; the time for which a doubtful record is held back didn't begin anew with the next restoration or outage; and followers kept what they had held back themselves after their reader knew better.

The time since a router last heard of the era before now counts as an outage, and what is held back is not stated to followers as known. Readers list the registered upstreams again in each era.

--- a/internal/subscriber/health.go
+++ b/internal/subscriber/health.go
@@ -47,6 +47,8 @@
 		s.notifyFollowers()
 	}
 	h.failedAt = began
+	s.table.postpone(time.Now().Add(s.holdTime()))
+	s.table.extendLapses(time.Now(), s.lapsesUntil())
 }
 
 func (s *Subscriber) recordSuccess(topic kernel.Topic) {
--- a/internal/subscriber/held.go
+++ b/internal/subscriber/held.go
@@ -16,12 +16,13 @@
 // stamp orders the records of an upstream by when its processes wrote them. The directory may execute a write seconds after it
 // was sent, when it has long executed later ones.
 type stamp struct {
-	incarnation, sequence int64
+	Incarnation int64 `json:"incarnation"`
+	Sequence    int64 `json:"sequence"`
 }
 
 // newest returns the later of two stamps.
 func (s stamp) newest(other stamp) stamp {
-	if cmp.Or(cmp.Compare(other.incarnation, s.incarnation), cmp.Compare(other.sequence, s.sequence)) > 0 {
+	if cmp.Or(cmp.Compare(other.Incarnation, s.Incarnation), cmp.Compare(other.Sequence, s.Sequence)) > 0 {
 		return other
 	}
 	return s
@@ -51,28 +52,58 @@
 // never doubted, unless an earlier process says so.
 func (e *entry) doubts(next stamp, leaving bool, a arrival) bool {
 	removed := !e.goneAt.IsZero() && !e.lapsed && a.source == sourceDirectory && a.at.Sub(e.droppedAt) < maxLateness
-	switch known := next.incarnation != 0 && e.stamp.incarnation != 0; {
-	case known && next.incarnation != e.stamp.incarnation:
-		return next.incarnation < e.stamp.incarnation
+	switch known := next.Incarnation != 0 && e.stamp.Incarnation != 0; {
+	case known && next.Incarnation != e.stamp.Incarnation:
+		return next.Incarnation < e.stamp.Incarnation
 	case leaving:
 		return false
 	case !known:
 		return removed
-	case next.sequence > 0 && next.sequence <= e.stamp.sequence:
+	case next.Sequence > 0 && next.Sequence <= e.stamp.Sequence:
 		return true
 	default:
 		return removed
 	}
 }
 
-// hold holds back a record. It takes the place of one that is held already, and its time, since both show a sign of the upstream.
+// hold holds back a record. It takes the place of one that is held already, and its time, since both show a sign of the upstream
+// in the same era.
 func (e *entry) hold(next *heldRecord) {
-	if e.held != nil {
+	if e.held != nil && e.held.record.Position.Era() == next.record.Position.Era() {
 		next.until = e.held.until
 	}
 	e.held = next
 }
 
+// postpone holds back all held records until a time at least, because the directory can't have dropped any.
+func (t *table) postpone(until time.Time) {
+	for _, known := range t.entries {
+		if known.held != nil && known.held.until.Before(until) {
+			known.held.until = until
+		}
+	}
+}
+
+// forgetHeld drops the held records before a position, up to which a reader states what is in force.
+func (t *table) forgetHeld(next kernel.Position) {
+	for _, known := range t.entries {
+		if known.held != nil && known.held.record.Position < next {
+			known.held = nil
+		}
+	}
+}
+
+// settled returns the position up to which every change is known and none is held back.
+func (t *table) settled() kernel.Position {
+	settled := t.next
+	for _, known := range t.entries {
+		if known.held != nil {
+			settled = min(settled, known.held.record.Position)
+		}
+	}
+	return settled
+}
+
 // release puts the held records that are due in force.
 func (t *table) release(now time.Time) (released []kernel.DirectoryRecord) {
 	for _, known := range t.entries {
--- a/internal/subscriber/registrations.go
+++ b/internal/subscriber/registrations.go
@@ -13,6 +13,7 @@
 func (s *Subscriber) applyUpstreams(page kernel.DirectoryPage, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.enterEra(page.Next.Era())
 	a := s.arrival(sourceDirectory)
 	changed := s.applyRecords(page.Records, a)
 	if whole {
@@ -30,17 +31,26 @@
 // outage of the directory in which the registration may have lapsed.
 func (s *Subscriber) arrival(source string) arrival {
 	now, lapses := time.Now(), s.lapsesUntil()
-	// A dropped registration is read after the next two reads at the latest.
-	a := arrival{source: source, at: now, goneAt: now, heldUntil: now.Add(lapseHeartbeats*s.options.Heartbeat + 2*s.options.PollInterval)}
+	a := arrival{source: source, at: now, goneAt: now, heldUntil: now.Add(s.holdTime())}
 	if lapses.After(now) {
 		a.goneAt = lapses
 	}
 	return a
 }
 
-// lapsesUntil returns until when a registration that is missing may have lapsed in an outage of the directory. Only an outage
-// that this router has noticed itself counts. Its peers may have been turned away while the directory served everyone else.
+// holdTime is the time in which the directory drops the registration of a silent upstream and this router reads that.
+func (s *Subscriber) holdTime() time.Duration {
+	return lapseHeartbeats*s.options.Heartbeat + 2*s.options.PollInterval
+}
+
+// lapsesUntil returns until when a registration that is missing may have lapsed in an outage of the directory, or may have been
+// lost when it was restored from a copy. Only an outage that this router has noticed itself counts. Its peers may have been
+// turned away while the directory served everyone else.
 func (s *Subscriber) lapsesUntil() (until time.Time) {
+	if !s.restoredAfter.IsZero() {
+		// What upstreams write again is read up to PollInterval later.
+		until = s.restoredAfter.Add(s.options.LapseGrace + s.options.PollInterval)
+	}
 	for _, h := range s.health {
 		// An outage of one topic counts as an outage of the directory, because the other topics may not have been read
 		// during it.
@@ -66,7 +76,7 @@
 		}
 		if known := s.table.entries[record.Key]; recordChanged && known.held != nil {
 			s.logger.Info("registration held back", zap.String("upstream", record.Key), zap.Stringer("position", record.Position),
-				zap.Int64("sequence", known.held.stamp.sequence), zap.Int64("newest_sequence", known.stamp.sequence),
+				zap.Int64("sequence", known.held.stamp.Sequence), zap.Int64("newest_sequence", known.stamp.Sequence),
 				zap.Duration("for", time.Until(known.held.until)), zap.String("source", a.source))
 		}
 	}
@@ -107,12 +117,25 @@
 func (s *Subscriber) applyRegistrations(state snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.enterEra(state.Next.Era())
+	if state.Registered != nil {
+		s.table.forgetHeld(state.Next)
+	}
 	a := s.arrival(sourcePeer)
 	changed := s.applyRecords(state.Upstreams, a)
+	for name, stated := range state.Stamps {
+		if known := s.table.entries[name]; known != nil {
+			known.stamp = known.stamp.newest(stated)
+		}
+	}
 	if state.Registered != nil {
 		changed = s.dropMissing(state.Registered, state.Next, a) || changed
 	}
-	s.table.next = max(s.table.next, state.Next)
+	settled := state.Next
+	if state.Held != nil {
+		settled = min(settled, *state.Held)
+	}
+	s.table.next = max(s.table.next, settled)
 	if changed {
 		s.rebuild(sourcePeer)
 	}
--- a/internal/subscriber/restored_test.go
+++ b/internal/subscriber/restored_test.go
@@ -1,10 +1,12 @@
 package subscriber
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"coltsfootplank/internal/kernel"
@@ -105,3 +107,138 @@
 		})
 	}
 }
+
+// TestRegistrationsThatARestorationChanges guards against routers that use an upstream again that they know to be leaving or
+// gone, because the copy still has it, and against ones that stop using an upstream because the copy doesn't have it yet.
+// Upstreams that are there write their registration again within 2 s.
+func TestRegistrationsThatARestorationChanges(t *testing.T) {
+	write := func(name string, sequence int64, leaving bool) kernel.Registration {
+		registration := newRegistration(name)
+		registration.Incarnation, registration.Sequence, registration.Leaving = 1, sequence, leaving
+		return registration
+	}
+	const name = "c"
+	rows := []struct {
+		name string
+		// copied is what the copy has, lost what was written afterwards and again what is written again after the restoration.
+		copied, lost, again any
+		// before and after tell whether the upstream is used before the restoration, and whether it is used later. In between, it
+		// must be used if both are set, and must not be if neither is.
+		before, after bool
+	}{
+		{"registered", nil, write(name, 1, false), write(name, 4, false), true, true},
+		{"registered, and gone", nil, write(name, 1, false), nil, true, false},
+		{"removed", write(name, 1, false), nil, nil, false, false},
+		{"leaving", write(name, 1, false), write(name, 5, true), write(name, 7, true), false, false},
+		{"leaving, and removed", write(name, 1, false), write(name, 5, true), nil, false, false},
+		{"changed", write(name, 1, false), write(name, 5, false), write(name, 9, false), true, true},
+		{"unchanged", write(name, 1, false), write(name, 1, false), write(name, 9, false), true, true},
+	}
+	settings := []struct {
+		name string
+		// restorations is how often the directory is restored from the copy, down how long it is away before each time.
+		restorations int
+		down         time.Duration
+		// away are the routers that it refuses from before the first restoration until after the last one.
+		away []int
+		// restarted is a router that starts again after the first restoration; 0 stands for none.
+		restarted int
+	}{
+		{"once", 1, time.Second, nil, 0},
+		{"unnoticed", 1, 0, nil, 0},
+		{"twice", 2, 300 * time.Millisecond, nil, 0},
+		{"twice, unnoticed", 2, 0, nil, 0},
+		{"missed by a reader", 1, 0, []int{0}, 0},
+		{"missed by all readers, twice", 2, 0, []int{0, 1, 2}, 0},
+		{"a router restarts", 1, 300 * time.Millisecond, nil, 7},
+	}
+	for _, row := range rows {
+		for _, setting := range settings {
+			t.Run(row.name+", "+setting.name, func(t *testing.T) {
+				runWithFleet(t, 3, 10, []string{"a"}, func(t *testing.T, f *fleet) {
+					if row.copied != nil {
+						f.shared.put(kernel.TopicUpstreams, name, row.copied)
+					}
+					time.Sleep(time.Second)
+					copied := f.shared.copy()
+					f.shared.put(kernel.TopicUpstreams, name, row.lost)
+					time.Sleep(contact)
+					f.setRefusing(true, setting.away)
+					for range setting.restorations {
+						f.shared.setDown(setting.down > 0)
+						time.Sleep(setting.down)
+						f.shared.restore(copied)
+						f.shared.setDown(false)
+						time.Sleep(700 * time.Millisecond)
+					}
+					f.setRefusing(false, setting.away)
+					back := time.Now()
+					if setting.restarted > 0 {
+						f.restart(t, setting.restarted)
+					}
+					time.AfterFunc(1200*time.Millisecond, func() {
+						if row.again != nil {
+							f.shared.put(kernel.TopicUpstreams, name, row.again)
+						}
+					})
+					if row.again == nil {
+						// The directory drops the copied registration of a silent upstream.
+						time.AfterFunc(3600*time.Millisecond, func() { f.shared.put(kernel.TopicUpstreams, name, nil) })
+					}
+					for time.Since(back) < 8*time.Second {
+						time.Sleep(50 * time.Millisecond)
+						for i, s := range f.routers {
+							used := slices.Contains(upstreamNames(s), name)
+							if settled := time.Since(back) > contact+removalBound; used == row.after || !settled && row.before != row.after ||
+								i == setting.restarted && i > 0 && time.Since(back) < contact {
+								continue
+							}
+							t.Fatalf("router %d, %s after the restoration: used %t", i, time.Since(back), used)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestStateFromBeforeRestoration guards against a router that takes over from a peer what the directory has lost, because the
+// peer hasn't heard that it was restored from a copy.
+func TestStateFromBeforeRestoration(t *testing.T) {
+	shared := newFakeDirectory()
+	for _, name := range []string{"a", "b"} {
+		shared.put(kernel.TopicUpstreams, name, newRegistration(name))
+	}
+	copied := shared.copy()
+	for i := range 20 {
+		registration := newRegistration("lost")
+		registration.Slots += i
+		shared.put(kernel.TopicUpstreams, "lost", registration)
+	}
+	read := func(s *Subscriber) {
+		page, err := shared.Newest(t.Context(), kernel.TopicUpstreams)
+		assert.NilError(t, err)
+		s.applyUpstreams(page, true)
+		s.publish(kernel.DirectoryRecord{Key: "config", Value: []byte(`{"Version":1,"Services":[{"Name":"s"}]}`)}, sourceDirectory)
+	}
+	options := Options{Directory: shared, Logger: zap.NewNop()}
+	peer := New(options)
+	read(peer)
+	peer.publish(kernel.DirectoryRecord{Key: "config", Value: []byte(`{"Version":2,"Services":[{"Name":"s"}]}`)}, sourceDirectory)
+	shared.restore(copied)
+	for _, streamed := range []bool{false, true} {
+		s := New(options)
+		read(s)
+		if streamed {
+			err := peer.Serve(t.Context(), s.watchRequest(), s.applyUpdate)
+			var outdated *OutdatedEraError
+			assert.Assert(t, errors.As(err, &outdated), "%v", err)
+		} else {
+			data, _, _ := peer.Snapshot()
+			assert.NilError(t, s.ApplySnapshot(data))
+			assert.Equal(t, s.RoutingConfig().Version, int64(2))
+		}
+		assert.DeepEqual(t, upstreamNames(s), []string{"a", "b"})
+		assert.Equal(t, s.Era(), int64(1))
+	}
+}
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -17,6 +17,10 @@
 	Registered []string `json:"registered"`
 	// Next is the position up to which Upstreams and what the peer had before hold every change.
 	Next kernel.Position `json:"next"`
+	// Held is the lowest position of a record that the sender holds back, nil if there is none.
+	Held *kernel.Position `json:"held,omitempty"`
+	// Stamps are the newest stamps of the upstreams that Upstreams states to be gone.
+	Stamps map[string]stamp `json:"stamps,omitempty"`
 	// Orders are the orders of rollouts, all that the sender knows if Registered is stated. OrdersNext is the position up to which
 	// it has read them.
 	Orders     []kernel.DirectoryRecord `json:"orders,omitempty"`
@@ -28,12 +32,13 @@
 func (s *Subscriber) Snapshot() (data []byte, version uint64, position kernel.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := snapshot{Publication: s.publication, Next: s.table.next, Orders: s.listOrders(), OrdersNext: s.ordersNext}
+	state := snapshot{Publication: s.publication, Orders: s.listOrders(), OrdersNext: s.ordersNext}
+	s.statePosition(&state)
 	if s.registrationsKnown {
 		state.Registered = s.table.registered()
 	}
 	for _, known := range s.table.entries {
-		state.Upstreams = append(state.Upstreams, known.record)
+		state.add(known)
 	}
 	data, err := json.Marshal(state)
 	if err != nil {
@@ -43,18 +48,42 @@
 	return data, s.version(), s.table.changed
 }
 
-// ApplySnapshot applies the records of a peer's snapshot that are newer than the known ones. Errors:
-// *kernel.MalformedRecordError.
+// statePosition states in a snapshot up to where it holds every change.
+func (s *Subscriber) statePosition(state *snapshot) {
+	state.Next = s.table.next
+	if settled := s.table.settled(); settled < state.Next {
+		state.Held = &settled
+	}
+}
+
+// add adds the record of an upstream, and the stamp that a record of a removal lacks.
+func (state *snapshot) add(known *entry) {
+	state.Upstreams = append(state.Upstreams, known.record)
+	if known.record.Value == nil && known.stamp != (stamp{}) {
+		if state.Stamps == nil {
+			state.Stamps = make(map[string]stamp)
+		}
+		state.Stamps[known.record.Key] = known.stamp
+	}
+}
+
+// ApplySnapshot applies the records of a peer's snapshot that are newer than the known ones. Of a peer that hasn't heard of the
+// last restoration of the directory, only the publication is used. Errors: *kernel.MalformedRecordError.
 func (s *Subscriber) ApplySnapshot(data []byte) error {
 	var state snapshot
 	if err := json.Unmarshal(data, &state); err != nil {
 		return &kernel.MalformedRecordError{Key: "snapshot", Cause: err}
 	}
-	s.applyOrdersOf(state)
+	outdated := s.outdated(state)
+	if !outdated {
+		s.applyOrdersOf(state)
+	}
 	if state.Publication.Value != nil {
 		s.publish(state.Publication, sourcePeer)
 	}
-	s.applyRegistrations(state)
+	if !outdated {
+		s.applyRegistrations(state)
+	}
 	return nil
 }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -89,12 +89,17 @@
 	// orders holds the newest record of each order's key.
 	orders map[string]kernel.DirectoryRecord
 	// ordersNext is the position up to which every order is known.
-	ordersNext  kernel.Position
-	revision    uint64
-	lapseTimer  *time.Timer
-	health      [2]health
-	subscribers map[int]func(*cataloguer.Catalogue)
-	nextID      int
+	ordersNext kernel.Position
+	revision   uint64
+	lapseTimer *time.Timer
+	health     [2]health
+	// era is the newest era of the directory that this router has heard of, and heardAt when it last heard of it.
+	era     int64
+	heardAt time.Time
+	// restoredAfter is a time before which the directory was not yet restored to that era; zero if it wasn't restored.
+	restoredAfter time.Time
+	subscribers   map[int]func(*cataloguer.Catalogue)
+	nextID        int
 	// changed is closed and replaced when the catalogue changes or the directory is lost.
 	changed chan struct{}
 	// followingChanged is closed and replaced when following changes.
@@ -205,6 +210,7 @@
 		s.applyOrders(s.missingOrders(page.Records, page.Next))
 	}
 	s.mu.Lock()
+	s.enterEra(page.Next.Era())
 	s.ordersNext = max(s.ordersNext, page.Next)
 	s.mu.Unlock()
 	for _, record := range page.Records {
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -122,6 +122,16 @@
 	return true
 }
 
+// extendLapses lets the upstreams whose registration may have lapsed count as gone no earlier than until. They couldn't register
+// again because the directory was away, or restored, once more.
+func (t *table) extendLapses(now, until time.Time) {
+	for _, known := range t.entries {
+		if known.lapsed && known.goneAt.After(now) && known.goneAt.Before(until) {
+			known.goneAt, known.droppedAt = until, until
+		}
+	}
+}
+
 // dropMissing marks the records of the upstreams that aren't registered as dropped, and returns these records. registered
 // holds the names of all that were registered at position next.
 func (t *table) dropMissing(registered map[string]bool, next kernel.Position, a arrival) (dropped []kernel.DirectoryRecord) {
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -80,6 +80,7 @@
 		backoff = backoffMin
 		s.recordSuccess(topic)
 		apply(page, whole)
+		s.heard(began)
 		next = page.Next
 		if whole && !readers.Candidate {
 			s.awaitReader(ctx, readerWait)
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -37,16 +37,19 @@
 	position kernel.Position
 	// sent holds the positions of the records that it was sent, by key.
 	sent map[string]kernel.Position
-	// listed is set once it was sent the names of the registered upstreams.
-	listed bool
+	// listed is the era in which it was last sent the names of the registered upstreams, noEra if it wasn't.
+	listed int64
 }
 
+// noEra is lower than any era of the directory.
+const noEra = -1
+
 // Serve sends all changes to a follower, and an update without changes every updateInterval, until ctx ends or send
 // fails.
 func (s *Subscriber) Serve(ctx context.Context, request *protocol.WatchRequest,
 	send func(*protocol.WatchUpdate) error,
 ) error {
-	f := &follower{version: request.GetRevision(), position: kernel.Position(request.GetOffset()), sent: make(map[string]kernel.Position)}
+	f := &follower{version: request.GetRevision(), position: kernel.Position(request.GetOffset()), sent: make(map[string]kernel.Position), listed: noEra}
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
 	for {
@@ -83,9 +86,9 @@
 		f.version, publication = current, s.compressed
 	}
 	state.Orders = s.unsentOrders(f.sent)
-	state.Next = s.table.next
-	if !f.listed && s.registrationsKnown {
-		state.Registered, f.listed = s.table.registered(), true
+	s.statePosition(&state)
+	if era := state.Next.Era(); f.listed != era && s.registrationsKnown {
+		state.Registered, f.listed = s.table.registered(), era
 		state.Orders, state.OrdersNext = s.listOrders(), s.ordersNext
 	}
 	for key, known := range s.table.entries {
@@ -97,7 +100,7 @@
 			continue
 		}
 		f.sent[key] = known.changed
-		state.Upstreams = append(state.Upstreams, known.record)
+		state.add(known)
 	}
 	// A router that follows another one must not be followed itself, since two routers could then follow each other.
 	return state, publication, s.changed, s.reading()
@@ -140,6 +143,9 @@
 		if err := json.Unmarshal(update.GetState(), &state); err != nil {
 			return &kernel.MalformedRecordError{Key: "update", Cause: err}
 		}
+		if s.outdated(state) {
+			return &OutdatedEraError{Era: state.Next.Era(), Known: s.Era()}
+		}
 		s.applyOrdersOf(state)
 	}
 	if len(update.GetPublication()) > 0 {
@@ -152,6 +158,7 @@
 	if len(update.GetState()) > 0 {
 		s.applyRegistrations(state)
 	}
+	s.heard(time.Now())
 	return nil
 }
 
@@ -207,7 +214,7 @@
 func (s *Subscriber) watchRequest() *protocol.WatchRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &protocol.WatchRequest{Revision: s.version(), Offset: int64(s.table.next - 1)}
+	return &protocol.WatchRequest{Revision: s.version(), Offset: int64(s.table.settled() - 1)}
 }
 
 // setFollowing records which router is followed, empty for none, and reports whether that has changed.
