Take records of convictions for stored only in the era of their write

All routers could be lost together with what they know about a request that crashes engines, although they had stored it, if the directory was restored from a copy while a call of the archiver was under way. No caller has reported it; found by looking at each place where an era is compared.

Cause: a list, or a write, counted as one of the newest era that any answer had stated by the time it was processed. If the restoration was noticed between the answer and that, the router took what is lost for stored and never wrote it again.

The list and the write now carry the era of their own answers. An older list doesn't replace a newer one, and a write in another era than the list is not recorded, so that the next check lists the records again.

TestConvictionsLost: the rows "restored before a list has arrived" and "restored before the answer to a write has arrived" failed before; "restored twice" passed.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -28,7 +28,7 @@
 // Directory is the part of kernel.DirectoryProtocol that an archiver uses.
 type Directory interface {
 	Newest(ctx context.Context, topic kernel.Topic) (kernel.DirectoryPage, error)
-	Write(ctx context.Context, records []kernel.DirectoryRecord) error
+	Write(ctx context.Context, records []kernel.DirectoryRecord) (era int64, err error)
 	Era() int64
 }
 
@@ -53,7 +53,7 @@
 	wake    chan struct{}
 
 	mu sync.Mutex
-	// stored is what the directory holds, as far as this router knows. It is void unless listed is set.
+	// stored is what the directory holds in an era, as far as this router knows. It is void unless listed is set.
 	stored map[uint64]*protocol.Conviction
 	listed bool
 	era    int64
@@ -103,11 +103,11 @@
 }
 
 // Observe takes over the convictions among the newest records of the routers, as read from the directory.
-func (a *Archiver) Observe(records []kernel.DirectoryRecord) {
+func (a *Archiver) Observe(page kernel.DirectoryPage) {
 	now := time.Now()
 	stored := make(map[uint64]*protocol.Conviction)
 	var valid []*protocol.Conviction
-	for _, r := range records {
+	for _, r := range page.Records {
 		c, err := decode(r, now, a.options.Retention)
 		if err != nil {
 			a.options.Logger.Warn("ignoring a malformed conviction", zap.Error(err))
@@ -128,7 +128,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.stored, a.listed, a.era = stored, true, a.options.Directory.Era()
+	// The directory may have been restored since it answered, and another list may have shown that.
+	if era := page.Next.Era(); era >= a.era {
+		a.stored, a.listed, a.era = stored, true, era
+	}
 }
 
 // Run stores what the routers find out until ctx ends.
@@ -168,7 +171,7 @@
 		if err != nil {
 			return err
 		}
-		a.Observe(page.Records)
+		a.Observe(page)
 	}
 	a.mu.Lock()
 	put, drop := a.pending(time.Now())
@@ -187,11 +190,12 @@
 	for _, fingerprint := range drop {
 		records = append(records, kernel.DirectoryRecord{Key: key(fingerprint)})
 	}
-	if err := a.options.Directory.Write(ctx, records); err != nil {
+	era, err := a.options.Directory.Write(ctx, records)
+	if err != nil {
 		return err
 	}
 	a.options.Logger.Info("convictions stored", zap.Int("stored", len(put)), zap.Int("deleted", len(drop)))
-	a.recordStored(put, drop)
+	a.recordStored(put, drop, era)
 	return nil
 }
 
@@ -226,9 +230,14 @@
 	return plan(now, a.options.Known(), a.stored)
 }
 
-func (a *Archiver) recordStored(put []*protocol.Conviction, drop []uint64) {
+// recordStored records what was stored and deleted in an era. In another era than that of the list it isn't known what else the
+// directory holds, and what was stored in one that has ended may be lost.
+func (a *Archiver) recordStored(put []*protocol.Conviction, drop []uint64, era int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if era != a.era {
+		return
+	}
 	for _, c := range put {
 		a.stored[c.GetFingerprint()] = c
 		delete(a.found, c.GetFingerprint())
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -32,6 +32,8 @@
 	records map[string]kernel.DirectoryRecord
 	era     int64
 	down    bool
+	// answered is called once after the next write, before its answer arrives; nil for none.
+	answered func()
 	// calls counts the calls of any kind.
 	calls int
 }
@@ -47,14 +49,16 @@
 func (d *fakeDirectory) Newest(context.Context, kernel.Topic) (kernel.DirectoryPage, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return kernel.DirectoryPage{Records: slices.Collect(maps.Values(d.records))}, d.call()
+	page := kernel.DirectoryPage{Next: kernel.PositionOf(d.era, 0), Records: slices.Collect(maps.Values(d.records))}
+	return page, d.call()
 }
 
-func (d *fakeDirectory) Write(_ context.Context, records []kernel.DirectoryRecord) error {
+func (d *fakeDirectory) Write(_ context.Context, records []kernel.DirectoryRecord) (era int64, err error) {
+	defer d.answer()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.call(); err != nil {
-		return err
+		return 0, err
 	}
 	for _, r := range records {
 		d.records[r.Key] = r
@@ -62,7 +66,18 @@
 			delete(d.records, r.Key)
 		}
 	}
-	return nil
+	return d.era, nil
+}
+
+// answer calls answered.
+func (d *fakeDirectory) answer() {
+	d.mu.Lock()
+	answered := d.answered
+	d.answered = nil
+	d.mu.Unlock()
+	if answered != nil {
+		answered()
+	}
 }
 
 func (d *fakeDirectory) Era() int64 {
@@ -126,7 +141,7 @@
 			Retention: retention, Logger: zap.NewNop(),
 		})
 		if page, err := r.directory.Newest(r.t.Context(), kernel.TopicRouters); err == nil {
-			a.Observe(page.Records)
+			a.Observe(page)
 		}
 		ctx, stop := context.WithCancel(r.t.Context())
 		r.archivers, r.stops = append(r.archivers, a), append(r.stops, stop)
@@ -152,6 +167,11 @@
 // they knew was left or it was stored too late.
 func TestConvictionsLost(t *testing.T) {
 	const finder = 2
+	list := func(r *routers) kernel.DirectoryPage {
+		page, err := r.directory.Newest(r.t.Context(), kernel.TopicRouters)
+		assert.NilError(r.t, err)
+		return page
+	}
 	rows := []struct {
 		name  string
 		found *protocol.Conviction
@@ -186,6 +206,31 @@
 			r.directory.restore()
 			r.directory.setDown(false)
 		}, 3 * time.Second, true},
+		{"restored twice", newConviction(1, 3, true), false, func(r *routers) {
+			time.Sleep(5 * time.Second)
+			r.directory.restore()
+			time.Sleep(2 * time.Second)
+			r.directory.restore()
+			r.kill(finder)
+		}, 3 * time.Second, true},
+		{"restored before a list has arrived", newConviction(1, 3, true), false, func(r *routers) {
+			time.Sleep(5 * time.Second)
+			listed := list(r)
+			r.directory.restore()
+			for _, a := range r.archivers {
+				a.Observe(listed)
+			}
+		}, 3 * time.Second, true},
+		{"restored before the answer to a write has arrived", newConviction(1, 3, true), true, func(r *routers) {
+			// Of the routers that are left, the first one stores what the finder has found, and lists the records meanwhile.
+			r.kill(finder)
+			r.directory.answered = func() {
+				r.directory.restore()
+				r.archivers[0].Observe(list(r))
+			}
+			r.directory.setDown(false)
+			time.Sleep(5 * time.Second)
+		}, 3 * time.Second, true},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -230,8 +230,9 @@
 	Changes(ctx context.Context, topic Topic, from Position, wait time.Duration) (DirectoryPage, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic Topic) (DirectoryPage, error)
-	// Write writes records of TopicRouters, all or none. A nil value deletes the key; positions are ignored.
-	Write(ctx context.Context, records []DirectoryRecord) error
+	// Write writes records of TopicRouters, all or none, and returns the era in which it did. A nil value deletes the key;
+	// positions are ignored.
+	Write(ctx context.Context, records []DirectoryRecord) (era int64, err error)
 	// Era returns how often the directory had been restored from a copy by its latest answer, 0 if it doesn't state it.
 	// What routers wrote after the copy was made is lost.
 	Era() int64
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -167,7 +167,9 @@
 
 func (d *fakeDirectory) Era() int64 { return 0 }
 
-func (d *fakeDirectory) Write(context.Context, []kernel.DirectoryRecord) error { return nil }
+func (d *fakeDirectory) Write(context.Context, []kernel.DirectoryRecord) (int64, error) {
+	return 0, nil
+}
 
 func (d *fakeDirectory) Announce(context.Context, string, []byte) error { return nil }
 
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -69,7 +69,7 @@
 	g.subscriber = subscriber.New(subscriberOptions)
 	r.createComponents(componentOptions{
 		catalogue: g.subscriber, members: g.archiveConvictions, vmListInterval: settings.MemberInterval,
-		vmList: routerList{directory: directory, observe: func(records []kernel.DirectoryRecord) { g.archiver.Observe(records) }, logger: log},
+		vmList: routerList{directory: directory, observe: func(page kernel.DirectoryPage) { g.archiver.Observe(page) }, logger: log},
 	})
 	r.holder = r.newHolder(g.subscriber, nil, nil)
 	var versions forwarder.Rollouts
--- a/router/internal/assembler/records.go
+++ b/router/internal/assembler/records.go
@@ -70,7 +70,7 @@
 type routerList struct {
 	directory kernel.DirectoryProtocol
 	// observe gets all newest records of the routers, among which there are also other ones.
-	observe func(records []kernel.DirectoryRecord)
+	observe func(page kernel.DirectoryPage)
 	logger  *zap.Logger
 }
 
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.observe(page.Records)
+	l.observe(page)
 	var records []routerRecord
 	var newest int64
 	for _, stored := range page.Records {
--- a/router/internal/assembler/records_test.go
+++ b/router/internal/assembler/records_test.go
@@ -59,7 +59,7 @@
 			settings.Peers.Advertise = "10.0.0.2:1"
 			return &gatewayMode{Router: &Router{settings: settings, logger: &logger.Logger{Logger: zap.NewNop()}}, directory: store}
 		}
-		list := routerList{directory: store, observe: func([]kernel.DirectoryRecord) {}, logger: zap.NewNop()}
+		list := routerList{directory: store, observe: func(kernel.DirectoryPage) {}, logger: zap.NewNop()}
 		count := func() int {
 			vms, err := list.VMs(t.Context())
 			assert.NilError(t, err)
