Announce routers again after the directory was restored from a copy

A router that started in the seconds that a copy lacks wasn't listed for up to 15 minutes after the restoration. If all routers had started then, a new one found none of them and scheduled alone, with allowances of its own. No caller has reported it.

Cause: routers write their address at their start and every 5 to 15 minutes, whatever becomes of the record.

Routers that follow a reader hear of the era with the first update in it. Each router now writes its record again within 2 s of hearing of a new era.

--- a/internal/subscriber/era.go
+++ b/internal/subscriber/era.go
@@ -6,13 +6,16 @@
 	"go.uber.org/zap"
 )
 
+// noEra is lower than any era of the directory.
+const noEra = -1
+
 // enterEra notes the era of what arrives from the directory or a peer. If it is a new one, the directory was restored after
 // this router has last heard of the era before. The lock must be held.
 func (s *Subscriber) enterEra(era int64) {
 	if era <= s.era {
 		return
 	}
-	if !s.heardAt.IsZero() {
+	if s.era != noEra {
 		s.restoredAfter = s.heardAt
 		for _, h := range s.health {
 			if h.failedAt.After(s.restoredAfter) {
@@ -20,7 +23,7 @@
 			}
 		}
 		s.logger.Warn("directory was restored from a copy", zap.Int64("era", era), zap.Int64("era_before", s.era),
-			zap.Duration("at_most", time.Since(s.restoredAfter)))
+			zap.Duration("lapses_for", max(0, time.Until(s.lapsesUntil()))))
 		s.table.extendLapses(time.Now(), s.lapsesUntil())
 	}
 	s.era = era
@@ -35,7 +38,7 @@
 	}
 }
 
-// Era returns the newest era of the directory that this router has heard of, from the directory or a peer.
+// Era returns the newest era of the directory that this router has heard of, from the directory or a peer; negative before that.
 func (s *Subscriber) Era() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -93,7 +93,8 @@
 	revision   uint64
 	lapseTimer *time.Timer
 	health     [2]health
-	// era is the newest era of the directory that this router has heard of, and heardAt when it last heard of it.
+	// era is the newest era of the directory that this router has heard of, noEra before that, and heardAt when it last heard
+	// of it.
 	era     int64
 	heardAt time.Time
 	// restoredAfter is a time before which the directory was not yet restored to that era; zero if it wasn't restored.
@@ -113,7 +114,7 @@
 	s := &Subscriber{
 		options: options, logger: options.Logger, table: newTable(), orders: make(map[string]kernel.DirectoryRecord), subscribers: make(map[int]func(*cataloguer.Catalogue)),
 		changed: make(chan struct{}), followingChanged: make(chan struct{}),
-		ready: make(chan struct{}), awaited: make(chan struct{}), started: time.Now(),
+		ready: make(chan struct{}), awaited: make(chan struct{}), started: time.Now(), era: noEra,
 	}
 	s.markAwaited = sync.OnceFunc(func() { close(s.awaited) })
 	s.current.Store((&cataloguer.Catalogue{Offset: -1}).Index())
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -41,9 +41,6 @@
 	listed int64
 }
 
-// noEra is lower than any era of the directory.
-const noEra = -1
-
 // Serve sends all changes to a follower, and an update without changes every updateInterval, until ctx ends or send
 // fails.
 func (s *Subscriber) Serve(ctx context.Context, request *protocol.WatchRequest,
--- a/router/internal/assembler/records.go
+++ b/router/internal/assembler/records.go
@@ -20,9 +20,11 @@
 	announceTimeout = 2 * time.Second
 	// announceRetry is the delay after a failed attempt.
 	announceRetry = time.Second
-	// announceSpread is the time over which routers that start together spread their first writes. The directory takes
-	// 4 ms for each write, one after another.
+	// announceSpread is the time over which routers that start together, or hear that the directory was restored from a copy,
+	// spread their writes. The directory takes 4 ms for each write, one after another.
 	announceSpread = 2 * time.Second
+	// announceCheck is the time between two checks whether a write is due.
+	announceCheck = 100 * time.Millisecond
 	// announceInterval is the mean time between two writes of a router; the actual time varies by up to half of it.
 	// 410 routers make 0.7 calls per second.
 	announceInterval = 10 * time.Minute
@@ -38,20 +40,30 @@
 	Announced int64 `json:"announced_s"`
 }
 
-// announce writes this router's address to the directory and regularly renews it. Routers without a live seed find each
-// other by these records.
+// announce writes this router's address to the directory and renews it regularly, and when the directory was restored from a copy
+// that may lack it. Routers without a live seed find each other by these records.
 func (g *gatewayMode) announce(ctx context.Context) error {
-	pause := rand.N(announceSpread)
+	ticker := time.NewTicker(announceCheck)
+	defer ticker.Stop()
+	due, era := time.Now().Add(rand.N(announceSpread)), g.subscriber.Era()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(pause):
+		case <-ticker.C:
 		}
-		pause = announceInterval/2 + rand.N(announceInterval)
+		known := g.subscriber.Era()
+		if known != era && era >= 0 {
+			due = time.Now().Add(rand.N(announceSpread))
+		}
+		era = known
+		if time.Now().Before(due) {
+			continue
+		}
+		due = time.Now().Add(announceInterval/2 + rand.N(announceInterval))
 		if err := g.writeRecord(ctx); err != nil {
 			g.logger.Warn("router's record not written", zap.Error(err))
-			pause = announceRetry
+			due = time.Now().Add(announceRetry)
 		}
 	}
 }
