Identify orders of rollouts across restorations of the directory

After a restoration from a copy, the outcome of a rollout that had ended stood as running in the directory for good; a later order at a lower offset was ignored, and the same order at another offset began a new rollout.

Cause: an order was identified by its offset, and a final record was never looked for again.

Orders, records and leases now carry positions. The first order in a new era to the version that is known already is the known order, whose rollout goes on. The decider writes its record again if the directory lost it, also after the end. Of two records of a generation the later phase is newer. A conditional write rests on a list of the same era.

Five new rows of promoter.TestUnusualOrders.

--- a/internal/kernel/errors.go
+++ b/internal/kernel/errors.go
@@ -186,12 +186,12 @@
 // ConflictError reports a conditional append to a topic that no longer ends where its writer expected.
 type ConflictError struct {
 	Operation string
-	// Expected is the offset at which the writer expected the topic to end.
-	Expected int64
+	// Expected is the position at which the writer expected the topic to end.
+	Expected Position
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s: the topic doesn't end at offset %d any more", e.Operation, e.Expected)
+	return fmt.Sprintf("%s: the topic doesn't end at offset %s any more", e.Operation, e.Expected)
 }
 
 // MalformedHeaderError reports a caller's header that can't be parsed.
--- a/internal/kernel/rollout.go
+++ b/internal/kernel/rollout.go
@@ -12,10 +12,18 @@
 	To string
 	// Duration is the time from the order in which the rollout has to end.
 	Duration time.Duration
-	// Offset identifies the order: an order that is read again has the same offset.
-	Offset int64
-	// Deleted is set if the record of the order was deleted. Only Service and Offset are set then.
+	// Position identifies the order: an order that is read again in the same era of the directory has the same position.
+	Position Position
+	// Deleted is set if the record of the order was deleted. Only Service and Position are set then.
 	Deleted bool
+	// First reports whether it is the first record of the service's orders that the router knows in its era.
+	First bool
+}
+
+// Repeats reports whether an order is the one at a position of an earlier era of the directory, to move the traffic to version to.
+// It is in the copy from which the directory was restored, or the operator has written it again.
+func (o RolloutOrder) Repeats(earlier Position, to string) bool {
+	return o.First && o.To == to && earlier.Era() < o.Position.Era()
 }
 
 // RolloutPhase is a step of a rollout. Phases of the same order only grow.
@@ -49,8 +57,8 @@
 	Phase   RolloutPhase
 	// From lists the versions that were in use when the order was first seen, sorted.
 	From []string
-	// Order is the offset of the order.
-	Order int64
+	// Order is the position of the order.
+	Order Position
 	// Generation grows with each decider and each order. A decider that finds a higher one has lost the role.
 	Generation int64
 	Decider    string
@@ -68,8 +76,8 @@
 	// RolloutRecord decodes a record of TopicRouters, or returns nil if the record is of another kind or was deleted.
 	// Errors: *MalformedRecordError.
 	RolloutRecord(record DirectoryRecord) (*RolloutRecord, error)
-	// WriteRollout appends a record to TopicRouters if the topic still ends at offset end, which Newest returned as Next.
-	// Errors: *ConflictError if the topic ends elsewhere, *RateLimitedError, and *LogUnavailableError, after which the
-	// record may have been written.
-	WriteRollout(ctx context.Context, record RolloutRecord, end int64) error
+	// WriteRollout appends a record to TopicRouters if the topic still ends at end, which Newest returned as Next. Errors:
+	// *ConflictError if the topic ends elsewhere, *RateLimitedError, and *LogUnavailableError and *RestoredError, after which
+	// the record may have been written.
+	WriteRollout(ctx context.Context, record RolloutRecord, end Position) error
 }
--- a/internal/promoter/decider.go
+++ b/internal/promoter/decider.go
@@ -43,7 +43,7 @@
 
 // NewDecider returns a decider that has yet to write its record, which Start returned. previous is the record before it.
 func NewDecider(now, wall time.Time, order kernel.RolloutOrder, record kernel.RolloutRecord, previous *kernel.RolloutRecord, settings Settings) *Decider {
-	inherited := previous != nil && previous.Order == record.Order
+	inherited := previous != nil && concerns(*previous, order)
 	// The clocks of two routers may differ and may be set, so the time that has passed is only trusted within limits.
 	passed := min(max(0, wall.Sub(time.UnixMilli(record.StartedUnixMS))), order.Duration)
 	return &Decider{
--- a/internal/promoter/gate.go
+++ b/internal/promoter/gate.go
@@ -13,8 +13,10 @@
 	order *kernel.RolloutOrder
 	// record is the newest record that the gate knows.
 	record *kernel.RolloutRecord
-	// offset is that of the newest record of an order, which may have been deleted.
-	offset   int64
+	// recorded reports whether the directory is known to have the phase under the order's position.
+	recorded bool
+	// position is that of the newest record of an order, which may have been deleted.
+	position kernel.Position
 	sequence uint64
 	// versions are the registered versions.
 	versions []string
@@ -37,7 +39,7 @@
 
 // NewGate returns a gate without an order.
 func NewGate() *Gate {
-	return &Gate{offset: -1, inFlight: make(map[string]int), evidence: make(Evidence)}
+	return &Gate{position: -1, inFlight: make(map[string]int), evidence: make(Evidence)}
 }
 
 // SetVersions sets the registered versions of the service.
@@ -46,23 +48,29 @@
 // SetOrder applies the newest order. seen reports whether the router knew the directory's content before the order, so that
 // no traffic can have moved without it.
 func (g *Gate) SetOrder(now time.Time, order kernel.RolloutOrder, seen bool) {
-	if order.Offset <= g.offset {
+	if order.Position <= g.position {
 		return
 	}
-	g.offset = order.Offset
+	order.First = g.position.Era() < order.Position.Era()
+	g.position = order.Position
 	if order.Deleted {
 		g.delete()
 		return
 	}
+	if g.order != nil && order.Repeats(g.order.Position, g.order.To) {
+		// The directory was restored from a copy. The rollout goes on.
+		g.order, g.recorded = &order, false
+		return
+	}
 	from := g.openVersions(order.To)
 	g.order, g.from, g.phase = &order, from, kernel.RolloutTrial
 	g.lease, g.leaseUntil, g.used, g.requests, g.stopped = Lease{}, time.Time{}, 0, 0, ""
 	g.evidence = make(Evidence)
-	g.verifiedAt = time.Time{}
+	g.verifiedAt, g.recorded = time.Time{}, false
 	if seen {
 		g.verifiedAt = now
 	}
-	if g.record != nil && g.record.Order == order.Offset {
+	if g.record != nil && concerns(*g.record, order) {
 		g.SetRecord(now, *g.record)
 	}
 }
@@ -89,20 +97,48 @@
 
 // SetRecord applies a record from the directory.
 func (g *Gate) SetRecord(now time.Time, record kernel.RolloutRecord) {
-	if g.record == nil || record.Generation >= g.record.Generation {
+	if g.record == nil || !newer(*g.record, record) {
 		g.record = &record
 	}
-	if g.order == nil || record.Order != g.order.Offset {
+	if g.order == nil || !concerns(record, *g.order) {
 		return
 	}
 	g.verifiedAt = now
 	g.advance(record.Generation, record.Phase, record.From)
+	g.recorded = record.Order == g.order.Position && record.Phase == g.phase
+}
+
+// Unrecorded reports whether the phase isn't known to be in the directory, which may have lost it.
+func (g *Gate) Unrecorded() bool { return g.order != nil && !g.recorded }
+
+// Newest returns the newest record of the service: the one that was found in the directory, or one that the directory has lost, as
+// far as the gate knows it. It returns nil if there is none.
+func (g *Gate) Newest(found *kernel.RolloutRecord) *kernel.RolloutRecord {
+	newest := found
+	if newest == nil || g.record != nil && newer(*g.record, *newest) {
+		newest = g.record
+	}
+	if g.order == nil || g.generation == 0 {
+		return newest
+	}
+	// What the gate knows from leases alone.
+	known := kernel.RolloutRecord{
+		Service: g.order.Service, To: g.order.To, Phase: g.phase, From: g.from, Order: g.order.Position, Generation: g.generation,
+		Reason: "known to a router",
+	}
+	if newest != nil && concerns(*newest, *g.order) {
+		known.StartedUnixMS = newest.StartedUnixMS
+	}
+	if newest == nil || newer(known, *newest) {
+		newest = &known
+	}
+	return newest
 }
 
 // Verify states that the directory was read and that the gate knows its newest record.
 func (g *Gate) Verify(now time.Time) {
 	g.verifiedAt = now
-	if g.order != nil && g.order.Deleted && g.phase == kernel.RolloutTrial && (g.record == nil || g.record.Order != g.order.Offset) {
+	if g.order != nil && g.order.Deleted && g.phase == kernel.RolloutTrial && (g.record == nil || !concerns(*g.record, *g.order)) {
 		// The rollout never began.
 		g.order = nil
 	}
@@ -112,7 +148,7 @@
 	}
 }
 
-// Record returns the newest record that the gate knows, or nil.
+// Record returns the newest record that the gate knows from the directory, or nil.
 func (g *Gate) Record() *kernel.RolloutRecord { return g.record }
 
 // SetLease applies the decider's answer to a call that was sent at sent.
@@ -120,7 +156,7 @@
 	if lease.Verified && sent.After(g.verifiedAt) {
 		g.verifiedAt = sent
 	}
-	if g.order == nil || lease.Order != g.order.Offset || lease.Generation < g.generation || !sent.After(g.leaseSent) {
+	if g.order == nil || lease.Order != g.order.Position || lease.Generation < g.generation || !sent.After(g.leaseSent) {
 		return
 	}
 	g.leaseSent = sent
@@ -269,7 +305,7 @@
 func (g *Gate) Report(now time.Time, gate string, incarnation uint64, wantsLease bool) Report {
 	g.sequence++
 	report := Report{
-		Gate: gate, Incarnation: incarnation, Sequence: g.sequence, Order: g.order.Offset, Phase: g.phase, Generation: g.generation, Requests: g.requests, Used: g.used,
+		Gate: gate, Incarnation: incarnation, Sequence: g.sequence, Order: g.order.Position, Phase: g.phase, Generation: g.generation, Requests: g.requests, Used: g.used,
 		WantsLease: wantsLease, Stopped: g.stopped, Evidence: make(Evidence, len(g.evidence)),
 	}
 	report.Evidence.add(g.evidence)
--- a/internal/promoter/keeper.go
+++ b/internal/promoter/keeper.go
@@ -30,7 +30,7 @@
 // base identifies a record of the directory.
 type base struct {
 	known      bool
-	order      int64
+	order      kernel.Position
 	generation int64
 	phase      kernel.RolloutPhase
 	decider    string
--- a/internal/promoter/keeper_test.go
+++ b/internal/promoter/keeper_test.go
@@ -123,7 +123,7 @@
 	d := &s.deciders[i]
 	name := fmt.Sprint("r", i)
 	if !d.running {
-		order := kernel.RolloutOrder{Service: "s", To: "v2", Duration: time.Second, Offset: 1}
+		order := kernel.RolloutOrder{Service: "s", To: "v2", Duration: time.Second, Position: 1}
 		record, ok := Start(name, order, s.found(), nil, time.Time{})
 		if !ok || record.Generation > maxGeneration {
 			return
--- a/internal/promoter/ledger.go
+++ b/internal/promoter/ledger.go
@@ -14,7 +14,7 @@
 	// Sequence orders the reports of one process.
 	Sequence uint64
 	// Order is the order that the gate knows, Phase the phase that it enforces.
-	Order int64
+	Order kernel.Position
 	Phase kernel.RolloutPhase
 	// Generation is the highest generation that the gate knows.
 	Generation int64
@@ -35,7 +35,7 @@
 // Lease is what the decider tells a gate.
 type Lease struct {
 	Generation int64
-	Order      int64
+	Order      kernel.Position
 	Phase      kernel.RolloutPhase
 	From       []string
 	// Total is the number of requests that the gate may have granted to the new version since the order.
--- a/internal/promoter/ledger_test.go
+++ b/internal/promoter/ledger_test.go
@@ -19,7 +19,7 @@
 	settings.ExposureSlack = 10
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		order := kernel.RolloutOrder{Service: "s", To: "v2", Duration: time.Minute, Offset: 1}
+		order := kernel.RolloutOrder{Service: "s", To: "v2", Duration: time.Minute, Position: 1}
 		record := kernel.RolloutRecord{Service: "s", To: "v2", From: []string{"v1"}, Order: 1}
 		newDecider := func(previous *kernel.RolloutRecord) *Decider {
 			record.Generation++
--- a/internal/promoter/orders_test.go
+++ b/internal/promoter/orders_test.go
@@ -11,19 +11,26 @@
 
 // orderFixture is one router that decides and uses a service, in virtual time.
 type orderFixture struct {
-	now     time.Time
-	gate    *Gate
-	record  *kernel.RolloutRecord
-	decider *Decider
-	offset  int64
+	*testing.T
+	now      time.Time
+	gate     *Gate
+	record   *kernel.RolloutRecord
+	decider  *Decider
+	position kernel.Position
 }
 
 func (f *orderFixture) order(to string) {
-	f.offset++
-	f.gate.SetOrder(f.now, kernel.RolloutOrder{Service: "s", To: to, Duration: 10 * time.Second, Offset: f.offset, Deleted: to == ""}, true)
+	f.position++
+	f.gate.SetOrder(f.now, kernel.RolloutOrder{Service: "s", To: to, Duration: 10 * time.Second, Position: f.position, Deleted: to == ""}, true)
 	f.decider = nil
 }
 
+// restore puts the directory back to a copy that has the given record of the rollout, and the last order elsewhere.
+func (f *orderFixture) restore(copied *kernel.RolloutRecord) {
+	f.record, f.decider = copied, nil
+	f.position = kernel.PositionOf(f.position.Era()+1, 0)
+}
+
 // run passes time. The order's answers are good, as far as there are any.
 func (f *orderFixture) run(span time.Duration, versions ...string) {
 	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
@@ -33,12 +40,13 @@
 			continue
 		}
 		if f.decider == nil {
-			record, ok := Start("r", *f.gate.Order(), f.record, versions, f.now)
+			previous := f.gate.Newest(f.record)
+			record, ok := Start("r", *f.gate.Order(), previous, versions, f.now)
 			if !ok {
 				f.gate.Verify(f.now)
 				continue
 			}
-			f.decider = NewDecider(f.now, f.now, *f.gate.Order(), record, f.record, DefaultSettings())
+			f.decider = NewDecider(f.now, f.now, *f.gate.Order(), record, previous, DefaultSettings())
 		}
 		around := Surroundings{Members: []Member{{Name: "r"}}, MembersKnown: true, Versions: versions, RecordReadAt: f.now}
 		if record, ok := f.decider.Step(f.now, around); ok {
@@ -80,7 +88,7 @@
 		{"read twice", func(f *orderFixture) {
 			f.order("v2")
 			f.run(9*time.Second, both...)
-			f.offset--
+			f.position--
 			f.order("v2")
 			f.run(time.Second, both...)
 		},
@@ -122,10 +130,58 @@
 			f.run(time.Second, both...)
 		},
 			true, kernel.RolloutCompleted, "v2", []string{"v1", "v2", "v3"}},
+		{"restored in the trial, record lost", func(f *orderFixture) {
+			f.order("v2")
+			f.run(3*time.Second, both...)
+			f.restore(nil)
+			f.order("v2")
+			f.run(6*time.Second, both...)
+		},
+			true, kernel.RolloutCompleted, "v2", []string{"v2", "v3"}},
+		{"restored after the move, record of the trial", func(f *orderFixture) {
+			f.order("v2")
+			f.run(3*time.Second, both...)
+			trial := *f.record
+			f.run(3*time.Second, both...)
+			f.restore(&trial)
+			f.order("v2")
+			f.run(300*time.Millisecond, both...)
+		},
+			true, kernel.RolloutMoving, "v2", []string{"v2"}},
+		{"restored twice after the move", func(f *orderFixture) {
+			f.order("v2")
+			f.run(6*time.Second, both...)
+			for range 2 {
+				f.restore(nil)
+				f.order("v2")
+				f.run(300*time.Millisecond, both...)
+			}
+		},
+			true, kernel.RolloutMoving, "v2", []string{"v2"}},
+		{"restored after the end, and ordered once more", func(f *orderFixture) {
+			f.order("v2")
+			f.run(9*time.Second, "v1")
+			f.restore(f.record)
+			f.order("v2")
+			f.run(time.Second, both...)
+			assert.Check(f, !f.gate.Open(), "the order that had ended began anew")
+			f.order("v2")
+			f.run(9*time.Second, both...)
+		},
+			true, kernel.RolloutCompleted, "v2", []string{"v2", "v3"}},
+		{"restored, and another order at a lower offset", func(f *orderFixture) {
+			f.position = 50
+			f.order("v2")
+			f.run(9*time.Second, both...)
+			f.restore(f.record)
+			f.order("v3")
+			f.run(9*time.Second, "v2", "v3")
+		},
+			true, kernel.RolloutCompleted, "v3", []string{"v1", "v3"}},
 		{"no order", func(f *orderFixture) { f.run(time.Second, both...) }, false, 0, "", []string{"v1", "v2", "v3"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := &orderFixture{now: time.Unix(1000, 0), gate: NewGate()}
+			f := &orderFixture{T: t, now: time.Unix(1000, 0), gate: NewGate()}
 			f.gate.SetVersions([]string{"v1", "v2"})
 			c.run(f)
 			assert.Equal(t, f.record != nil, c.recorded)
--- a/internal/promoter/rollout.go
+++ b/internal/promoter/rollout.go
@@ -66,15 +66,16 @@
 // of day.
 func Start(self string, order kernel.RolloutOrder, previous *kernel.RolloutRecord, versions []string, wall time.Time) (kernel.RolloutRecord, bool) {
 	next := kernel.RolloutRecord{
-		Service: order.Service, To: order.To, Order: order.Offset, Decider: self, Generation: 1, StartedUnixMS: wall.UnixMilli(),
+		Service: order.Service, To: order.To, Order: order.Position, Decider: self, Generation: 1, StartedUnixMS: wall.UnixMilli(),
 		From: oldVersions(order.To, previous, versions), Reason: "order seen",
 	}
 	if previous != nil {
 		next.Generation = previous.Generation + 1
 	}
 	open := previous != nil && !previous.Phase.Final()
+	same := previous != nil && concerns(*previous, order)
 	switch {
-	case order.Deleted && (!open || previous.Order != order.Offset):
+	case order.Deleted && (!open || !same):
 		return kernel.RolloutRecord{}, false
 	case order.Deleted:
 		next = *previous
@@ -82,15 +83,25 @@
 		if previous.Phase != kernel.RolloutReturning {
 			next.Phase, next.Reason = kernel.RolloutReturning, "the order was deleted"
 		}
-	case previous != nil && previous.Order > order.Offset, previous != nil && previous.Order == order.Offset && !open:
+	case previous != nil && previous.Order > order.Position, same && !open:
 		return kernel.RolloutRecord{}, false
-	case open && previous.Order == order.Offset:
+	case open && same:
 		next = *previous
-		next.Generation, next.Decider = previous.Generation+1, self
+		next.Order, next.Generation, next.Decider = order.Position, previous.Generation+1, self
 	}
 	return next, true
 }
 
+// concerns reports whether a record is of an order, which may have another position since the directory was restored.
+func concerns(record kernel.RolloutRecord, order kernel.RolloutOrder) bool {
+	return record.Order == order.Position || order.Repeats(record.Order, record.To)
+}
+
+// newer reports whether a record was written after another one. The phases of a generation only grow.
+func newer(record, other kernel.RolloutRecord) bool {
+	return record.Generation > other.Generation || record.Generation == other.Generation && record.Phase > other.Phase
+}
+
 // oldVersions returns the versions that were in use before an order. A rollout that hasn't ended when the next order comes
 // leaves its old versions in use, and its new version unproven.
 func oldVersions(to string, previous *kernel.RolloutRecord, versions []string) []string {
--- a/internal/promoter/rollout_test.go
+++ b/internal/promoter/rollout_test.go
@@ -95,7 +95,7 @@
 func newWorld(b behaviour, f fault, cut int, seed uint64) *world {
 	w := &world{
 		behaviour: b, fault: f, cut: cut, random: rand.New(rand.NewPCG(seed, 1)),
-		order: kernel.RolloutOrder{Service: "s", To: "v2", Duration: duration, Offset: 7},
+		order: kernel.RolloutOrder{Service: "s", To: "v2", Duration: duration, Position: 7},
 	}
 	for range routers {
 		w.routers = append(w.routers, w.start(true))
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -138,7 +138,7 @@
 	if record.Key != "rollout/s" {
 		return nil, nil
 	}
-	return &kernel.RolloutOrder{Service: "s", Offset: record.Position.Offset(), Deleted: record.Value == nil}, nil
+	return &kernel.RolloutOrder{Service: "s", Position: record.Position, Deleted: record.Value == nil}, nil
 }
 
 // TestOrders guards against a follower, or a router with a peer's snapshot, that doesn't get the orders of rollouts, gets one
@@ -149,7 +149,7 @@
 		time.Sleep(800 * time.Millisecond)
 		p.shared.put(kernel.TopicPublication, "rollout/s", nil)
 		time.Sleep(800 * time.Millisecond)
-		want := []appliedOrder{{kernel.RolloutOrder{Service: "s", Offset: 1}, true}, {kernel.RolloutOrder{Service: "s", Offset: 2, Deleted: true}, true}}
+		want := []appliedOrder{{kernel.RolloutOrder{Service: "s", Position: 1}, true}, {kernel.RolloutOrder{Service: "s", Position: 2, Deleted: true}, true}}
 		assert.DeepEqual(t, p.readerOrders.all(), want)
 		assert.DeepEqual(t, p.followerOrders.all(), want)
 		var joined orderLog
@@ -170,8 +170,8 @@
 		next kernel.Position
 		want []appliedOrder
 	}{
-		{"deleted", 9, []appliedOrder{{kernel.RolloutOrder{Service: "s", Offset: 5}, false}, {kernel.RolloutOrder{Service: "s", Offset: 8, Deleted: true}, false}}},
-		{"not read yet", 5, []appliedOrder{{kernel.RolloutOrder{Service: "s", Offset: 5}, false}}},
+		{"deleted", 9, []appliedOrder{{kernel.RolloutOrder{Service: "s", Position: 5}, false}, {kernel.RolloutOrder{Service: "s", Position: 8, Deleted: true}, false}}},
+		{"not read yet", 5, []appliedOrder{{kernel.RolloutOrder{Service: "s", Position: 5}, false}}},
 	} {
 		for _, snapshot := range []bool{false, true} {
 			var orders orderLog
--- a/router/internal/assembler/decider.go
+++ b/router/internal/assembler/decider.go
@@ -23,7 +23,7 @@
 		r.mu.Unlock()
 		return
 	}
-	if order := s.gate.Order(); d != nil && (d.order != order.Offset || d.deleted != order.Deleted) {
+	if order := s.gate.Order(); d != nil && (d.order != order.Position || d.deleted != order.Deleted) {
 		s.deciding, d = nil, nil
 	}
 	due := d == nil || now.Sub(d.readAt) >= recordInterval
@@ -70,18 +70,14 @@
 		return kernel.RolloutRecord{}, false
 	}
 	if s.deciding == nil {
-		order, previous := *s.gate.Order(), found
-		if known := s.gate.Record(); previous == nil || known != nil && known.Generation > previous.Generation {
-			// The directory has forgotten the record.
-			previous = known
-		}
+		order, previous := *s.gate.Order(), s.gate.Newest(found)
 		record, ok := promoter.Start(r.options.self, order, previous, around.Versions, now)
 		if !ok || len(around.Versions) == 0 {
 			return kernel.RolloutRecord{}, false
 		}
 		s.deciding = &deciding{
 			decider: promoter.NewDecider(now, now, order, record, previous, r.options.settings),
-			keeper:  promoter.NewKeeper(record, found), order: order.Offset, deleted: order.Deleted,
+			keeper:  promoter.NewKeeper(record, found), order: order.Position, deleted: order.Deleted,
 		}
 	}
 	d := s.deciding
@@ -101,7 +97,7 @@
 }
 
 // write writes the record of a service's decider on the condition that its topic still ends at end.
-func (r *rollouts) write(ctx context.Context, service string, record kernel.RolloutRecord, end int64) {
+func (r *rollouts) write(ctx context.Context, service string, record kernel.RolloutRecord, end kernel.Position) {
 	started := time.Now()
 	err := r.options.directory.WriteRollout(ctx, record, end)
 	r.mu.Lock()
@@ -118,7 +114,7 @@
 		s.deciding.readAt = started
 		s.gate.SetRecord(started, record)
 		r.options.logger.Info("rollout recorded", zap.String("service", service), zap.String("to", record.To),
-			zap.Stringer("phase", record.Phase), zap.Int64("order", record.Order), zap.Int64("generation", record.Generation),
+			zap.Stringer("phase", record.Phase), zap.Stringer("order", record.Order), zap.Int64("generation", record.Generation),
 			zap.Strings("old_versions", record.From), zap.String("reason", record.Reason))
 	case errors.As(err, &conflict):
 		r.options.logger.Debug("record of a rollout not written", zap.String("service", service), zap.Error(err))
@@ -128,6 +124,37 @@
 	}
 }
 
+// recordAgain writes the outcome of a rollout that has ended, if the directory has lost it or has it under the position that the
+// order had before a restoration.
+func (r *rollouts) recordAgain(ctx context.Context, service string) {
+	r.mu.Lock()
+	due := time.Since(r.service(service).readAt) >= recordInterval
+	r.mu.Unlock()
+	if !due {
+		return
+	}
+	found, end, err := r.readNewest(ctx, service)
+	r.mu.Lock()
+	s, started := r.service(service), time.Now()
+	order, newest := s.gate.Order(), s.gate.Newest(found)
+	needed := err == nil && order != nil && !s.gate.Open() && s.gate.Unrecorded() && newest != nil
+	r.mu.Unlock()
+	if !needed {
+		return
+	}
+	record := *newest
+	record.Order, record.Generation, record.Decider = order.Position, newest.Generation+1, r.options.self
+	if err := r.options.directory.WriteRollout(ctx, record, end); err != nil {
+		r.options.logger.Info("outcome of a rollout not written again", zap.String("service", service), zap.Error(err))
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.gate.SetRecord(started, record)
+	r.options.logger.Info("outcome of a rollout written again", zap.String("service", service), zap.Stringer("phase", record.Phase),
+		zap.Stringer("order", record.Order), zap.Int64("generation", record.Generation))
+}
+
 // surroundings returns what a decider has to know of the other routers. The caller holds r.mu.
 func (r *rollouts) surroundings(service string, view *detector.View, now time.Time) promoter.Surroundings {
 	around := promoter.Surroundings{MembersKnown: view.KnowsMostRouters(), Versions: r.versions(service)}
@@ -147,7 +174,7 @@
 
 func encodeReport(service string, report promoter.Report) *protocol.RolloutRequest {
 	request := &protocol.RolloutRequest{
-		Service: service, Router: report.Gate, Process: report.Incarnation, Sequence: report.Sequence, Order: report.Order,
+		Service: service, Router: report.Gate, Process: report.Incarnation, Sequence: report.Sequence, Order: int64(report.Order),
 		Phase: int32(report.Phase), Generation: report.Generation, Requests: report.Requests, Used: report.Used, Held: report.Held,
 		WantsLease: report.WantsLease, Forbidden: report.Forbidden, Stopped: report.Stopped,
 	}
@@ -165,7 +192,7 @@
 
 func decodeReport(request *protocol.RolloutRequest) promoter.Report {
 	report := promoter.Report{
-		Gate: request.GetRouter(), Incarnation: request.GetProcess(), Sequence: request.GetSequence(), Order: request.GetOrder(),
+		Gate: request.GetRouter(), Incarnation: request.GetProcess(), Sequence: request.GetSequence(), Order: kernel.Position(request.GetOrder()),
 		Phase: kernel.RolloutPhase(request.GetPhase()), Generation: request.GetGeneration(), Requests: request.GetRequests(),
 		Used: request.GetUsed(), Held: request.GetHeld(), WantsLease: request.GetWantsLease(), Forbidden: request.GetForbidden(),
 		Stopped: request.GetStopped(), Evidence: make(promoter.Evidence),
@@ -181,7 +208,7 @@
 
 func encodeLease(lease promoter.Lease) *protocol.RolloutResponse {
 	return &protocol.RolloutResponse{
-		Generation: lease.Generation, Order: lease.Order, Phase: int32(lease.Phase), From: lease.From, Total: lease.Total,
+		Generation: lease.Generation, Order: int64(lease.Order), Phase: int32(lease.Phase), From: lease.From, Total: lease.Total,
 		Rotation: uint32(lease.Rotation), Verified: lease.Verified,
 	}
 }
@@ -189,7 +216,7 @@
 func decodeLease(response *protocol.RolloutResponse) promoter.Lease {
 	phase := kernel.RolloutPhase(min(max(0, response.GetPhase()), int32(kernel.RolloutRolledBack)))
 	return promoter.Lease{
-		Generation: response.GetGeneration(), Order: response.GetOrder(), Phase: phase, From: response.GetFrom(), Total: response.GetTotal(),
+		Generation: response.GetGeneration(), Order: kernel.Position(response.GetOrder()), Phase: phase, From: response.GetFrom(), Total: response.GetTotal(),
 		Rotation: int(response.GetRotation()), Verified: response.GetVerified(),
 	}
 }
--- a/router/internal/assembler/rolloutcalls.go
+++ b/router/internal/assembler/rolloutcalls.go
@@ -113,7 +113,7 @@
 
 // readNewest reads the record of a service and applies it to the gate. It returns the record, nil if there is none, and the
 // end of its topic.
-func (r *rollouts) readNewest(ctx context.Context, service string) (found *kernel.RolloutRecord, end int64, err error) {
+func (r *rollouts) readNewest(ctx context.Context, service string) (found *kernel.RolloutRecord, end kernel.Position, err error) {
 	started := time.Now()
 	page, err := r.options.directory.Newest(ctx, kernel.TopicRouters)
 	r.mu.Lock()
@@ -136,7 +136,7 @@
 		s.gate.SetRecord(started, *found)
 	}
 	s.gate.Verify(started)
-	return found, page.Next.Offset(), nil
+	return found, page.Next, nil
 }
 
 // limitSchedulers applies the gate to this router's schedulers. The caller holds r.mu.
@@ -149,7 +149,7 @@
 		return
 	}
 	versions := r.versions(service)
-	current := appliedLimits{known: true, order: order.Offset, phase: s.gate.Phase(), versions: len(versions)}
+	current := appliedLimits{known: true, order: order.Position, phase: s.gate.Phase(), versions: len(versions)}
 	if !s.gate.Open() && current == s.applied {
 		return
 	}
--- a/router/internal/assembler/rollouts.go
+++ b/router/internal/assembler/rollouts.go
@@ -78,7 +78,7 @@
 // appliedLimits identifies limits that don't change with time.
 type appliedLimits struct {
 	known    bool
-	order    int64
+	order    kernel.Position
 	phase    kernel.RolloutPhase
 	versions int
 }
@@ -88,7 +88,7 @@
 	decider *promoter.Decider
 	keeper  promoter.Keeper
 	// order and deleted are the state of the order that the decider knows.
-	order   int64
+	order   kernel.Position
 	deleted bool
 	// readAt is when the record was last read and was the decider's own, loggedAt when a finding was last logged.
 	readAt, loggedAt time.Time
@@ -150,7 +150,7 @@
 		s.answeredAt = now
 	}
 	r.options.logger.Info("rollout ordered", zap.String("service", order.Service), zap.String("to", order.To),
-		zap.Duration("duration", order.Duration), zap.Int64("order", order.Offset), zap.Bool("deleted", order.Deleted),
+		zap.Duration("duration", order.Duration), zap.Stringer("order", order.Position), zap.Bool("deleted", order.Deleted),
 		zap.Strings("versions", versions), zap.Strings("old_versions", s.gate.Old()), zap.Bool("seen", seen))
 	r.limitSchedulers(order.Service)
 }
@@ -232,7 +232,7 @@
 	r.mu.Lock()
 	s := r.service(service)
 	s.gate.SetVersions(r.versions(service))
-	open := s.gate.Open()
+	open, unrecorded := s.gate.Open(), s.gate.Unrecorded()
 	r.mu.Unlock()
 	if open && len(view.SchedulerHosts()) > 0 {
 		decider := ranker.First(rolloutRolePrefix+service, view.SchedulerHosts())
@@ -243,6 +243,9 @@
 		r.callDecider(ctx, service, decider, view)
 		r.readRecord(ctx, service)
 	}
+	if !open && unrecorded && ranker.First(rolloutRolePrefix+service, view.SchedulerHosts()) == r.options.self {
+		r.recordAgain(ctx, service)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.limitSchedulers(service)
