Keep orders that a restored directory lacks until they can be written again

A rollout was taken back if the directory was restored from a copy that lacks its order: a list without it proved that it was deleted.

Until operators have had the time to write their orders again, a missing one is kept. Readers list the orders once more afterwards. Each listing of a reader is passed on to its followers, which kept the order as well.

TestOrdersAfterRestoration: the row "lost and written again" failed before.

--- a/internal/subscriber/orders.go
+++ b/internal/subscriber/orders.go
@@ -1,6 +1,8 @@
 package subscriber
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"coltsfootplank/internal/kernel"
@@ -34,10 +36,14 @@
 }
 
 // missingOrders returns records that delete the known orders that are missing in records. These are the newest records of all
-// keys that had one at position next.
+// keys that had one at position next. After the directory was restored from a copy, it returns none until operators have had time
+// to write their orders again. Readers list the orders once more then.
 func (s *Subscriber) missingOrders(records []kernel.DirectoryRecord, next kernel.Position) (deleted []kernel.DirectoryRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if time.Now().Before(s.lostUntil()) {
+		return nil
+	}
 	present := make(map[string]bool, len(records))
 	for _, record := range records {
 		present[record.Key] = true
@@ -50,6 +56,15 @@
 	return deleted
 }
 
+// listOrdersAgain reports whether the orders have to be listed because the last listing in this era may have lacked some. Followers
+// have heard of the restoration up to LapseGrace later.
+func (s *Subscriber) listOrdersAgain(listedAt time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := s.lostUntil().Add(s.options.LapseGrace)
+	return len(s.orders) > 0 && !s.restoredAfter.IsZero() && listedAt.Before(due) && !time.Now().Before(due)
+}
+
 // listOrders returns the newest records of all orders.
 func (s *Subscriber) listOrders() (orders []kernel.DirectoryRecord) {
 	for _, record := range s.orders {
--- a/internal/subscriber/registrations.go
+++ b/internal/subscriber/registrations.go
@@ -19,6 +19,7 @@
 	if whole {
 		changed = s.dropMissing(keys(page.Records), page.Next, a) || changed
 		s.registrationsKnown = true
+		s.listings++
 	}
 	s.table.next = max(s.table.next, page.Next)
 	if changed || whole && s.config.Load() != nil {
@@ -43,14 +44,20 @@
 	return lapseHeartbeats*s.options.Heartbeat + 2*s.options.PollInterval
 }
 
+// lostUntil returns until when a record that is missing may have been lost when the directory was restored from a copy; zero if it
+// wasn't restored. What upstreams and operators write again is read up to PollInterval later.
+func (s *Subscriber) lostUntil() time.Time {
+	if s.restoredAfter.IsZero() {
+		return time.Time{}
+	}
+	return s.restoredAfter.Add(s.options.LapseGrace + s.options.PollInterval)
+}
+
 // lapsesUntil returns until when a registration that is missing may have lapsed in an outage of the directory, or may have been
 // lost when it was restored from a copy. Only an outage that this router has noticed itself counts. Its peers may have been
 // turned away while the directory served everyone else.
 func (s *Subscriber) lapsesUntil() (until time.Time) {
-	if !s.restoredAfter.IsZero() {
-		// What upstreams write again is read up to PollInterval later.
-		until = s.restoredAfter.Add(s.options.LapseGrace + s.options.PollInterval)
-	}
+	until = s.lostUntil()
 	for _, h := range s.health {
 		// An outage of one topic counts as an outage of the directory, because the other topics may not have been read
 		// during it.
--- a/internal/subscriber/restored_test.go
+++ b/internal/subscriber/restored_test.go
@@ -242,3 +242,54 @@
 		assert.Equal(t, s.Era(), int64(1))
 	}
 }
+
+// TestOrdersAfterRestoration guards against rollouts that are taken back because the directory was restored from a copy that lacks
+// their order, which operators write again, and against ones that go on although their order is gone for good.
+func TestOrdersAfterRestoration(t *testing.T) {
+	const key = "rollout/s"
+	rows := []struct {
+		name string
+		// copied, lost and again are the values of the order in the copy, after it, and written again; nil for none.
+		copied, lost, again any
+		// deletions is how often the order is deleted, and deleted whether it is in the end.
+		deletions int
+		deleted   bool
+	}{
+		{"in the copy", 1, nil, nil, 0, false},
+		{"lost and written again", nil, 1, 1, 0, false},
+		{"lost for good", nil, 1, nil, 1, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			runWithPair(t, func(t *testing.T, p *pair) {
+				put := func(value any) {
+					if value != nil {
+						p.shared.put(kernel.TopicPublication, key, value)
+					}
+				}
+				put(row.copied)
+				time.Sleep(time.Second)
+				copied := p.shared.copy()
+				// The lost record has a higher offset than the one that is written again.
+				p.shared.put(kernel.TopicPublication, "other", 1)
+				put(row.lost)
+				time.Sleep(time.Second)
+				p.shared.restore(copied)
+				time.Sleep(1200 * time.Millisecond)
+				put(row.again)
+				time.Sleep(10 * time.Second)
+				for i, orders := range []*orderLog{&p.readerOrders, &p.followerOrders} {
+					deletions := 0
+					for _, o := range orders.all() {
+						if o.Order.Deleted {
+							deletions++
+						}
+					}
+					assert.Assert(t, len(orders.all()) > 0)
+					last := orders.all()[len(orders.all())-1].Order
+					assert.Check(t, deletions == row.deletions && last.Deleted == row.deleted && last.Position.Era() == 1, "%d: %v", i, orders.all())
+				}
+			})
+		})
+	}
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -88,6 +88,8 @@
 	table      *table
 	// orders holds the newest record of each order's key.
 	orders map[string]kernel.DirectoryRecord
+	// listings counts the listings of the directory that this router has read itself.
+	listings int
 	// ordersNext is the position up to which every order is known.
 	ordersNext kernel.Position
 	revision   uint64
@@ -206,13 +208,18 @@
 }
 
 func (s *Subscriber) applyPublications(page kernel.DirectoryPage, whole bool) {
+	s.mu.Lock()
+	s.enterEra(page.Next.Era())
+	s.mu.Unlock()
 	s.applyOrders(page.Records)
 	if whole {
 		s.applyOrders(s.missingOrders(page.Records, page.Next))
 	}
 	s.mu.Lock()
-	s.enterEra(page.Next.Era())
 	s.ordersNext = max(s.ordersNext, page.Next)
+	if whole {
+		s.listings++
+	}
 	s.mu.Unlock()
 	for _, record := range page.Records {
 		s.publish(record, sourceDirectory)
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -41,7 +41,7 @@
 func (s *Subscriber) tail(ctx context.Context, topic kernel.Topic, wait, pause time.Duration,
 	apply func(page kernel.DirectoryPage, whole bool),
 ) error {
-	next, backoff := noPosition, backoffMin
+	next, backoff, listedAt := noPosition, backoffMin, time.Time{}
 	s.awaitFirstReader(ctx)
 	for ctx.Err() == nil {
 		waited := s.awaitNotFollowing(ctx)
@@ -58,6 +58,9 @@
 			sleep(ctx, backoffMin)
 			continue
 		}
+		if topic == kernel.TopicPublication && s.listOrdersAgain(listedAt) {
+			next = noPosition
+		}
 		readWait := wait
 		if s.failing(topic) {
 			// A read that waits for a change would only show after its wait that the directory is back.
@@ -82,6 +85,9 @@
 		apply(page, whole)
 		s.heard(began)
 		next = page.Next
+		if whole {
+			listedAt = began
+		}
 		if whole && !readers.Candidate {
 			s.awaitReader(ctx, readerWait)
 			continue
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -37,8 +37,9 @@
 	position kernel.Position
 	// sent holds the positions of the records that it was sent, by key.
 	sent map[string]kernel.Position
-	// listed is the era in which it was last sent the names of the registered upstreams, noEra if it wasn't.
-	listed int64
+	// listed is the number of listings of the directory when it was last sent the names of the registered upstreams and of the
+	// orders; negative if it wasn't.
+	listed int
 }
 
 // Serve sends all changes to a follower, and an update without changes every updateInterval, until ctx ends or send
@@ -46,7 +47,7 @@
 func (s *Subscriber) Serve(ctx context.Context, request *protocol.WatchRequest,
 	send func(*protocol.WatchUpdate) error,
 ) error {
-	f := &follower{version: request.GetRevision(), position: kernel.Position(request.GetOffset()), sent: make(map[string]kernel.Position), listed: noEra}
+	f := &follower{version: request.GetRevision(), position: kernel.Position(request.GetOffset()), sent: make(map[string]kernel.Position), listed: -1}
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
 	for {
@@ -84,8 +85,8 @@
 	}
 	state.Orders = s.unsentOrders(f.sent)
 	s.statePosition(&state)
-	if era := state.Next.Era(); f.listed != era && s.registrationsKnown {
-		state.Registered, f.listed = s.table.registered(), era
+	if f.listed != s.listings && s.registrationsKnown {
+		state.Registered, f.listed = s.table.registered(), s.listings
 		state.Orders, state.OrdersNext = s.listOrders(), s.ordersNext
 	}
 	for key, known := range s.table.entries {
