--- a/internal/promoter/gate.go
+++ b/internal/promoter/gate.go
@@ -129,7 +129,9 @@
 	if newest != nil && concerns(*newest, *g.order) {
 		known.StartedUnixMS = newest.StartedUnixMS
 	}
-	if newest == nil || newer(known, *newest) {
+	// A final record is followed by no other one of its order.
+	if newest == nil || newer(known, *newest) || known.Phase.Final() && concerns(*newest, *g.order) && !newest.Phase.Final() {
+		known.Generation = max(known.Generation, generationOf(newest))
 		newest = &known
 	}
 	return newest
@@ -171,6 +173,7 @@
 		g.lease, g.leaseUntil = Lease{}, time.Time{}
 	}
 	ended := !g.phase.Final() && phase.Final()
+	g.recorded = g.recorded && phase <= g.phase
 	g.phase = max(g.phase, phase)
 	g.from = from
 	if ended {
--- a/internal/promoter/orders_test.go
+++ b/internal/promoter/orders_test.go
@@ -165,6 +165,9 @@
 			f.order("v2")
 			f.run(time.Second, both...)
 			assert.Check(f, !f.gate.Open(), "the order that had ended began anew")
+			began := *f.record
+			began.Phase, began.Generation = kernel.RolloutTrial, began.Generation+5
+			assert.Check(f, f.gate.Newest(&began).Phase.Final(), "a decider that knows nothing of the end began anew")
 			f.order("v2")
 			f.run(9*time.Second, both...)
 		},
--- a/internal/promoter/rollout.go
+++ b/internal/promoter/rollout.go
@@ -102,6 +102,14 @@
 	return record.Generation > other.Generation || record.Generation == other.Generation && record.Phase > other.Phase
 }
 
+// generationOf returns the generation of a record, which may be nil.
+func generationOf(record *kernel.RolloutRecord) int64 {
+	if record == nil {
+		return 0
+	}
+	return record.Generation
+}
+
 // oldVersions returns the versions that were in use before an order. A rollout that hasn't ended when the next order comes
 // leaves its old versions in use, and its new version unproven.
 func oldVersions(to string, previous *kernel.RolloutRecord, versions []string) []string {
--- a/router/internal/assembler/decider.go
+++ b/router/internal/assembler/decider.go
@@ -124,18 +124,25 @@
 	}
 }
 
+// standInDelay is the time after which the router of the next rank looks whether the outcome of a rollout is recorded. The one
+// that is ranked first may have started after the end, and know nothing of it.
+const standInDelay = 2 * time.Second
+
 // recordAgain writes the outcome of a rollout that has ended, if the directory has lost it or has it under the position that the
-// order had before a restoration.
-func (r *rollouts) recordAgain(ctx context.Context, service string) {
+// order had before a restoration. rank is that of this router, negative for no rank.
+func (r *rollouts) recordAgain(ctx context.Context, service string, rank int) {
 	r.mu.Lock()
-	due := time.Since(r.service(service).readAt) >= recordInterval
+	s, now := r.service(service), time.Now()
+	if s.unrecordedSince.IsZero() {
+		s.unrecordedSince = now
+	}
+	due := rank >= 0 && now.Sub(s.unrecordedSince) >= time.Duration(rank)*standInDelay && now.Sub(s.readAt) >= recordInterval
 	r.mu.Unlock()
 	if !due {
 		return
 	}
 	found, end, err := r.readNewest(ctx, service)
 	r.mu.Lock()
-	s, started := r.service(service), time.Now()
 	order, newest := s.gate.Order(), s.gate.Newest(found)
 	needed := err == nil && order != nil && !s.gate.Open() && s.gate.Unrecorded() && newest != nil
 	r.mu.Unlock()
@@ -150,7 +157,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s.gate.SetRecord(started, record)
+	s.gate.SetRecord(now, record)
 	r.options.logger.Info("outcome of a rollout written again", zap.String("service", service), zap.Stringer("phase", record.Phase),
 		zap.Stringer("order", record.Order), zap.Int64("generation", record.Generation))
 }
--- a/router/internal/assembler/rollouts.go
+++ b/router/internal/assembler/rollouts.go
@@ -71,6 +71,8 @@
 	// reportedAt is when the last report was sent, answeredAt when one was last answered with a verification, readAt when the
 	// record was last read.
 	reportedAt, answeredAt, readAt time.Time
+	// unrecordedSince is when the outcome was first seen not to be known to be in the directory; zero if it is.
+	unrecordedSince time.Time
 	// applied describes the limits that the schedulers have.
 	applied appliedLimits
 }
@@ -233,6 +235,9 @@
 	s := r.service(service)
 	s.gate.SetVersions(r.versions(service))
 	open, unrecorded := s.gate.Open(), s.gate.Unrecorded()
+	if open || !unrecorded {
+		s.unrecordedSince = time.Time{}
+	}
 	r.mu.Unlock()
 	if open && len(view.SchedulerHosts()) > 0 {
 		decider := ranker.First(rolloutRolePrefix+service, view.SchedulerHosts())
@@ -243,8 +248,9 @@
 		r.callDecider(ctx, service, decider, view)
 		r.readRecord(ctx, service)
 	}
-	if !open && unrecorded && ranker.First(rolloutRolePrefix+service, view.SchedulerHosts()) == r.options.self {
-		r.recordAgain(ctx, service)
+	if !open && unrecorded {
+		rank := slices.Index(ranker.Top(rolloutRolePrefix+service, view.SchedulerHosts()), r.options.self)
+		r.recordAgain(ctx, service, rank)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
