Count a restoration's lost time anew only after failed reads within it

A router whose reads fail again and again would have used an upstream whose removal it had read in between for as long as that went on. Found in reading the change; not seen by callers. The time was meant for what a restoration has lost, which can't be written again while the directory is away.

Failed reads now extend that time only while it lasts after a restoration; the grace after a plain outage is as before. Updates of a peer that doesn't read the directory no longer count as news of its era, and records that a reader has stated aren't forgotten when it lists what is in force.

--- a/internal/subscriber/health.go
+++ b/internal/subscriber/health.go
@@ -47,8 +47,13 @@
 		s.notifyFollowers()
 	}
 	h.failedAt = began
-	s.table.postpone(time.Now().Add(s.holdTime()))
-	s.table.extendLapses(time.Now(), s.lapsesUntil())
+	now := time.Now()
+	s.table.postpone(now.Add(s.holdTime()))
+	if now.Before(s.lostUntil()) {
+		// What was lost can't have been written again.
+		s.restoredAfter = began
+		s.table.extendLapses(now, s.lapsesUntil())
+	}
 }
 
 func (s *Subscriber) recordSuccess(topic kernel.Topic) {
--- a/internal/subscriber/held.go
+++ b/internal/subscriber/held.go
@@ -33,6 +33,8 @@
 	record       kernel.DirectoryRecord
 	registration kernel.Registration
 	stamp        stamp
+	// source is where the record comes from.
+	source string
 	// until is when the record is put in force. If its upstream were gone, the directory would have dropped it by then.
 	until time.Time
 }
@@ -84,10 +86,11 @@
 	}
 }
 
-// forgetHeld drops the held records before a position, up to which a reader states what is in force.
+// forgetHeld drops the held records before a position, up to which a reader states what is in force. What a reader has stated
+// itself stays held.
 func (t *table) forgetHeld(next kernel.Position) {
 	for _, known := range t.entries {
-		if known.held != nil && known.held.record.Position < next {
+		if known.held != nil && known.held.source == sourceDirectory && known.held.record.Position < next {
 			known.held = nil
 		}
 	}
--- a/internal/subscriber/held_test.go
+++ b/internal/subscriber/held_test.go
@@ -97,21 +97,37 @@
 // TestHeldRecordAfterChangeOfReader guards against a router that never hears of an upstream that is back, because it followed one
 // reader while its record was held back, and another one when it was put in force.
 func TestHeldRecordAfterChangeOfReader(t *testing.T) {
-	runWithFleet(t, 3, 10, []string{"a", "b"}, func(t *testing.T, f *fleet) {
-		f.shared.put(kernel.TopicUpstreams, "a", nil)
-		time.Sleep(2 * time.Second)
-		f.shared.put(kernel.TopicUpstreams, "a", newRegistration("a"))
-		time.Sleep(time.Second)
-		// Followers hear of a later position.
-		f.shared.put(kernel.TopicUpstreams, "c", newRegistration("c"))
-		time.Sleep(time.Second)
-		f.setRefusing(true, []int{0})
-		time.Sleep(10 * time.Second)
-		for i, s := range f.routers[1:] {
-			used := upstreamNames(s)
-			assert.Check(t, slices.Equal(used, []string{"a", "b", "c"}), "router %d: %v", 1+i, used)
-		}
-	})
+	for _, row := range []struct {
+		// before and after are the incarnations of the upstream before its removal and when it is back.
+		before, after int64
+		// change is the time from the return to the change of the reader, and settled the time in which all routers use the
+		// upstream. A follower that knows a later process holds the record back once more.
+		change, settled time.Duration
+	}{
+		{0, 0, 2 * time.Second, 12 * time.Second}, {0, 0, 4500 * time.Millisecond, 12 * time.Second}, {0, 0, 6 * time.Second, 12 * time.Second},
+		{2, 1, 2 * time.Second, 20 * time.Second}, {2, 1, 4500 * time.Millisecond, 20 * time.Second}, {2, 1, 7 * time.Second, 20 * time.Second},
+	} {
+		runWithFleet(t, 3, 10, []string{"b"}, func(t *testing.T, f *fleet) {
+			registration := newRegistration("a")
+			registration.Incarnation = row.before
+			f.shared.put(kernel.TopicUpstreams, "a", registration)
+			time.Sleep(2 * time.Second)
+			f.shared.put(kernel.TopicUpstreams, "a", nil)
+			time.Sleep(2 * time.Second)
+			registration.Incarnation = row.after
+			f.shared.put(kernel.TopicUpstreams, "a", registration)
+			time.Sleep(row.change / 2)
+			// Followers hear of a later position.
+			f.shared.put(kernel.TopicUpstreams, "c", newRegistration("c"))
+			time.Sleep(row.change - row.change/2)
+			f.setRefusing(true, []int{0})
+			time.Sleep(row.settled)
+			for i, s := range f.routers[1:] {
+				used := upstreamNames(s)
+				assert.Check(t, slices.Equal(used, []string{"a", "b", "c"}), "%+v, router %d: %v", row, 1+i, used)
+			}
+		})
+	}
 }
 
 // TestRemovalHeardFromPeer guards against a router that uses an upstream again which has left, because it only knows of the removal
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -89,7 +89,7 @@
 	registration.Sequence = 0
 	changed := registration != known.registration || (err == nil) != known.usable || !known.goneAt.IsZero()
 	if changed && err == nil && known.doubts(next, registration.Leaving, a) {
-		known.hold(&heldRecord{record: record, registration: registration, stamp: next, until: a.heldUntil})
+		known.hold(&heldRecord{record: record, registration: registration, stamp: next, source: a.source, until: a.heldUntil})
 		return true, nil
 	}
 	t.replace(known, record, registration, err == nil, changed)
@@ -125,8 +125,8 @@
 	return true
 }
 
-// extendLapses lets the upstreams whose registration may have lapsed count as gone no earlier than until. They couldn't register
-// again because the directory was away, or restored, once more.
+// extendLapses lets the upstreams whose registration may have lapsed count as gone no earlier than until. After a restoration they
+// couldn't register again, because the directory was restored, or away, once more.
 func (t *table) extendLapses(now, until time.Time) {
 	for _, known := range t.entries {
 		if known.lapsed && known.goneAt.After(now) && known.goneAt.Before(until) {
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -158,7 +158,9 @@
 	if len(update.GetState()) > 0 {
 		s.applyRegistrations(state, update.GetReading())
 	}
-	s.heard(time.Now())
+	if update.GetReading() {
+		s.heard(time.Now())
+	}
 	return nil
 }
 
