Write a router's record at its time, not at the next check

TestRecords failed in about one run of thirty since routers announce themselves again after a restoration: it expects the first record within 2 s, and a record that was due just before was written at the next check, up to 100 ms later. The test was right, and the bound of the one added with that change comes back to 2 s.

A timer of its own now ends when the record is due; the checks only look for a new era, and leave the time of one check from the spread.

--- a/router/internal/assembler/records.go
+++ b/router/internal/assembler/records.go
@@ -23,7 +23,7 @@
 	// announceSpread is the time over which routers that start together, or hear that the directory was restored from a copy,
 	// spread their writes. The directory takes 4 ms for each write, one after another.
 	announceSpread = 2 * time.Second
-	// announceCheck is the time between two checks whether a write is due.
+	// announceCheck is the time between two checks whether the directory was restored.
 	announceCheck = 100 * time.Millisecond
 	// announceInterval is the mean time between two writes of a router; the actual time varies by up to half of it.
 	// 410 routers make 0.7 calls per second.
@@ -43,27 +43,26 @@
 // announce writes this router's address to the directory and renews it regularly, and when the directory was restored from a copy
 // that may lack it. Routers without a live seed find each other by these records.
 func (g *gatewayMode) announce(ctx context.Context) error {
-	ticker := time.NewTicker(announceCheck)
+	ticker, due := time.NewTicker(announceCheck), time.NewTimer(rand.N(announceSpread))
 	defer ticker.Stop()
-	due, era := time.Now().Add(rand.N(announceSpread)), g.subscriber.Era()
-	for {
+	defer due.Stop()
+	for era := g.subscriber.Era(); ; {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-		}
-		known := g.subscriber.Era()
-		if known != era && era >= 0 {
-			due = time.Now().Add(rand.N(announceSpread))
-		}
-		era = known
-		if time.Now().Before(due) {
-			continue
-		}
-		due = time.Now().Add(announceInterval/2 + rand.N(announceInterval))
-		if err := g.writeRecord(ctx); err != nil {
-			g.logger.Warn("router's record not written", zap.Error(err))
-			due = time.Now().Add(announceRetry)
+			known := g.subscriber.Era()
+			if known != era && era >= 0 {
+				due.Reset(rand.N(announceSpread - announceCheck))
+			}
+			era = known
+		case <-due.C:
+			pause := announceInterval/2 + rand.N(announceInterval)
+			if err := g.writeRecord(ctx); err != nil {
+				g.logger.Warn("router's record not written", zap.Error(err))
+				pause = announceRetry
+			}
+			due.Reset(pause)
 		}
 	}
 }
--- a/router/internal/assembler/records_test.go
+++ b/router/internal/assembler/records_test.go
@@ -76,8 +76,7 @@
 				// The first era is the one that the routers find.
 				assert.NilError(t, g.subscriber.ApplySnapshot(fmt.Appendf(nil, `{"next":%d}`, kernel.PositionOf(int64(7+era), 1))))
 			}
-			// One check notices the era, and one that the write is due.
-			time.Sleep(announceSpread + 2*announceCheck)
+			time.Sleep(announceSpread)
 			records, writes := store.lose()
 			assert.Equal(t, records, routers, "era %d", era)
 			assert.Equal(t, writes, routers*(1+era))
