Let idle connections yield to new ones when all are taken

Cause: an idle connection stayed for the whole time in which its caller may reuse it, four fifths of the idle timeout, and callers that reuse it in time hold it for good.

If all connections are taken and none has an unfinished head, the longest idle one now yields once it has been idle for 1 s, one per 100 ms. A connection is never closed with a request that was read, so its caller may send again.

Two of the three new rows of TestTable fail before. TestUntrustedClients passes with the race detector.

--- a/internal/admitter/table.go
+++ b/internal/admitter/table.go
@@ -58,13 +58,20 @@
 //
 // Many clients that send no whole head would otherwise use up the descriptors and the memory. When a bound is reached, an
 // unfinished head is closed first, since it has cost its client nothing yet: the oldest, or, for memory, the largest. An idle
-// connection comes next, unless its caller may still reuse it. Connections with requests are never closed for others.
+// connection comes next, at any rate if its caller won't reuse it any more. Connections with requests are never closed for others.
+//
+// Callers that keep their connections, and send a request just often enough, would otherwise keep all others out for good. So an
+// idle connection that may still be reused yields too, the longest idle one, but only a few of them per second: new connections
+// that come in a flood don't cost the callers theirs. A caller whose connection was closed before its request was read may send
+// it again.
 type table struct {
 	bounds     Bounds
 	account    *accountant.Accountant
 	unfinished list.List
 	idle       list.List
 	active     int
+	// yieldedAt is when an idle connection that might have been reused was last closed for a new one.
+	yieldedAt time.Time
 	// closing is the number of connections that were removed and aren't gone yet.
 	closing   int
 	addresses map[netip.Addr]int
@@ -72,6 +79,13 @@
 	headMemory, bodyBuffers int64
 }
 
+const (
+	// leastIdle is how long a connection must be idle before it yields to a new one though it may be reused.
+	leastIdle = time.Second
+	// yieldInterval is the time between two such closings.
+	yieldInterval = 100 * time.Millisecond
+)
+
 // closingParts bounds the connections that are being closed, whose descriptors aren't free yet: one part of the connections.
 const closingParts = 4
 
@@ -83,7 +97,7 @@
 func (t *table) open() int { return t.unfinished.Len() + t.idle.Len() + t.active }
 
 // admit adds a connection. If there is no room, it removes another one, which must be closed, or returns ok == false.
-// Connections that have been idle for less than keepIdle stay open.
+// Connections that have been idle for less than keepIdle may still be reused.
 func (t *table) admit(e *entry, now time.Time, keepIdle time.Duration) (closed *entry, cause Cause, ok bool) {
 	switch {
 	case t.open()+t.closing >= t.bounds.Connections+t.bounds.Connections/closingParts+1:
@@ -121,12 +135,20 @@
 	if front := t.unfinished.Front(); front != nil {
 		return front.Value.(*entry)
 	}
-	if front := t.idle.Front(); front != nil {
-		if e := front.Value.(*entry); now.Sub(e.since) >= keepIdle {
-			return e
-		}
+	front := t.idle.Front()
+	if front == nil {
+		return nil
+	}
+	e := front.Value.(*entry)
+	switch spent := now.Sub(e.since); {
+	case spent >= keepIdle:
+		return e
+	case spent >= leastIdle && now.Sub(t.yieldedAt) >= yieldInterval:
+		t.yieldedAt = now
+		return e
+	default:
+		return nil
 	}
-	return nil
 }
 
 // grow sets the memory of a connection's unfinished head. If all heads take too much, or the account is full, it removes the
--- a/internal/admitter/table_test.go
+++ b/internal/admitter/table_test.go
@@ -18,12 +18,15 @@
 	for _, c := range []struct {
 		name string
 		// steps are: "+A" connects from address A, "aN" and "iN" make connection N active or idle, "gN=B" sets the memory of
-		// its head, "xN" closes it, "w" waits for keepIdle. want lists what each step closes.
+		// its head, "xN" closes it, "w" waits for keepIdle, "s" for a second. want lists what each step closes.
 		steps, want string
 	}{
 		{"the oldest unfinished head first", "+a +b a1 i1 +c +d", "- - - - - 2"},
 		{"an idle connection that may still be reused stays", "+a a1 i1 +b a2 +c a3 +d", "- - - - - - - refused"},
 		{"an idle connection after its time", "+a a1 i1 +b a2 +c a3 w +d", "- - - - - - - - 1"},
+		{"the longest idle one of those that may be reused yields", "+a a1 +b a2 i2 i1 +c a3 i3 s +d", "- - - - - - - - - - 2"},
+		{"only one of them at a time", "+a a1 i1 +b a2 i2 +c a3 i3 s +d x1 a4 +e s +e", "- - - - - - - - - - 1 - - refused - 2"},
+		{"an unfinished head before them", "+a a1 i1 +b a2 i2 +c s +d", "- - - - - - - - 3"},
 		{"requests are never closed", "+a a1 +b a2 +c a3 w +d", "- - - - - - - refused"},
 		{"the oldest of its own address", "+b +a +a +a", "- - - 2"},
 		{"finished heads don't count for the address", "+a a1 +a a2 +a", "- - - - -"},
@@ -44,7 +47,7 @@
 				var closed *entry
 				refused := false
 				number, charge := 0, int64(0)
-				if step[0] != '+' && step[0] != 'w' {
+				if step[0] != '+' && step[0] != 'w' && step[0] != 's' {
 					_, _ = fmt.Sscanf(step[1:], "%d=%d", &number, &charge)
 				}
 				switch step[0] {
@@ -64,6 +67,8 @@
 					table.end(entries[number-1])
 				case 'w':
 					now = now.Add(keepIdle)
+				case 's':
+					now = now.Add(time.Second)
 				}
 				text := "-"
 				for i, e := range entries {
