--- a/internal/subscriber/era.go
+++ b/internal/subscriber/era.go
@@ -9,7 +9,7 @@
 // noEra is lower than any era of the directory.
 const noEra = -1
 
-// enterEra notes the era of what arrives from the directory or a peer. If it is a new one, the directory was restored after
+// enterEra records the era of what arrives from the directory or a peer. If it is a new one, the directory was restored after
 // this router has last heard of the era before. The lock must be held.
 func (s *Subscriber) enterEra(era int64) {
 	if era <= s.era {
@@ -29,7 +29,7 @@
 	s.era = era
 }
 
-// heard notes that the directory was in the known era at a time.
+// heard records that the directory was in the known era at a time.
 func (s *Subscriber) heard(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
