State which configuration turned a request away, of which era and how old

In the incident of routers that were behind, their logs didn't tell which version a router had, where it came from, whether the directory had confirmed it since, and which lines a 401 or 404 belonged to.

The line of a refused request states the status, what the configuration lacks, its version, position, source and reader, how long it is in force and when the directory last had no newer one. The state dump and four metrics state the same at any time. Publications that are older than the one in force are logged, as is the one in force when it is read in a new era. The line of an answer states its status, so that a 404 of an upstream can be told from the router's.

No decision has changed.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -17,6 +17,7 @@
 	"coltsfootplank/internal/holder"
 	"coltsfootplank/internal/kernel"
 	"coltsfootplank/internal/protocol"
+	"coltsfootplank/internal/subscriber"
 )
 
 const (
@@ -43,7 +44,7 @@
 	releaseBody   func()
 	metadata      kernel.RequestMetadata
 	route         *kernel.Route
-	version       int64
+	config        *subscriber.RoutingConfig
 	service       string
 	holderRequest *holder.Request
 
@@ -51,7 +52,9 @@
 	// sends counts the attempts in which the request may have reached an upstream.
 	sends int
 	// headWritten is set when the status and header of the answer were written to the caller.
-	headWritten     bool
+	headWritten bool
+	// status is that of the answer, which is the upstream's.
+	status          int
 	sequence        sequence
 	timeToFirstByte time.Duration
 	// upstream is the last upstream that the request was sent to, waitTime the time from arrival until then.
@@ -295,7 +298,7 @@
 	if length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	x.headWritten = true
+	x.headWritten, x.status = true, answer.Status
 	x.w.WriteHeader(answer.Status)
 	return nil
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -34,6 +34,8 @@
 	Departed(upstream string, registered int64) bool
 	// DirectoryFailing reports whether the last read of the configuration failed.
 	DirectoryFailing() bool
+	// Confirmed returns when the directory last had no newer configuration; zero if that isn't known.
+	Confirmed() time.Time
 }
 
 // Abstainer keeps what upstreams ask of this router in their answers.
@@ -130,9 +132,14 @@
 
 // refuseRequest writes the refusal of a request that wasn't handed to the holder.
 func (f *Forwarder) refuseRequest(w http.ResponseWriter, r *http.Request, x *exchange, refusal *holder.Refusal) {
-	f.options.Logger.Info("request turned away", zap.String("request_id", x.metadata.RequestID),
-		zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.Int64("version", x.version),
-		zap.String("code", string(refusal.Code)), zap.String("reason", refusal.Message))
+	fields := []zap.Field{
+		zap.String("request_id", x.metadata.RequestID), zap.String("host", r.Host), zap.String("path", r.URL.Path),
+		zap.Int("status", status(refusal)), zap.String("code", string(refusal.Code)), zap.String("reason", refusal.Message),
+	}
+	if x.config != nil {
+		fields = append(fields, x.config.Fields(time.Now(), f.options.RoutingConfigSource.Confirmed())...)
+	}
+	f.options.Logger.Info("request turned away", fields...)
 	metrics.GetOrRegisterCounter("requests.turned_away."+string(refusal.Code), f.options.Metrics).Inc(1)
 	writeRefusal(w, refusal)
 }
@@ -153,7 +160,7 @@
 	if x.timeToFirstByte > 0 {
 		f.updateHistogram("first_byte_ms", x.timeToFirstByte)
 		f.options.Logger.Info("answer passed on", zap.String("request_id", x.holderRequest.ID), zap.String("work", x.route.Name),
-			zap.String("upstream", x.upstream), zap.Int("sends", x.sends), zap.Int("prompt_tokens", x.metadata.PromptTokens),
+			zap.String("upstream", x.upstream), zap.Int("status", x.status), zap.Int("sends", x.sends), zap.Int("prompt_tokens", x.metadata.PromptTokens),
 			zap.Int("max_output_tokens", x.metadata.OutputTokens), zap.Int("estimated_output_tokens", x.metadata.OutputEstimate),
 			zap.Int("events", x.sequence.events), zap.Int64("wait_ms", x.waitTime.Milliseconds()),
 			zap.Int64("first_byte_ms", x.timeToFirstByte.Milliseconds()), zap.Int64("objective_ms", x.route.Objective.Milliseconds()),
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -163,6 +163,7 @@
 
 func (source fakeConfigSource) Departed(name string, _ int64) bool { return name == source.departed }
 func (source fakeConfigSource) DirectoryFailing() bool             { return source.failing }
+func (source fakeConfigSource) Confirmed() time.Time               { return time.Time{} }
 func route(kind kernel.RouteKind) kernel.Route                     { return kernel.Route{Kind: kind} }
 
 const (
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -47,7 +47,7 @@
 	if config == nil {
 		return x, f.noConfigRefusal()
 	}
-	x.version = config.Version
+	x.config = config
 	metadata, err := f.options.Dialect.ParseRequest(r.Header)
 	x.metadata = metadata
 	if err != nil || metadata.RequestID == "" || !utf8.ValidString(metadata.RequestID) {
@@ -57,7 +57,7 @@
 	path, _, _ := strings.Cut(x.target, "?")
 	route, ok := config.Route(r.Host, path)
 	if !ok {
-		return x, &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeUnknownEntry, Message: "no route matches"}
+		return x, noRouteRefusal(config, r.Host)
 	}
 	x.route = route
 	workspace, refusal := authenticate(config, route, metadata)
@@ -87,6 +87,15 @@
 	return refusal
 }
 
+// noRouteRefusal returns the refusal of a request that no route matches.
+func noRouteRefusal(config *subscriber.RoutingConfig, host string) *holder.Refusal {
+	message := "no route has the host"
+	if config.HasHost(host) {
+		message = "no route of the host has a prefix of the path"
+	}
+	return &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeUnknownEntry, Message: message}
+}
+
 // target returns the path and query as the caller sent them, also if the request line has an absolute URI.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -103,7 +112,11 @@
 	}
 	workspace, ok := config.Workspace(metadata.Credential)
 	if !ok {
-		return nil, &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeUnauthorized, Message: "unknown API key"}
+		message := "no workspace has the API key"
+		if metadata.Credential == "" {
+			message = "the request has no API key"
+		}
+		return nil, &holder.Refusal{Outcome: holder.OutcomeNotRun, Code: holder.CodeUnauthorized, Message: message}
 	}
 	return workspace, nil
 }
--- a/internal/subscriber/routingconfig.go
+++ b/internal/subscriber/routingconfig.go
@@ -14,6 +14,7 @@
 // RoutingConfig is a published configuration with its lookup tables. It is immutable.
 type RoutingConfig struct {
 	*kernel.Publication
+	Provenance
 	// routes holds the routes by lower-case host and path prefix.
 	routes map[string]map[string]*kernel.Route
 	// keys holds the workspaces by API key.
@@ -106,10 +107,7 @@
 
 // Route returns the route of the host with the longest matching path prefix.
 func (c *RoutingConfig) Route(host, path string) (*kernel.Route, bool) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	routes := c.routes[strings.ToLower(host)]
+	routes := c.routesOf(host)
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
 		if route, ok := routes[path[:end+1]]; ok {
 			return route, true
@@ -118,6 +116,17 @@
 	return nil, false
 }
 
+// HasHost reports whether a host has routes.
+func (c *RoutingConfig) HasHost(host string) bool { return c.routesOf(host) != nil }
+
+// routesOf returns the routes of a host, which may have a port, by path prefix.
+func (c *RoutingConfig) routesOf(host string) map[string]*kernel.Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return c.routes[strings.ToLower(host)]
+}
+
 // Workspace returns the workspace that an API key belongs to.
 func (c *RoutingConfig) Workspace(key string) (*kernel.PublishedWorkspace, bool) {
 	workspace, ok := c.keys[key]
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -69,6 +69,8 @@
 	logger  *zap.Logger
 	config  atomic.Pointer[RoutingConfig]
 	current atomic.Pointer[cataloguer.Catalogue]
+	// confirmedAfter is the time from started to Confirmed in ns, 0 if that isn't known.
+	confirmedAfter atomic.Int64
 	// ready is closed once the configuration and the registrations are known.
 	ready chan struct{}
 	// awaited is closed by markAwaited when a request waits for ready.
@@ -239,12 +241,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if config := s.config.Load(); config != nil && publication.Version <= config.Version {
+		s.logNotNewer(config, publication, record, source)
 		return
 	}
 	s.publication, s.compressed = record, nil
-	s.config.Store(NewRoutingConfig(publication))
+	config := NewRoutingConfig(publication)
+	config.Provenance = Provenance{Position: record.Position, Source: source, Reader: s.following, Since: time.Now()}
+	s.config.Store(config)
 	s.logger.Info("publication in force", zap.Int64("version", publication.Version), zap.Int("routes", len(publication.Routes)),
-		zap.Int("workspaces", len(publication.Workspaces)), zap.String("source", source))
+		zap.Int("workspaces", len(publication.Workspaces)), zap.Stringer("position", record.Position), zap.String("source", source),
+		zap.String("reader", config.Reader))
 	s.rebuild(source)
 	s.updateReady()
 }
--- a/internal/subscriber/tail.go
+++ b/internal/subscriber/tail.go
@@ -88,6 +88,9 @@
 		s.recordSuccess(topic)
 		apply(page, whole)
 		s.heard(began)
+		if topic == kernel.TopicPublication {
+			s.confirm(began)
+		}
 		next = page.Next
 		if whole {
 			listedAt = began
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -160,6 +160,7 @@
 	}
 	if update.GetReading() {
 		s.heard(time.Now())
+		s.confirm(time.Now())
 	}
 	return nil
 }
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -67,6 +67,7 @@
 		subscriberOptions.Rollouts, subscriberOptions.ApplyOrder = directory, g.rollouts.ApplyOrder
 	}
 	g.subscriber = subscriber.New(subscriberOptions)
+	g.registerMetrics()
 	r.createComponents(componentOptions{
 		catalogue: g.subscriber, members: g.archiveConvictions, vmListInterval: settings.MemberInterval,
 		vmList: routerList{directory: directory, observe: func(page kernel.DirectoryPage) { g.archiver.Observe(page) }, logger: log},
@@ -248,6 +249,8 @@
 	if err != nil {
 		return nil, err
 	}
+	g.logger.Info("state of a peer fetched", zap.String("peer", address), zap.Uint64("version", response.GetRevision()),
+		zap.Stringer("position", kernel.Position(response.GetOffset())))
 	return response.GetCatalogue(), nil
 }
 
@@ -257,14 +260,67 @@
 	Offset  int64 `json:"offset"`
 	Era     int64 `json:"era"`
 	Healthy bool  `json:"directory_healthy"`
-	Pools   any   `json:"pools"`
+	// Publication is nil while there is none.
+	Publication *publicationState `json:"publication"`
+	Pools       any               `json:"pools"`
+}
+
+// publicationState tells where the configuration in force comes from, and how old it is.
+type publicationState struct {
+	Offset int64  `json:"offset"`
+	Era    int64  `json:"era"`
+	Source string `json:"source"`
+	Reader string `json:"reader,omitempty"`
+	// InForce is the time since it was put in force, and Confirmed since the directory last had no newer one, in ms; negative
+	// if that isn't known.
+	InForce   int64 `json:"in_force_ms"`
+	Confirmed int64 `json:"confirmed_ms"`
+}
+
+func (g *gatewayMode) publicationState() *publicationState {
+	config := g.subscriber.RoutingConfig()
+	if config == nil {
+		return nil
+	}
+	return &publicationState{
+		Offset: config.Position.Offset(), Era: config.Position.Era(), Source: config.Source, Reader: config.Reader,
+		InForce: time.Since(config.Since).Milliseconds(), Confirmed: g.confirmedAgo(),
+	}
+}
+
+// confirmedAgo returns the time since the directory last had no newer publication in ms; negative if that isn't known.
+func (g *gatewayMode) confirmedAgo() int64 {
+	confirmed := g.subscriber.Confirmed()
+	if confirmed.IsZero() {
+		return -1
+	}
+	return time.Since(confirmed).Milliseconds()
+}
+
+// registerMetrics registers the metrics of the configuration.
+func (g *gatewayMode) registerMetrics() {
+	for name, value := range map[string]func(config *subscriber.RoutingConfig) int64{
+		"publication.version":      func(config *subscriber.RoutingConfig) int64 { return config.Version },
+		"publication.era":          func(config *subscriber.RoutingConfig) int64 { return config.Position.Era() },
+		"publication.in_force_ms":  func(config *subscriber.RoutingConfig) int64 { return time.Since(config.Since).Milliseconds() },
+		"publication.confirmed_ms": func(*subscriber.RoutingConfig) int64 { return g.confirmedAgo() },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, g.metrics, func() int64 {
+			config := g.subscriber.RoutingConfig()
+			if config == nil {
+				return -1
+			}
+			return value(config)
+		})
+	}
 }
 
 func (g *gatewayMode) Sections() []section {
 	sections := []section{{"directory", func() any {
 		version, position := g.subscriber.Version()
 		return directoryState{
-			Version: int64(version), Offset: position.Offset(), Era: position.Era(), Healthy: g.subscriber.Healthy(), Pools: g.subscriber.Current().Pools,
+			Version: int64(version), Offset: position.Offset(), Era: position.Era(), Healthy: g.subscriber.Healthy(),
+			Publication: g.publicationState(), Pools: g.subscriber.Current().Pools,
 		}
 	}}, {"abstentions", func() any { return g.abstainer.Dump() }}, {"archive", func() any { return g.archiver.Dump() }}}
 	if g.rollouts != nil {
