Test that routers don't take a restored directory's copy for the newest state

Users saw routers refuse requests on routes of confirmed versions after the directory had come back from a copy. A reader that starts while the directory has only the copy, or comes back to it after a cut, lists the older version and has no reason to ask its peers: they are asked only while its reads fail.

--- a/internal/subscriber/fleet_test.go
+++ b/internal/subscriber/fleet_test.go
@@ -107,7 +107,7 @@
 	defaults := loader.Defaults().Gateway
 	rank := min(i, len(f.candidates))
 	return New(Options{
-		Directory: f.directories[i], FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
+		Directory: f.directories[i], FetchSnapshot: func(context.Context) ([]byte, error) { return f.newestSnapshot(i), nil },
 		Readers: func() Readers {
 			return Readers{Addresses: f.candidates[:rank], Candidate: rank < len(f.candidates)}
 		},
@@ -126,6 +126,21 @@
 	})
 }
 
+// newestSnapshot returns the snapshot of the router with the newest state, nil if that is no newer than that of router i.
+func (f *fleet) newestSnapshot(i int) (data []byte) {
+	if f.directories[i].alone.Load() {
+		return nil
+	}
+	version, position := f.routers[i].Version()
+	for j, peer := range f.routers {
+		peerVersion, peerPosition := peer.Version()
+		if newer := peerVersion > version || peerVersion == version && peerPosition > position; newer && !f.directories[j].alone.Load() {
+			data, version, position = peer.Snapshot()
+		}
+	}
+	return data
+}
+
 func (f *fleet) start(t *testing.T, i int) {
 	ctx, stop := context.WithCancel(t.Context())
 	f.stops[i] = stop
@@ -133,7 +148,7 @@
 	f.group.Go(func() error { return router.Run(ctx) })
 }
 
-// restart replaces a router that isn't a candidate by a new process.
+// restart replaces a router by a new process.
 func (f *fleet) restart(t *testing.T, i int) {
 	f.stops[i]()
 	f.routers[i] = f.newRouter(i)
