Take a newer publication from a peer also while the directory can be read

Callers got 404 for routes of a confirmed version from all routers of a data centre. These had started, or had come back from a cut, while the directory had only the copy that it was restored from: they listed the older version, counted as healthy, and asked no peer until the operator wrote the version again.

A router that has had an older publication than what a peer announces for half a second now fetches the peer's state, whoever reads the directory for it. A peer that doesn't answer is passed over at the next attempt. The version only grows, so a peer's newer one was confirmed.

--- a/internal/subscriber/copy_test.go
+++ b/internal/subscriber/copy_test.go
@@ -10,9 +10,20 @@
 	"coltsfootplank/internal/kernel"
 )
 
-// TestCopyTakenForNewest guards against a router that takes what it reads in a directory that was restored from a copy for the newest
-// state, though other routers know a newer version, or that an upstream has left: it has started, or was cut off, in the meantime.
-func TestCopyTakenForNewest(t *testing.T) {
+// TestVersionOfCopyTakenForNewest guards against a router that takes the configuration of a directory that was restored from a copy
+// for the newest one, though other routers know a newer one: it has started, or was cut off, in the meantime.
+func TestVersionOfCopyTakenForNewest(t *testing.T) {
+	runWithCopy(t, func(s *Subscriber) bool { return s.RoutingConfig().Version == 2 })
+}
+
+// TestUpstreamOfCopyTakenForNewest guards against a router that then uses an upstream that other routers know to be leaving or gone.
+func TestUpstreamOfCopyTakenForNewest(t *testing.T) {
+	runWithCopy(t, func(s *Subscriber) bool { return !slices.Contains(upstreamNames(s), "c") })
+}
+
+// runWithCopy checks what routers do while the directory has only a copy that lacks version 2 and the last record of the upstream "c".
+func runWithCopy(t *testing.T, sound func(s *Subscriber) bool) {
+	t.Helper()
 	leaving := newRegistration("c")
 	leaving.Incarnation, leaving.Sequence, leaving.Leaving = 1, 5, true
 	rows := []struct {
@@ -64,8 +75,7 @@
 				for time.Since(began) < 8*time.Second {
 					time.Sleep(50 * time.Millisecond)
 					for i, s := range f.routers {
-						assert.Equal(t, s.RoutingConfig().Version, int64(2), "router %d, %s after its start", i, time.Since(began))
-						assert.Assert(t, !slices.Contains(upstreamNames(s), "c"), "router %d uses the upstream %s after its start", i, time.Since(began))
+						assert.Assert(t, sound(s), "router %d, %s after the start", i, time.Since(began))
 					}
 				}
 			})
--- a/internal/subscriber/fleet_test.go
+++ b/internal/subscriber/fleet_test.go
@@ -107,7 +107,8 @@
 	defaults := loader.Defaults().Gateway
 	rank := min(i, len(f.candidates))
 	return New(Options{
-		Directory: f.directories[i], FetchSnapshot: func(context.Context) ([]byte, error) { return f.newestSnapshot(i), nil },
+		Directory: f.directories[i], FetchSnapshot: func(_ context.Context, wanted Wanted) ([]byte, error) { return f.snapshotFor(i, wanted), nil },
+		PeerVersion: func() uint64 { return f.peerVersion(i) },
 		Readers: func() Readers {
 			return Readers{Addresses: f.candidates[:rank], Candidate: rank < len(f.candidates)}
 		},
@@ -126,21 +127,32 @@
 	})
 }
 
-// newestSnapshot returns the snapshot of the router with the newest state, nil if that is no newer than that of router i.
-func (f *fleet) newestSnapshot(i int) (data []byte) {
-	if f.directories[i].alone.Load() {
-		return nil
-	}
+// snapshotFor returns the snapshot of a router for router i, nil if none has what is wanted.
+func (f *fleet) snapshotFor(i int, wanted Wanted) (data []byte) {
 	version, position := f.routers[i].Version()
 	for j, peer := range f.routers {
 		peerVersion, peerPosition := peer.Version()
-		if newer := peerVersion > version || peerVersion == version && peerPosition > position; newer && !f.directories[j].alone.Load() {
+		newer := peerVersion > version || wanted == WantedNewer && peerVersion == version && peerPosition > position
+		if i != j && f.connected(i, j) && newer {
 			data, version, position = peer.Snapshot()
 		}
 	}
 	return data
 }
 
+func (f *fleet) peerVersion(i int) (newest uint64) {
+	for j, peer := range f.routers {
+		if version, _ := peer.Version(); f.connected(i, j) {
+			newest = max(newest, version)
+		}
+	}
+	return newest
+}
+
+func (f *fleet) connected(i, j int) bool {
+	return !f.directories[i].alone.Load() && !f.directories[j].alone.Load()
+}
+
 func (f *fleet) start(t *testing.T, i int) {
 	ctx, stop := context.WithCancel(t.Context())
 	f.stops[i] = stop
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -14,9 +14,6 @@
 	"coltsfootplank/internal/protocol"
 )
 
-// peerInterval is the time between attempts to fetch a peer's snapshot.
-const peerInterval = 500 * time.Millisecond
-
 // Sources of a change, as logged.
 const (
 	sourceDirectory = "directory"
@@ -27,8 +24,10 @@
 // Options are the dependencies and the timing of a subscriber.
 type Options struct {
 	Directory kernel.DirectoryProtocol
-	// FetchSnapshot returns the snapshot of a peer that has newer records, or nil if there is none.
-	FetchSnapshot func(ctx context.Context) ([]byte, error)
+	// FetchSnapshot returns the snapshot of a peer that has what is wanted, or nil if there is none.
+	FetchSnapshot func(ctx context.Context, wanted Wanted) ([]byte, error)
+	// PeerVersion returns the highest version of the publication that a peer has, 0 if there is none.
+	PeerVersion func() uint64
 	// Readers returns the routers that may read the directory for this one.
 	Readers func() Readers
 	// Watch passes the updates of another router to receive until the stream breaks or receive returns false.
@@ -307,24 +306,3 @@
 	defer s.mu.Unlock()
 	s.rebuild(sourceClock)
 }
-
-// pollPeers fetches and applies snapshots of peers while neither this router nor one that it follows reads the
-// directory.
-func (s *Subscriber) pollPeers(ctx context.Context) error {
-	for {
-		sleep(ctx, peerInterval)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if s.Healthy() {
-			continue
-		}
-		data, err := s.options.FetchSnapshot(ctx)
-		if err == nil && data != nil {
-			err = s.ApplySnapshot(data)
-		}
-		if err != nil && ctx.Err() == nil {
-			s.logger.Warn("getting a snapshot from a peer failed", zap.Error(err))
-		}
-	}
-}
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -215,7 +215,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		directory, defaults := newFakeDirectory(), loader.Defaults().Gateway
 		s := New(Options{
-			Directory: directory, FetchSnapshot: func(context.Context) ([]byte, error) { return peer(), nil },
+			Directory: directory, FetchSnapshot: func(context.Context, Wanted) ([]byte, error) { return peer(), nil }, PeerVersion: noVersion,
 			Readers: func() Readers { return Readers{} }, WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval,
 			LapseGrace: defaults.LapseGrace, Heartbeat: defaults.Heartbeat, Logger: zap.NewNop(),
 		})
@@ -232,6 +232,8 @@
 
 func noSnapshot() []byte { return nil }
 
+func noVersion() uint64 { return 0 }
+
 // TestPublications guards against a configuration that takes effect late, is replaced by an older one, or exists before
 // the first publication.
 func TestPublications(t *testing.T) {
--- a/internal/subscriber/watch_test.go
+++ b/internal/subscriber/watch_test.go
@@ -65,7 +65,7 @@
 		p := &pair{shared: newFakeDirectory(), cut: make(chan struct{})}
 		options := func(orders *orderLog, readers ...string) Options {
 			return Options{
-				Directory: p.shared, FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
+				Directory: p.shared, FetchSnapshot: func(context.Context, Wanted) ([]byte, error) { return nil, nil }, PeerVersion: noVersion,
 				Readers: func() Readers { return Readers{Addresses: readers} }, WatchWait: 700 * time.Millisecond,
 				PollInterval: 700 * time.Millisecond, LapseGrace: 2200 * time.Millisecond, Logger: zap.NewNop(),
 				Rollouts: orderDecoder{}, ApplyOrder: orders.apply,
@@ -232,7 +232,7 @@
 		shared.put(kernel.TopicPublication, "config", newPublication(1))
 		shared.put(kernel.TopicUpstreams, "a", newRegistration("a"))
 		s := New(Options{
-			Directory: shared, FetchSnapshot: func(context.Context) ([]byte, error) { return nil, nil },
+			Directory: shared, FetchSnapshot: func(context.Context, Wanted) ([]byte, error) { return nil, nil }, PeerVersion: noVersion,
 			Readers: func() Readers { return Readers{Addresses: []string{"silent"}} }, WatchWait: time.Second,
 			PollInterval: time.Second, Logger: zap.NewNop(),
 			Watch: func(ctx context.Context, _ string, _ *protocol.WatchRequest, _ func(*protocol.WatchUpdate) bool) error {
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -37,6 +37,8 @@
 	abstainer  *abstainer.Abstainer
 	archiver   *archiver.Archiver
 	forwarder  *forwarder.Forwarder
+	// failedFetches counts the calls of fetchState since the last one that was answered.
+	failedFetches int
 	// rollouts is nil if the settings don't turn rollouts on.
 	rollouts *rollouts
 }
@@ -59,7 +61,7 @@
 	closers.add(closeDirectory)
 	g.directory = directory
 	subscriberOptions := subscriber.Options{
-		Directory: directory, FetchSnapshot: g.fetchState, Readers: g.readers, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
+		Directory: directory, FetchSnapshot: g.fetchState, PeerVersion: g.peerVersion, Readers: g.readers, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
 		LapseGrace: settings.LapseGrace, Heartbeat: settings.Heartbeat, Logger: log,
 	}
 	if settings.Rollouts.Enabled() {
@@ -231,24 +233,21 @@
 	return names
 }
 
-// fetchState returns the state of the router with the newest configuration and registrations, or nil if none is newer
-// than that of this router.
-func (g *gatewayMode) fetchState(ctx context.Context) ([]byte, error) {
+// fetchState returns the state of a router with the newest configuration and registrations, or nil if none has what is wanted. If
+// one doesn't answer, the next call asks another one.
+func (g *gatewayMode) fetchState(ctx context.Context, wanted subscriber.Wanted) ([]byte, error) {
 	version, position := g.subscriber.Version()
-	address, offset := "", int64(position)
-	for _, member := range g.detector.View().Members {
-		newer := member.CatalogueRevision > version || member.CatalogueRevision == version && member.CatalogueOffset > offset
-		if member.Name != g.settings.Name && newer && reachable(member.State) {
-			version, offset, address = member.CatalogueRevision, member.CatalogueOffset, member.Address
-		}
-	}
-	if address == "" {
+	sources := stateSources(g.detector.View(), version, int64(position), wanted)
+	if len(sources) == 0 {
 		return nil, nil
 	}
+	address := sources[g.failedFetches%len(sources)].Address
 	response, err := g.peers.Snapshot(ctx, address, &protocol.SnapshotRequest{})
 	if err != nil {
+		g.failedFetches++
 		return nil, err
 	}
+	g.failedFetches = 0
 	g.logger.Info("state of a peer fetched", zap.String("peer", address), zap.Uint64("version", response.GetRevision()),
 		zap.Stringer("position", kernel.Position(response.GetOffset())))
 	return response.GetCatalogue(), nil
