Ask a peer once in each era which upstreams a restored directory has again

A router that starts, or comes back from a cut, while the directory has only the copy that it was restored from uses upstreams that had left: their registrations are in the copy, and it has read no removal. The other routers hold these back, but a router that reads the directory itself asked none.

Such a router now fetches the state of one peer in each era, of the one that has run for longest, and holds back records that are no newer, by what the upstream wrote itself, than what the peer knows of its leaving. Followers are told with the next listing, and hold back what they have read in the copy themselves. When a held record is dropped, they are told of that as well.

--- a/internal/subscriber/fleet_test.go
+++ b/internal/subscriber/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -69,10 +70,12 @@
 type fleet struct {
 	shared      *fakeDirectory
 	directories []*faultyDirectory
-	routers     []*Subscriber
-	candidates  []string
-	group       errgroup.Group
-	stops       []context.CancelFunc
+	// mu guards the changes of routers while they run.
+	mu         sync.Mutex
+	routers    []*Subscriber
+	candidates []string
+	group      errgroup.Group
+	stops      []context.CancelFunc
 }
 
 // runWithFleet runs a test with started routers on virtual time. The directory has a configuration and the given upstreams.
@@ -115,7 +118,7 @@
 		Watch: func(ctx context.Context, address string, request *protocol.WatchRequest,
 			receive func(*protocol.WatchUpdate) bool,
 		) error {
-			reader := f.routers[slices.Index(f.candidates, address)]
+			reader := f.peers()[slices.Index(f.candidates, address)]
 			return reader.Serve(ctx, request, func(update *protocol.WatchUpdate) error {
 				if f.directories[i].alone.Load() || !receive(update) {
 					return streamCutError{}
@@ -129,11 +132,12 @@
 
 // snapshotFor returns the snapshot of a router for router i, nil if none has what is wanted.
 func (f *fleet) snapshotFor(i int, wanted Wanted) (data []byte) {
-	version, position := f.routers[i].Version()
-	for j, peer := range f.routers {
+	peers := f.peers()
+	version, position := peers[i].Version()
+	for j, peer := range peers {
 		peerVersion, peerPosition := peer.Version()
 		newer := peerVersion > version || wanted == WantedNewer && peerVersion == version && peerPosition > position
-		if i != j && f.connected(i, j) && newer {
+		if i != j && f.connected(i, j) && (newer || wanted == WantedAny) {
 			data, version, position = peer.Snapshot()
 		}
 	}
@@ -141,7 +145,7 @@
 }
 
 func (f *fleet) peerVersion(i int) (newest uint64) {
-	for j, peer := range f.routers {
+	for j, peer := range f.peers() {
 		if version, _ := peer.Version(); f.connected(i, j) {
 			newest = max(newest, version)
 		}
@@ -163,10 +167,19 @@
 // restart replaces a router by a new process.
 func (f *fleet) restart(t *testing.T, i int) {
 	f.stops[i]()
+	f.mu.Lock()
 	f.routers[i] = f.newRouter(i)
+	f.mu.Unlock()
 	f.start(t, i)
 }
 
+// peers returns the present routers.
+func (f *fleet) peers() []*Subscriber {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.routers)
+}
+
 // setAlone sets whether a router is cut off from the directory and from all other routers.
 func (f *fleet) setAlone(alone bool, router int) {
 	f.directories[router].refusing.Store(alone)
--- a/internal/subscriber/held.go
+++ b/internal/subscriber/held.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// contradicts reports whether the record in force isn't newer than what the upstream has stated before it left.
+func (e *entry) contradicts(stated stamp) bool {
+	return stated != (stamp{}) && e.usable && e.goneAt.IsZero() && !e.registration.Leaving && stated.newest(e.stamp) == stated
+}
+
+// holdInForce holds back the record in force, and puts an earlier one in its place, by which the upstream is leaving or gone.
+func (t *table) holdInForce(known *entry, earlier kernel.DirectoryRecord, registration kernel.Registration, a arrival) {
+	held := &heldRecord{record: known.record, registration: known.registration, stamp: known.stamp, source: sourceDirectory, until: a.heldUntil}
+	*known = entry{record: earlier, registration: registration, usable: earlier.Value != nil, changed: earlier.Position, held: held}
+	if earlier.Value == nil {
+		known.goneAt, known.droppedAt = a.at, a.at
+	}
+}
+
 // hold holds back a record. It takes the place of one that is held already, and its time, since both show a sign of the upstream
 // in the same era.
 func (e *entry) hold(next *heldRecord) {
--- a/internal/subscriber/peers.go
+++ b/internal/subscriber/peers.go
@@ -18,6 +18,8 @@
 	WantedNewer Wanted = iota
 	// WantedPublication is a newer publication.
 	WantedPublication
+	// WantedAny is any state.
+	WantedAny
 )
 
 // lag tells for how long this router has had an older publication than a peer.
@@ -28,6 +30,7 @@
 
 // pollPeers fetches and applies snapshots of peers:
 //   - while neither this router nor one that it follows reads the directory;
+//   - until a peer was asked, in each era of the directory that this router reads, what the copy may lack;
 //   - while a peer has had a newer publication for peerInterval, since that of the directory may be a copy.
 func (s *Subscriber) pollPeers(ctx context.Context) error {
 	var last lag
@@ -71,6 +74,8 @@
 	case behind:
 		s.logger.Warn("publication is older than that of a peer", zap.Uint64("version", s.version()), zap.String("reader", s.following))
 		return WantedPublication, true
+	case s.following == "" && s.consulted < s.era:
+		return WantedAny, true
 	}
 	return 0, false
 }
--- a/internal/subscriber/registrations.go
+++ b/internal/subscriber/registrations.go
@@ -130,6 +130,10 @@
 	}
 	a := s.arrival(sourcePeer)
 	changed := s.applyRecords(state.Upstreams, a)
+	if state.Registered != nil && state.Consulted && s.consulted < s.era {
+		s.consulted = s.era
+		changed = s.holdContradicted(state, a) || changed
+	}
 	for name, stated := range state.Stamps {
 		if known := s.table.entries[name]; known != nil {
 			known.stamp = known.stamp.newest(stated)
@@ -152,6 +156,39 @@
 	s.updateReady()
 }
 
+// holdContradicted holds back the records that are older than what a peer knows of upstreams that are leaving or gone, and reports
+// whether there are any. A directory that was restored from a copy has these records again.
+func (s *Subscriber) holdContradicted(state snapshot, a arrival) bool {
+	held := false
+	for _, record := range state.Upstreams {
+		known := s.table.entries[record.Key]
+		if known == nil || known.record.Position <= record.Position {
+			continue
+		}
+		registration, stated := kernel.Registration{}, state.Stamps[record.Key]
+		if record.Value != nil {
+			decoded, err := s.options.Directory.Registration(record)
+			if err != nil || !decoded.Leaving {
+				continue
+			}
+			registration, stated = decoded, stamp{decoded.Incarnation, decoded.Sequence}
+		}
+		if !known.contradicts(stated) {
+			continue
+		}
+		s.table.holdInForce(known, record, registration, a)
+		known.stamp, held = stated, true
+		s.logger.Info("registration held back, which a peer knows to be older", zap.String("upstream", record.Key),
+			zap.Stringer("position", known.held.record.Position), zap.Stringer("peer_position", record.Position),
+			zap.Int64("sequence", known.held.stamp.Sequence), zap.Int64("newest_sequence", stated.Sequence),
+			zap.Duration("for", time.Until(known.held.until)))
+	}
+	// Followers, which may have these records in force, are told once more, and also when there are none.
+	s.listings++
+	s.notifyFollowers()
+	return held
+}
+
 // Departed reports whether an upstream is known to be leaving or gone. registered is one more than the position of the
 // registration by which the scheduler that granted it knows it; 0 if that isn't known.
 func (s *Subscriber) Departed(name string, registered int64) bool {
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -19,6 +19,8 @@
 	Next kernel.Position `json:"next"`
 	// Held is the lowest position of a record that the sender holds back, nil if there is none.
 	Held *kernel.Position `json:"held,omitempty"`
+	// Consulted reports whether the sender has asked a peer in this era what the directory's copy may lack.
+	Consulted bool `json:"consulted,omitempty"`
 	// Stamps are the newest stamps of the upstreams that Upstreams states to be gone.
 	Stamps map[string]stamp `json:"stamps,omitempty"`
 	// Orders are the orders of rollouts, all that the sender knows if Registered is stated. OrdersNext is the position up to which
@@ -82,6 +84,7 @@
 		s.publish(state.Publication, sourcePeer)
 	}
 	if !outdated {
+		state.Consulted = true
 		s.applyRegistrations(state, false)
 	}
 	return nil
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -87,6 +87,9 @@
 	// compressed is the compressed publication for followers, nil until one needs it.
 	compressed []byte
 	table      *table
+	// consulted is the newest era in which a peer, or the router that this one follows, has told which upstreams it knows to be
+	// leaving or gone.
+	consulted int64
 	// orders holds the newest record of each order's key.
 	orders map[string]kernel.DirectoryRecord
 	// listings counts the listings of the directory that this router has read itself.
@@ -117,7 +120,7 @@
 	s := &Subscriber{
 		options: options, logger: options.Logger, table: newTable(), orders: make(map[string]kernel.DirectoryRecord), subscribers: make(map[int]func(*cataloguer.Catalogue)),
 		changed: make(chan struct{}), followingChanged: make(chan struct{}),
-		ready: make(chan struct{}), awaited: make(chan struct{}), started: time.Now(), era: noEra,
+		ready: make(chan struct{}), awaited: make(chan struct{}), started: time.Now(), era: noEra, consulted: noEra,
 	}
 	s.markAwaited = sync.OnceFunc(func() { close(s.awaited) })
 	s.current.Store((&cataloguer.Catalogue{Offset: -1}).Index())
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -112,6 +112,9 @@
 	known.record = record
 	if known.held != nil && known.held.record.Position < record.Position {
 		known.held = nil
+		// Followers may hold the record back too.
+		known.changed = record.Position
+		t.changed = max(t.changed, record.Position)
 	}
 	if known.goneAt.IsZero() {
 		known.goneAt, known.droppedAt, known.lapsed = a.goneAt, a.goneAt, a.goneAt.After(a.at)
--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -87,7 +87,9 @@
 	}
 	state.Orders = s.unsentOrders(f.sent)
 	s.statePosition(&state)
-	if (f.listed != s.listings || f.unsettled && state.Held == nil) && s.registrationsKnown {
+	listing := (f.listed != s.listings || f.unsettled && state.Held == nil) && s.registrationsKnown
+	if listing {
+		state.Consulted = s.consulted == s.era
 		state.Registered, f.listed, f.unsettled = s.table.registered(), s.listings, state.Held != nil
 		state.Orders, state.OrdersNext = s.listOrders(), s.ordersNext
 	}
@@ -96,7 +98,8 @@
 		if !alreadySent {
 			last = f.position
 		}
-		if known.changed <= last {
+		// What is held back may be in force at a follower that has read the copy itself.
+		if known.changed <= last && (!listing || known.held == nil) {
 			continue
 		}
 		f.sent[key] = known.changed
--- a/router/internal/assembler/statesource.go
+++ b/router/internal/assembler/statesource.go
@@ -17,10 +17,15 @@
 		}
 		newer := member.CatalogueRevision > version ||
 			wanted == subscriber.WantedNewer && member.CatalogueRevision == version && member.CatalogueOffset > offset
-		if newer {
+		if newer || wanted == subscriber.WantedAny {
 			sources = append(sources, member)
 		}
 	}
+	if wanted == subscriber.WantedAny {
+		// Those that have run for longest know most of what happened before the directory was restored.
+		slices.SortStableFunc(sources, func(a, b detector.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+		return sources
+	}
 	slices.SortStableFunc(sources, func(a, b detector.Member) int {
 		return cmp.Or(cmp.Compare(b.CatalogueRevision, a.CatalogueRevision), cmp.Compare(b.CatalogueOffset, a.CatalogueOffset))
 	})
--- a/router/internal/assembler/statesource_test.go
+++ b/router/internal/assembler/statesource_test.go
@@ -13,7 +13,11 @@
 // TestStateSources guards against asking a router that has nothing newer, that can't answer, or this one itself.
 func TestStateSources(t *testing.T) {
 	member := func(name string, version uint64, offset int64, state protocol.MemberState) detector.Member {
-		return detector.Member{Name: name, CatalogueRevision: version, CatalogueOffset: offset, State: state}
+		m := detector.Member{Name: name, CatalogueRevision: version, CatalogueOffset: offset, State: state, Incarnation: 2}
+		if name == "older" {
+			m.Incarnation = 1
+		}
+		return m
 	}
 	alive, dead := protocol.MemberState_MEMBER_STATE_ALIVE, protocol.MemberState_MEMBER_STATE_DEAD
 	view := &detector.View{Self: "self", Members: []detector.Member{
@@ -26,6 +30,7 @@
 	}{
 		{subscriber.WantedPublication, []string{"newest", "newer"}},
 		{subscriber.WantedNewer, []string{"newest", "newer", "same"}},
+		{subscriber.WantedAny, []string{"older", "newer", "newest", "same"}},
 	} {
 		var names []string
 		for _, source := range stateSources(view, 3, 5, row.wanted) {
