Don't count the state of a peer that has started too as an answer

A router that had just started and got the state of another one that had started a moment before counted as having asked what the copy may lack.

Peers state whether they have asked. What is fetched for that purpose counts in any case, because it comes from the router that has run for longest.

--- a/internal/subscriber/peers.go
+++ b/internal/subscriber/peers.go
@@ -47,7 +47,7 @@
 		}
 		data, err := s.options.FetchSnapshot(ctx, wanted)
 		if err == nil && data != nil {
-			err = s.ApplySnapshot(data)
+			err = s.applySnapshot(data, wanted == WantedAny)
 		}
 		if err != nil && ctx.Err() == nil {
 			s.logger.Warn("getting a snapshot from a peer failed", zap.Error(err))
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -37,7 +37,7 @@
 	state := snapshot{Publication: s.publication, Orders: s.listOrders(), OrdersNext: s.ordersNext}
 	s.statePosition(&state)
 	if s.registrationsKnown {
-		state.Registered = s.table.registered()
+		state.Registered, state.Consulted = s.table.registered(), s.consulted == s.era
 	}
 	for _, known := range s.table.entries {
 		state.add(known)
@@ -71,7 +71,10 @@
 
 // ApplySnapshot applies the records of a peer's snapshot that are newer than the known ones. Of a peer that hasn't heard of the
 // last restoration of the directory, only the publication is used. Errors: *kernel.MalformedRecordError.
-func (s *Subscriber) ApplySnapshot(data []byte) error {
+func (s *Subscriber) ApplySnapshot(data []byte) error { return s.applySnapshot(data, false) }
+
+// applySnapshot is ApplySnapshot. consulted reports whether the peer was asked what the directory's copy may lack.
+func (s *Subscriber) applySnapshot(data []byte, consulted bool) error {
 	var state snapshot
 	if err := json.Unmarshal(data, &state); err != nil {
 		return &kernel.MalformedRecordError{Key: "snapshot", Cause: err}
@@ -84,7 +87,7 @@
 		s.publish(state.Publication, sourcePeer)
 	}
 	if !outdated {
-		state.Consulted = true
+		state.Consulted = state.Consulted || consulted
 		s.applyRegistrations(state, false)
 	}
 	return nil
