Let a removal that a peer has read take effect at once

A router that was cut off used an upstream that had left for 3.4 s after its return, where 3 s are allowed: it had the removal from a peer, but treated it like a registration that may have lapsed in its own outage, and a restoration of the directory extends that grace.

Routers now state which of the removals they pass on can't have lapsed in an outage, as far as they know themselves. These take effect at once. A router of the version before states none, and the grace holds as before.

--- a/internal/subscriber/registrations.go
+++ b/internal/subscriber/registrations.go
@@ -116,7 +116,7 @@
 func (s *Subscriber) logGone(dropped []kernel.DirectoryRecord, a arrival) {
 	for _, record := range dropped {
 		s.logger.Info("upstream has no registration", zap.String("upstream", record.Key), zap.Stringer("position", record.Position),
-			zap.Duration("used_for", max(0, time.Until(a.goneAt))), zap.String("source", a.source))
+			zap.Duration("used_for", max(0, time.Until(s.table.entries[record.Key].goneAt))), zap.String("source", a.source))
 	}
 }
 
@@ -129,6 +129,7 @@
 		s.table.forgetHeld(state.Next)
 	}
 	a := s.arrival(sourcePeer)
+	a.left = state.Left
 	changed := s.applyRecords(state.Upstreams, a)
 	if state.Registered != nil && state.Consulted && s.consulted < s.era {
 		s.consulted = s.era
--- a/internal/subscriber/snapshot.go
+++ b/internal/subscriber/snapshot.go
@@ -21,6 +21,9 @@
 	Held *kernel.Position `json:"held,omitempty"`
 	// Consulted reports whether the sender has asked a peer in this era what the directory's copy may lack.
 	Consulted bool `json:"consulted,omitempty"`
+	// Left are the upstreams among those that Upstreams states to be gone whose registration was removed while the sender could read
+	// the directory, so that it can't have lapsed in an outage.
+	Left []string `json:"left,omitempty"`
 	// Stamps are the newest stamps of the upstreams that Upstreams states to be gone.
 	Stamps map[string]stamp `json:"stamps,omitempty"`
 	// Orders are the orders of rollouts, all that the sender knows if Registered is stated. OrdersNext is the position up to which
@@ -61,6 +64,9 @@
 // add adds the record of an upstream, and the stamp that a record of a removal lacks.
 func (state *snapshot) add(known *entry) {
 	state.Upstreams = append(state.Upstreams, known.record)
+	if known.record.Value == nil && !known.lapsed {
+		state.Left = append(state.Left, known.record.Key)
+	}
 	if known.record.Value == nil && known.stamp != (stamp{}) {
 		if state.Stamps == nil {
 			state.Stamps = make(map[string]stamp)
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -55,6 +55,8 @@
 	// goneAt is when an upstream whose record is dropped counts as gone. It is later than at if the record may have lapsed in an
 	// outage of the directory.
 	goneAt time.Time
+	// left are the upstreams whose record, if it is dropped, can't have lapsed in an outage.
+	left []string
 	// heldUntil is until when records that may be outdated are held back.
 	heldUntil time.Time
 }
@@ -73,6 +75,9 @@
 		t.entries[record.Key] = known
 	}
 	if record.Value == nil {
+		if slices.Contains(a.left, record.Key) {
+			a.goneAt = a.at
+		}
 		return t.markDropped(known, record, a), nil
 	}
 	if known.goneAt.IsZero() && bytes.Equal(known.record.Value, record.Value) {
