Ask an upstream whose registration lapsed itself before its record is held back for 5 s

An engine whose heartbeats were lost, so that the directory dropped its registration, was used again 5 s after its next heartbeat, since that may be one that the directory executed late, after the engine had left.

Where the engine wrote nothing for three heartbeats before the removal, the routers that read the directory ask it at the health path of its service, each 0.7 s. Its answer, under its own name and without a notice that it is leaving, is fresher than any record. An engine that wrote a heartbeat shortly before its removal has left, and its record is held back for the whole time.

--- a/internal/kernel/exchange.go
+++ b/internal/kernel/exchange.go
@@ -136,6 +136,8 @@
 	Name string
 	// ModelEngines reports whether the upstreams are model engines.
 	ModelEngines bool
+	// HealthPath is the path at which upstreams tell whether they take requests; empty if it isn't known.
+	HealthPath string
 	// KVTokens is the capacity of one engine's KV cache in tokens.
 	KVTokens int
 	// TokensPerEvent is the number of tokens in an event of a stream; 0 if it isn't known.
@@ -245,6 +247,13 @@
 	Registration(record DirectoryRecord) (Registration, error)
 }
 
+// UpstreamProber is implemented by directories whose upstreams tell themselves whether they take requests.
+type UpstreamProber interface {
+	// Probe reports whether the upstream of a registration answers at its address under its name and is neither leaving nor failing.
+	// path is the health path of its service.
+	Probe(ctx context.Context, registration Registration, path string) (bool, error)
+}
+
 // Reporter reads the load reports of one upstream whose requests are forwarded without being parsed.
 type Reporter interface {
 	Load(ctx context.Context) (LoadReport, error)
--- a/internal/subscriber/fleet_test.go
+++ b/internal/subscriber/fleet_test.go
@@ -74,8 +74,10 @@
 	mu         sync.Mutex
 	routers    []*Subscriber
 	candidates []string
-	group      errgroup.Group
-	stops      []context.CancelFunc
+	// alive makes all upstreams answer that they take requests.
+	alive atomic.Bool
+	group errgroup.Group
+	stops []context.CancelFunc
 }
 
 // runWithFleet runs a test with started routers on virtual time. The directory has a configuration and the given upstreams.
@@ -126,10 +128,15 @@
 				return nil
 			})
 		},
-		WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval, LapseGrace: defaults.LapseGrace, Heartbeat: defaults.Heartbeat, Logger: zap.NewNop(),
+		WatchWait: defaults.WatchWait, PollInterval: defaults.PollInterval, LapseGrace: defaults.LapseGrace, Heartbeat: defaults.Heartbeat, Logger: zap.NewNop(), Prober: f,
 	})
 }
 
+// Probe implements kernel.UpstreamProber.
+func (f *fleet) Probe(context.Context, kernel.Registration, string) (bool, error) {
+	return f.alive.Load(), nil
+}
+
 // snapshotFor returns the snapshot of a router for router i, nil if none has what is wanted.
 func (f *fleet) snapshotFor(i int, wanted Wanted) (data []byte) {
 	peers := f.peers()
--- a/internal/subscriber/held.go
+++ b/internal/subscriber/held.go
@@ -37,6 +37,9 @@
 	source string
 	// until is when the record is put in force. If its upstream were gone, the directory would have dropped it by then.
 	until time.Time
+	// silent reports whether the upstream wrote nothing before its removal for as long as a registration takes to lapse. Then its
+	// own answer tells whether it has left.
+	silent bool
 }
 
 // position returns the position of the newest record, whether it is in force or held back.
--- a/internal/subscriber/registrations.go
+++ b/internal/subscriber/registrations.go
@@ -32,7 +32,7 @@
 // outage of the directory in which the registration may have lapsed.
 func (s *Subscriber) arrival(source string) arrival {
 	now, lapses := time.Now(), s.lapsesUntil()
-	a := arrival{source: source, at: now, goneAt: now, heldUntil: now.Add(s.holdTime())}
+	a := arrival{source: source, at: now, goneAt: now, heldUntil: now.Add(s.holdTime()), lapse: lapseHeartbeats * s.options.Heartbeat}
 	if lapses.After(now) {
 		a.goneAt = lapses
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -18,6 +18,7 @@
 const (
 	sourceDirectory = "directory"
 	sourcePeer      = "peer"
+	sourceUpstream  = "upstream"
 	sourceClock     = "clock"
 )
 
@@ -46,6 +47,8 @@
 	// Heartbeat is the interval at which upstreams renew their registrations. The directory drops a registration after
 	// lapseHeartbeats of them.
 	Heartbeat time.Duration
+	// Prober asks upstreams whose record is held back; nil if they can't be asked.
+	Prober kernel.UpstreamProber
 	// Rollouts decodes orders of rollouts; nil if they are ignored.
 	Rollouts kernel.RolloutProtocol
 	// ApplyOrder is called with each newer order. seen reports whether the configuration was known before, so that the order
@@ -138,6 +141,9 @@
 	})
 	group.Go(func() error { return s.pollPeers(ctx) })
 	group.Go(func() error { return s.follow(ctx) })
+	if s.options.Prober != nil {
+		group.Go(func() error { return s.probeHeld(ctx) })
+	}
 	return group.Wait()
 }
 
--- a/internal/subscriber/table.go
+++ b/internal/subscriber/table.go
@@ -36,6 +36,9 @@
 	goneAt time.Time
 	// droppedAt is from when on a dropped record is no longer in force, unless the upstream was leaving anyway.
 	droppedAt time.Time
+	// heardAt is when the newest record of the upstream arrived, and silent reports whether that was a lapse before it was dropped.
+	heardAt time.Time
+	silent  bool
 	// lapsed reports whether the dropped record may have lapsed in an outage of the directory.
 	lapsed bool
 	// held is a later record that may be outdated, nil if there is none.
@@ -55,6 +58,8 @@
 	// goneAt is when an upstream whose record is dropped counts as gone. It is later than at if the record may have lapsed in an
 	// outage of the directory.
 	goneAt time.Time
+	// lapse is the time of silence after which the directory drops a registration.
+	lapse time.Duration
 	// left are the upstreams whose record, if it is dropped, can't have lapsed in an outage.
 	left []string
 	// heldUntil is until when records that may be outdated are held back.
@@ -80,6 +85,8 @@
 		}
 		return t.markDropped(known, record, a), nil
 	}
+	silent := known.silent
+	known.heardAt = a.at
 	if known.goneAt.IsZero() && bytes.Equal(known.record.Value, record.Value) {
 		known.record, known.held = record, nil
 		return false, nil
@@ -94,7 +101,7 @@
 	registration.Sequence = 0
 	changed := registration != known.registration || (err == nil) != known.usable || !known.goneAt.IsZero()
 	if changed && err == nil && known.doubts(next, registration.Leaving, a) {
-		known.hold(&heldRecord{record: record, registration: registration, stamp: next, source: a.source, until: a.heldUntil})
+		known.hold(&heldRecord{record: record, registration: registration, stamp: next, source: a.source, until: a.heldUntil, silent: silent})
 		return true, nil
 	}
 	t.replace(known, record, registration, err == nil, changed)
@@ -104,7 +111,7 @@
 
 // replace puts a record in force.
 func (t *table) replace(known *entry, record kernel.DirectoryRecord, registration kernel.Registration, usable, changed bool) {
-	*known = entry{record: record, registration: registration, usable: usable, stamp: known.stamp, changed: known.changed}
+	*known = entry{record: record, registration: registration, usable: usable, stamp: known.stamp, changed: known.changed, heardAt: known.heardAt}
 	if changed {
 		known.changed = record.Position
 		t.changed = max(t.changed, record.Position)
@@ -123,6 +130,7 @@
 	}
 	if known.goneAt.IsZero() {
 		known.goneAt, known.droppedAt, known.lapsed = a.goneAt, a.goneAt, a.goneAt.After(a.at)
+		known.silent = a.source == sourceDirectory && !known.registration.Leaving && a.at.Sub(known.heardAt) >= a.lapse
 		if known.registration.Leaving {
 			// This is in the past, but not the zero time, which would mean that there is a record.
 			known.goneAt, known.lapsed = time.Time{}.Add(time.Nanosecond), false
--- a/router/internal/assembler/gateway.go
+++ b/router/internal/assembler/gateway.go
@@ -64,6 +64,7 @@
 		Directory: directory, FetchSnapshot: g.fetchState, PeerVersion: g.peerVersion, Readers: g.readers, Watch: r.peers.Watch, WatchWait: settings.WatchWait, PollInterval: settings.PollInterval,
 		LapseGrace: settings.LapseGrace, Heartbeat: settings.Heartbeat, Logger: log,
 	}
+	subscriberOptions.Prober, _ = directory.(kernel.UpstreamProber)
 	if settings.Rollouts.Enabled() {
 		g.rollouts = g.newRollouts()
 		subscriberOptions.Rollouts, subscriberOptions.ApplyOrder = directory, g.rollouts.ApplyOrder
