Spread the questions about a restored directory over the older half of the routers

All routers that read the directory at their start, and there may be tens of them on a large deployment, asked the same router, the one that has run for longest, each for its whole state. They now ask one of the older half, chosen at random. TestStateSources has the row; no run on a large deployment yet.

--- a/router/internal/assembler/statesource.go
+++ b/router/internal/assembler/statesource.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 
 	"coltsfootplank/internal/detector"
@@ -22,9 +23,7 @@
 		}
 	}
 	if wanted == subscriber.WantedAny {
-		// Those that have run for longest know most of what happened before the directory was restored.
-		slices.SortStableFunc(sources, func(a, b detector.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-		return sources
+		return oldestHalf(sources)
 	}
 	slices.SortStableFunc(sources, func(a, b detector.Member) int {
 		return cmp.Or(cmp.Compare(b.CatalogueRevision, a.CatalogueRevision), cmp.Compare(b.CatalogueOffset, a.CatalogueOffset))
@@ -32,6 +31,15 @@
 	return sources
 }
 
+// oldestHalf returns the half of the routers that have run for longest, in random order. They know most of what happened before the
+// directory was restored, and routers that ask at the same time don't all ask one.
+func oldestHalf(sources []detector.Member) []detector.Member {
+	slices.SortStableFunc(sources, func(a, b detector.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	sources = sources[:(len(sources)+1)/2]
+	rand.Shuffle(len(sources), func(i, j int) { sources[i], sources[j] = sources[j], sources[i] })
+	return sources
+}
+
 // peerVersion returns the highest version of the configuration that another router states, 0 if there is none.
 func (g *gatewayMode) peerVersion() (newest uint64) {
 	view := g.detector.View()
