Divide allowances among the listed routers, not among those that are known

The divisor is the number of listed routers now, or of the known ones if there are more. While all listed routers are known, nothing changes.

TestAllowanceShare had a row that asked for the fault: half of ten listed routers, with all that is known served, were to grant the whole allowance. It now asks for the half, and two rows ask for the whole where all listed routers are known.

--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -128,15 +128,17 @@
 }
 
 // AllowanceShare returns the share of the workspaces' allowances that a scheduler on this router may grant: the share of
-// the members that send it their tickets, according to served, among all expected members. While this router doesn't know
+// the members that send it their tickets, according to served, among all expected members and listed routers. A listed router
+// that this one hasn't heard of since its start may be cut off and grant its own part. While this router doesn't know
 // most of the other routers, it is one router's share.
 func (v *View) AllowanceShare(served func(Member) bool) float64 {
 	known, _ := v.countMembers()
-	switch {
-	case !v.vms.read:
+	if !v.vms.read {
 		return 1 / float64(max(known, assumedRouters))
-	case !v.KnowsMostRouters():
-		return 1 / float64(max(1, known, len(v.vms.routers)))
+	}
+	known = max(1, known, len(v.vms.routers))
+	if !v.KnowsMostRouters() {
+		return 1 / float64(known)
 	}
 	count := 0
 	for _, m := range v.Members {
@@ -144,7 +146,7 @@
 			count++
 		}
 	}
-	return float64(max(1, count)) / float64(max(1, known))
+	return float64(max(1, count)) / float64(known)
 }
 
 // countMembers returns the number of members that are alive, suspect or dead, and how many of them aren't dead. It
--- a/internal/detector/vmlist_test.go
+++ b/internal/detector/vmlist_test.go
@@ -81,7 +81,9 @@
 		{"no list", nil, 0, 1},
 		{"list not read", routerList{down: true}, 0, 1.0 / assumedRouters},
 		{"only itself of ten", routerList{n: 10}, 0, 0.1},
-		{"half of ten", routerList{n: 10}, 4, 1},
+		{"half of ten", routerList{n: 10}, 4, 0.5},
+		{"all of five", routerList{n: 5}, 4, 1},
+		{"more than are listed", routerList{n: 2}, 4, 1},
 		{"the only listed router", routerList{n: 1}, 0, 1},
 	}
 	for _, c := range cases {
