Let a stand-in drop a router without tickets after 0.3 s

While streams to the scheduler that is ranked first broke again and again, a workspace got more than its allowance: routers send their tickets to a stand-in meanwhile, which went on granting their part for 2 s after they had gone back, and the first one granted it from their first ticket on.

A scheduler that isn't ranked first now counts a router only within 0.3 s of its last ticket. The first one keeps 2 s, since routers with few tickets belong to it.

The tests of the runner pass with the race detector.

--- a/internal/runner/presence.go
+++ b/internal/runner/presence.go
@@ -16,6 +16,8 @@
 	settlingTime = 3 * time.Second
 	// ticketInterval is the time without tickets after which a router may send them elsewhere.
 	ticketInterval = 2 * time.Second
+	// standInTicketInterval is ticketInterval for a scheduler that isn't ranked first.
+	standInTicketInterval = 300 * time.Millisecond
 	// absenceTime is how long a router whose stream broke is taken to get its grants elsewhere unless it returns. It is
 	// longer than the windows over which allowances are counted.
 	absenceTime = 10 * time.Second
@@ -56,22 +58,31 @@
 // serves reports whether a router gets its grants from this cell: if it sends its tickets here, or if it has none but would
 // send them here, where all routers do.
 func (c *cell) serves(now time.Time, m detector.Member) bool {
-	if m.Name == c.runner.options.Self || c.holders[m.Name].sendsTickets(now) {
+	if m.Name == c.runner.options.Self || c.holders[m.Name].sendsTickets(now, c.ticketInterval()) {
 		return true
 	}
 	_, lost := c.presence.lostAt[m.Name]
 	return c.presence.first && c.presence.surveyed && now.Sub(c.presence.startedAt) >= settlingTime && !m.Silent && !lost
 }
 
-// sendsTickets reports whether tickets of a holder came lately. The stream of a holder that has switched to another scheduler
-// stays open for some time.
-func (h *holder) sendsTickets(now time.Time) bool {
-	return h != nil && h.brokenAt.IsZero() && now.Sub(h.ticketAt) < ticketInterval
+// ticketInterval returns the time without tickets after which a router may send them elsewhere. Routers leave a scheduler that isn't
+// ranked first as soon as the first one answers again, and that one grants their part from their first ticket on.
+func (c *cell) ticketInterval() time.Duration {
+	if c.presence.first {
+		return ticketInterval
+	}
+	return standInTicketInterval
+}
+
+// sendsTickets reports whether tickets of a holder came within an interval. The stream of a holder that has switched to another
+// scheduler stays open for some time.
+func (h *holder) sendsTickets(now time.Time, interval time.Duration) bool {
+	return h != nil && h.brokenAt.IsZero() && now.Sub(h.ticketAt) < interval
 }
 
 // recordTickets records that a router sends its tickets to this cell.
 func (c *cell) recordTickets(now time.Time, h *holder) {
-	sent := h.sendsTickets(now)
+	sent := h.sendsTickets(now, c.ticketInterval())
 	h.ticketAt = now
 	if _, lost := c.presence.lostAt[h.session.holder]; lost || !sent {
 		delete(c.presence.lostAt, h.session.holder)
@@ -101,7 +112,7 @@
 	c.presence.surveying = true
 	var names []string
 	for _, m := range c.runner.options.Members.View().Members {
-		if m.Name != c.runner.options.Self && !c.holders[m.Name].sendsTickets(now) {
+		if m.Name != c.runner.options.Self && !c.holders[m.Name].sendsTickets(now, c.ticketInterval()) {
 			names = append(names, m.Name)
 		}
 	}
