State in the log why a reader isn't followed any more

All lines on lost readers of the incident ended with the error <nil>: the router itself had ended the stream, because the reader couldn't read the directory, or was no longer one of its readers. The line didn't say which. It has the reason now.

--- a/internal/subscriber/watch.go
+++ b/internal/subscriber/watch.go
@@ -198,20 +198,27 @@
 // watch follows one reader until its stream breaks, it can't read the directory, or it is no longer one of the readers.
 // It reports whether that reader was followed.
 func (s *Subscriber) watch(ctx context.Context, reader string) bool {
+	reason := "the stream broke"
 	err := s.options.Watch(ctx, reader, s.watchRequest(), func(update *protocol.WatchUpdate) bool {
 		if err := s.applyUpdate(update); err != nil {
 			s.logger.Warn("applying an update from the reader failed", zap.String("reader", reader), zap.Error(err))
+			reason = "its update can't be applied"
 			return false
 		}
-		if !update.GetReading() || !slices.Contains(s.options.Readers().Addresses, reader) {
-			return false
+		switch {
+		case !update.GetReading():
+			reason = "it doesn't read the directory"
+		case !slices.Contains(s.options.Readers().Addresses, reader):
+			reason = "it is no longer a reader of this router"
+		default:
+			s.setFollowing(reader)
+			return true
 		}
-		s.setFollowing(reader)
-		return true
+		return false
 	})
 	followed := s.setFollowing("")
 	if followed && ctx.Err() == nil {
-		s.logger.Info("reader lost", zap.String("reader", reader), zap.Error(err))
+		s.logger.Info("reader lost", zap.String("reader", reader), zap.String("reason", reason), zap.Error(err))
 	}
 	return followed
 }
