Grant no burst at a stand-in

A scheduler that isn't ranked first grants rates without bursts. A router whose scheduler is lost for good gets bursts again once the next one is first.

--- a/internal/runner/scheduler.go
+++ b/internal/runner/scheduler.go
@@ -70,7 +70,7 @@
 // allowanceLimiter is implemented by schedulers that limit the usage of each workspace.
 type allowanceLimiter interface {
 	SetAllowances(allowances map[string]cataloguer.Allowance)
-	SetAllowanceShare(share float64)
+	SetAllowanceShare(share float64, burst bool)
 }
 
 // VersionLimit bounds the grants to the engines of one version.
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -65,7 +65,7 @@
 func (c *cell) updateShare(now time.Time) {
 	allowanceShare := c.grantableShare(now)
 	if limiter, ok := c.scheduler.(allowanceLimiter); ok {
-		limiter.SetAllowanceShare(allowanceShare)
+		limiter.SetAllowanceShare(allowanceShare, c.presence.first)
 	}
 	share := c.targetShare(now)
 	if share != c.share {
--- a/internal/scheduler/allowance_test.go
+++ b/internal/scheduler/allowance_test.go
@@ -20,15 +20,19 @@
 		before, after float64
 		// unused is set if each request's grant is returned unused once before it runs.
 		unused bool
+		// standIn is set while another scheduler may grant the burst.
+		standIn bool
 		// least and most bound the tokens that run in the second half.
 		least, most float64
 	}{
-		{"whole", 1, 1, false, rate * 8, rate*8 + burst},
-		{"part", 0.25, 0.25, false, rate * 2, (rate*8 + burst) / 4},
-		{"lowered", 1, 0.25, false, rate * 2, (rate*8 + burst) / 4},
-		{"raised", 0.25, 1, false, rate * 7, rate*8 + burst},
-		{"part, returned unused", 0.25, 0.25, true, rate * 2, (rate*8 + burst) / 4},
-		{"raised, returned unused", 0.25, 1, true, rate * 7, rate*8 + burst},
+		{"whole", 1, 1, false, false, rate * 8, rate*8 + burst},
+		{"part", 0.25, 0.25, false, false, rate * 2, (rate*8 + burst) / 4},
+		{"lowered", 1, 0.25, false, false, rate * 2, (rate*8 + burst) / 4},
+		{"raised", 0.25, 1, false, false, rate * 7, rate*8 + burst},
+		{"part, returned unused", 0.25, 0.25, true, false, rate * 2, (rate*8 + burst) / 4},
+		{"raised, returned unused", 0.25, 1, true, false, rate * 7, rate*8 + burst},
+		{"part of a stand-in", 0.25, 0.25, false, true, rate*2 - charge, rate*2 + charge},
+		{"raised at a stand-in", 0.25, 1, false, true, rate*8 - charge, rate*8 + charge},
 	}
 	for _, k := range cases {
 		c := newTestCell(1, 1000, func(s *Settings) {
@@ -36,12 +40,12 @@
 			s.Retries.Ratio, s.Retries.Burst = 1, 1e9
 		})
 		c.SetAllowances(map[string]cataloguer.Allowance{"a": {Rate: rate, Burst: burst}})
-		c.SetAllowanceShare(k.before)
+		c.SetAllowanceShare(k.before, !k.standIn)
 		ran := 0.0
 		for at := time.Duration(0); at < 4*window; at += 20 * time.Millisecond {
 			c.now = start.Add(at)
 			if at == 2*window {
-				c.SetAllowanceShare(k.after)
+				c.SetAllowanceShare(k.after, !k.standIn)
 			}
 			if at == 3*window {
 				ran = 0
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,9 +31,11 @@
 	weights        map[string]float64
 	works          map[string]cataloguer.Work
 	allowanceShare float64
-	allowances     map[string]cataloguer.Allowance
-	sequence       uint64
-	queuedByTier   [tierCount]int
+	// noBurst is set while another scheduler may grant the bursts of the allowances.
+	noBurst      bool
+	allowances   map[string]cataloguer.Allowance
+	sequence     uint64
+	queuedByTier [tierCount]int
 	// deadlines orders the queued tickets that have a latest start by that time.
 	deadlines    *indexedHeap[*request]
 	lengths      *estimator.Lengths
@@ -140,9 +142,11 @@
 	s.allowances = allowances
 }
 
-// SetAllowanceShare sets the part of each allowance that this scheduler may grant, above 0. A smaller capacity share applies
-// to the allowances too.
-func (s *Scheduler) SetAllowanceShare(share float64) { s.allowanceShare = share }
+// SetAllowanceShare sets the part of each allowance that this scheduler may grant, above 0, and whether the burst belongs to it. A
+// smaller capacity share applies to the allowances too.
+func (s *Scheduler) SetAllowanceShare(share float64, burst bool) {
+	s.allowanceShare, s.noBurst = share, !burst
+}
 
 // SetCapacityShare sets the part of every engine's capacity that this scheduler may use: 1, or 1/members when a router
 // schedules without contact to the others.
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -85,6 +85,10 @@
 func (s *Scheduler) chargeAllowance(r *request, now time.Time) bool {
 	charge, workspace := float64(r.ticket.GetCharge()), r.ticket.GetWorkspace()
 	allowance, share := s.allowances[workspace], min(s.engines.share, s.allowanceShare)
+	if s.noBurst {
+		// Routers come to a stand-in with an allowance whose burst the scheduler before may just have granted.
+		allowance.Burst = 0
+	}
 	wait, ok := s.allowanceUse.Take(now, workspace, allowance, charge/share)
 	if !ok {
 		part := allowance.Scale(share)
