Keep when an upstream was last heard of with a record that is held back

A record that was held back because a peer knew a removal lost the time of the last heartbeat, so that the next removal of its upstream counted as a lapse, and the upstream would have been asked.

--- a/internal/subscriber/held.go
+++ b/internal/subscriber/held.go
@@ -79,7 +79,10 @@
 // holdInForce holds back the record in force, and puts an earlier one in its place, by which the upstream is leaving or gone.
 func (t *table) holdInForce(known *entry, earlier kernel.DirectoryRecord, registration kernel.Registration, a arrival) {
 	held := &heldRecord{record: known.record, registration: known.registration, stamp: known.stamp, source: sourceDirectory, until: a.heldUntil}
-	*known = entry{record: earlier, registration: registration, usable: earlier.Value != nil, changed: earlier.Position, held: held}
+	*known = entry{
+		record: earlier, registration: registration, usable: earlier.Value != nil, changed: earlier.Position, heardAt: known.heardAt,
+		held: held,
+	}
 	if earlier.Value == nil {
 		known.goneAt, known.droppedAt = a.at, a.at
 	}
--- a/internal/subscriber/peers.go
+++ b/internal/subscriber/peers.go
@@ -22,15 +22,16 @@
 	WantedAny
 )
 
-// lag tells for how long this router has had an older publication than a peer.
+// lag is how this router's publication compares to those of its peers.
 type lag struct {
 	version uint64
-	behind  bool
+	// behind reports whether a peer has a newer one.
+	behind bool
 }
 
 // pollPeers fetches and applies snapshots of peers:
 //   - while neither this router nor one that it follows reads the directory;
-//   - until a peer was asked, in each era of the directory that this router reads, what the copy may lack;
+//   - in each era of the directory that this router reads, until a peer has told what the copy may lack;
 //   - while a peer has had a newer publication for peerInterval, since that of the directory may be a copy.
 func (s *Subscriber) pollPeers(ctx context.Context) error {
 	var last lag
